--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# What a newcomer types: `make demo`, `make test`. VENV may name another
+# virtual environment that already holds requirements.lock.
+VENV ?= .venv
+PYTHON ?= python3
+PARTS := core entry control daemon client
+empty :=
+space := $(empty) $(empty)
+# The sources of this tree go before whatever the environment has installed.
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PARTS),$(CURDIR)/packages/cranberryfield-$(p)/src)):$(CURDIR)
+RUN := $(VENV)/bin/python
+
+.PHONY: setup format lint test demo matrix bench
+
+setup: $(VENV)/.cranberryfield-ready
+
+$(VENV)/.cranberryfield-ready: requirements.lock $(wildcard packages/*/pyproject.toml)
+	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements.lock
+	$(VENV)/bin/pip install -q --no-deps --no-build-isolation $(foreach p,$(PARTS),-e packages/cranberryfield-$(p))
+	touch $@
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+test: lint
+	$(RUN) -m pytest
+
+demo: setup
+	$(RUN) -m standins.demo
+
+matrix: setup
+	$(RUN) -m tests.matrix
+
+bench: setup
+	$(RUN) -m bench
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/__init__.py
@@ -0,0 +1,1 @@
+"""The binary `cranberryfield`: the command line for operators."""
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the client as ``python -m cranberryfield.client``."""
+
+from cranberryfield.client.main import main
+
+main()
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: replicated log, settings tree, claims and orders."""
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/election.py
@@ -0,0 +1,205 @@
+"""Elections: pre-votes, votes and what follows from winning."""
+
+from cranberryfield.control.consensus.actions import Action, SaveVote, SendTo
+from cranberryfield.control.consensus.replica import Progress, Replica, ReplicaRole
+from cranberryfield.core.ids import LogIndex, NodeId, Term
+from cranberryfield.core.messages.consensus import VoteReply, VoteRequest
+
+__all__ = [
+    "become_follower",
+    "on_vote_reply",
+    "on_vote_request",
+    "reset_election_deadline",
+    "start_pre_vote",
+]
+
+
+def reset_election_deadline(replica: Replica, now: float) -> None:
+    """Draw the time at which the replica stands for election."""
+    timing = replica.timing
+    replica.deadline = now + replica.rng.uniform(
+        timing.election_min_s, timing.election_max_s
+    )
+
+
+def become_follower(
+    replica: Replica, term: Term, leader: NodeId | None, now: float
+) -> list[Action]:
+    """Enter `term` (or stay in it) as a follower.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    term : Term
+        Not lower than the replica's.
+    leader : NodeId or None
+        The term's leader, if known.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of Action
+        The vote to save, if the term is new.
+    """
+    actions: list[Action] = []
+    if term > replica.term:
+        replica.term = term
+        replica.voted_for = None
+        actions.append(SaveVote(term, None))
+    if replica.role is ReplicaRole.LEADER or actions or leader is not None:
+        reset_election_deadline(replica, now)
+    replica.role = ReplicaRole.FOLLOWER
+    replica.leader = leader
+    replica.progress = {}
+    replica.votes = set()
+    return actions
+
+
+def start_pre_vote(replica: Replica, now: float) -> list[Action]:
+    """Ask whether an election could be won, without raising the term.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of Action
+        The requests; for a group of one, the election itself.
+    """
+    replica.role = ReplicaRole.PRE_CANDIDATE
+    replica.leader = None
+    replica.votes = {replica.node}
+    reset_election_deadline(replica, now)
+    if len(replica.votes) >= replica.quorum:
+        return _start_election(replica, now)
+    return _ask_for_votes(replica, Term(replica.term + 1), pre_vote=True)
+
+
+def _start_election(replica: Replica, now: float) -> list[Action]:
+    replica.role = ReplicaRole.CANDIDATE
+    replica.term = Term(replica.term + 1)
+    replica.voted_for = replica.node
+    replica.votes = {replica.node}
+    reset_election_deadline(replica, now)
+    actions: list[Action] = [SaveVote(replica.term, replica.node)]
+    if len(replica.votes) >= replica.quorum:
+        _become_leader(replica, now)
+        return actions
+    return actions + _ask_for_votes(replica, replica.term, pre_vote=False)
+
+
+def _ask_for_votes(replica: Replica, term: Term, pre_vote: bool) -> list[Action]:
+    request = VoteRequest(term, replica.log.last_index, replica.log.last_term, pre_vote)
+    return [SendTo(node, request) for node in replica.others]
+
+
+def _become_leader(replica: Replica, now: float) -> None:
+    replica.role = ReplicaRole.LEADER
+    replica.leader = replica.node
+    next_index = LogIndex(replica.log.last_index + 1)
+    replica.progress = {node: Progress(next_index) for node in replica.others}
+    replica.round_started = {}
+    replica.deadline = now
+
+
+def _log_is_current(replica: Replica, request: VoteRequest) -> bool:
+    own = (replica.log.last_term, replica.log.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+def on_vote_request(
+    replica: Replica, sender: NodeId, request: VoteRequest, now: float
+) -> list[Action]:
+    """Grant or deny a vote or pre-vote.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place; never by a pre-vote.
+    sender : NodeId
+        Who asks.
+    request : VoteRequest
+        What is asked.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of Action
+        The vote to save and the reply.
+
+    Notes
+    -----
+    A replica that has heard its leader within the shortest election time
+    denies both kinds, so that one that was cut off cannot depose a leader that
+    the others follow, and so that a leader's lease holds.
+    """
+    follows_leader = replica.role is ReplicaRole.LEADER or (
+        now - replica.heard_leader_at < replica.timing.election_min_s
+    )
+    if sender not in replica.voters or follows_leader:
+        return [SendTo(sender, VoteReply(replica.term, False, request.pre_vote))]
+    if request.pre_vote:
+        granted = request.term > replica.term and _log_is_current(replica, request)
+        term = request.term if granted else replica.term
+        return [SendTo(sender, VoteReply(term, granted, True))]
+    actions: list[Action] = []
+    if request.term > replica.term:
+        actions += become_follower(replica, request.term, None, now)
+    granted = (
+        request.term == replica.term
+        and replica.voted_for in (None, sender)
+        and _log_is_current(replica, request)
+    )
+    if granted:
+        replica.voted_for = sender
+        reset_election_deadline(replica, now)
+        actions.append(SaveVote(replica.term, sender))
+    actions.append(SendTo(sender, VoteReply(replica.term, granted, False)))
+    return actions
+
+
+def on_vote_reply(
+    replica: Replica, sender: NodeId, reply: VoteReply, now: float
+) -> list[Action]:
+    """Count a vote or pre-vote.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    sender : NodeId
+        Who answered.
+    reply : VoteReply
+        The answer.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of Action
+        What follows from a majority, if there is one now.
+    """
+    if not reply.granted and reply.term > replica.term:
+        return become_follower(replica, reply.term, None, now)
+    expected_role = (
+        ReplicaRole.PRE_CANDIDATE if reply.pre_vote else ReplicaRole.CANDIDATE
+    )
+    expected_term = replica.term + 1 if reply.pre_vote else replica.term
+    if replica.role is not expected_role or reply.term != expected_term:
+        return []
+    if not reply.granted:
+        return []
+    replica.votes.add(sender)
+    if len(replica.votes) < replica.quorum:
+        return []
+    if reply.pre_vote:
+        return _start_election(replica, now)
+    _become_leader(replica, now)
+    return []
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -0,0 +1,50 @@
+"""The replicated state machine: settings and claims."""
+
+import msgspec
+
+from cranberryfield.control.claims import ClaimTable, apply_claim_command
+from cranberryfield.control.settings import SettingsState, apply_change
+from cranberryfield.core.errors import ErrorKind
+from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.commands import (
+    ChangeSettings,
+    CloseClaim,
+    Noop,
+    OpenClaim,
+    RecordDispatch,
+    Refused,
+)
+
+__all__ = ["ControlState", "apply_command"]
+
+
+class ControlState(msgspec.Struct, array_like=True):
+    """All that the log's entries add up to."""
+
+    settings: SettingsState = msgspec.field(default_factory=SettingsState)
+    claims: ClaimTable = msgspec.field(default_factory=ClaimTable)
+
+
+def apply_command(state: ControlState, command: Message) -> Message:
+    """Apply one committed command.
+
+    Parameters
+    ----------
+    state : ControlState
+        Changed in place; the same on every replica after the same commands.
+    command : Message
+        The command.
+
+    Returns
+    -------
+    Message
+        Its result.
+    """
+    match command:
+        case ChangeSettings():
+            return apply_change(state.settings, command)
+        case OpenClaim() | RecordDispatch() | CloseClaim():
+            return apply_claim_command(state.claims, command)
+        case Noop():
+            return command
+    return Refused(ErrorKind.PROTOCOL.value, "no command of the log")
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/__init__.py
@@ -0,0 +1,9 @@
+"""The replicated settings tree."""
+
+from cranberryfield.control.settings.machine import (
+    SettingsChange,
+    SettingsState,
+    apply_change,
+)
+
+__all__ = ["SettingsChange", "SettingsState", "apply_change"]
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
@@ -0,0 +1,113 @@
+"""Applies settings changes: compare-and-set, checks, history."""
+
+import msgspec
+
+from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.ids import ChangeId, Revision
+from cranberryfield.core.messages.commands import (
+    ChangeSettings,
+    LevelEdit,
+    Refused,
+    SettingsAccepted,
+)
+from cranberryfield.core.settings import (
+    LevelState,
+    SettingsTree,
+    check_tree,
+    check_value,
+    parse_level,
+)
+
+__all__ = ["SettingsChange", "SettingsState", "apply_change"]
+
+KEPT_CHANGES = 10_000
+
+
+class SettingsChange(msgspec.Struct, array_like=True):
+    """One accepted change, for the history."""
+
+    revision: Revision
+    change_id: ChangeId
+    author: str
+    edits: tuple[LevelEdit, ...]
+
+
+class SettingsState(msgspec.Struct, array_like=True):
+    """The tree and the accepted changes that led to it.
+
+    Attributes
+    ----------
+    tree : SettingsTree
+        The committed tree.
+    changes : dict
+        The latest accepted changes by id, oldest first.
+    """
+
+    tree: SettingsTree = msgspec.field(default_factory=SettingsTree)
+    changes: dict[ChangeId, SettingsChange] = msgspec.field(default_factory=dict)
+
+
+def apply_change(
+    state: SettingsState, change: ChangeSettings
+) -> SettingsAccepted | Refused:
+    """Apply a committed change, or refuse it without any effect.
+
+    Parameters
+    ----------
+    state : SettingsState
+        Changed in place if the change is accepted.
+    change : ChangeSettings
+        The change.
+
+    Returns
+    -------
+    SettingsAccepted or Refused
+        The same result for every resend of an accepted change.
+    """
+    known = state.changes.get(change.change_id)
+    if known is not None:
+        if known.edits != change.edits:
+            return Refused(
+                ErrorKind.KEY_REUSED.value,
+                f"change {change.change_id} was accepted with other edits",
+            )
+        return SettingsAccepted(known.revision)
+    revision = Revision(state.tree.revision + 1)
+    try:
+        tree = _edited(state.tree, change.edits, revision)
+    except ControlError as error:
+        return Refused(error.kind.value, error.detail)
+    faults = check_tree(tree)
+    if faults:
+        return Refused(ErrorKind.INVALID_SETTING.value, "; ".join(faults))
+    state.tree = tree
+    state.changes[change.change_id] = SettingsChange(
+        revision, change.change_id, change.author, change.edits
+    )
+    if len(state.changes) > KEPT_CHANGES:
+        del state.changes[next(iter(state.changes))]
+    return SettingsAccepted(revision)
+
+
+def _edited(
+    tree: SettingsTree, edits: tuple[LevelEdit, ...], revision: Revision
+) -> SettingsTree:
+    levels = dict(tree.levels)
+    for edit in edits:
+        level = parse_level(edit.level)
+        before = levels.get(edit.level, LevelState(0, {}))
+        if edit.expected_revision not in (None, before.revision):
+            raise ControlError(
+                ErrorKind.STALE_REVISION,
+                f"{edit.level} is at revision {before.revision}, "
+                f"not {edit.expected_revision}",
+            )
+        for name, value in edit.set_values.items():
+            check_value(level.kind, name, value)
+        values = {**before.values, **edit.set_values}
+        for name in edit.unset:
+            values.pop(name, None)
+        levels[edit.level] = LevelState(revision, values)
+        if not values:
+            del levels[edit.level]
+    return SettingsTree(revision, levels)
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
@@ -0,0 +1,175 @@
+"""Schema of the daemon's configuration file."""
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from cranberryfield.core.config.yaml_lines import (
+    check_struct,
+    load_yaml,
+    raise_problems,
+)
+from cranberryfield.core.ids import DataCentre, NodeId
+
+__all__ = ["ControlMember", "DaemonConfig", "Role", "TlsFiles", "split_address"]
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+IpAddress = Annotated[
+    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+]
+KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+LOOPBACK_PREFIXES = ("127.", "[::1]")
+
+
+class Role(Enum):
+    """What a process does."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+
+
+class ControlMember(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One process of the control group, as the file names it."""
+
+    node: Name
+    mesh: IpAddress
+
+
+class TlsFiles(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """PEM files for mutual TLS on the mesh."""
+
+    authority: str
+    certificate: str
+    private_key: str
+
+
+class DaemonConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All that a process is told at its start.
+
+    Attributes
+    ----------
+    node : str
+        Id of this process, unique in the group.
+    group : str
+        Name of the installation; processes of another group are refused.
+    data_centre, region : str
+        Where the process runs.
+    roles : tuple of Role
+        What the process does.
+    mesh : str
+        ``IP:PORT`` for other processes of the system.
+    callers : str
+        ``IP:PORT`` for callers, upstreams and operators over HTTP.
+    control : tuple of ControlMember
+        The control group.
+    seeds : tuple of str
+        Mesh addresses of some entry hosts, to find all others.
+    mesh_key : str
+        Shared key of the mesh; alone enough on loopback only.
+    operator_keys, upstream_keys : tuple of str
+        SHA-256 digests, in hexadecimal, of the accepted keys.
+    data_folder : str, optional
+        Where the control role keeps its log.
+    tls : TlsFiles, optional
+        Files for mutual TLS; required off loopback.
+    statsd : str, optional
+        ``IP:PORT`` of the statsd daemon.
+    log_level : str
+        Lowest level that is logged.
+    """
+
+    node: Name
+    group: Name
+    data_centre: Name
+    roles: Annotated[tuple[Role, ...], msgspec.Meta(min_length=1)]
+    mesh: IpAddress
+    callers: IpAddress
+    control: Annotated[tuple[ControlMember, ...], msgspec.Meta(min_length=1)]
+    mesh_key: Annotated[str, msgspec.Meta(min_length=16)]
+    region: Name = "default"
+    seeds: tuple[IpAddress, ...] = ()
+    operator_keys: tuple[KeyHash, ...] = ()
+    upstream_keys: tuple[KeyHash, ...] = ()
+    data_folder: str | None = None
+    tls: TlsFiles | None = None
+    statsd: IpAddress | None = None
+    log_level: str = "info"
+
+    @property
+    def node_id(self) -> NodeId:
+        """The process's id."""
+        return NodeId(self.node)
+
+    @property
+    def zone(self) -> DataCentre:
+        """The process's data centre."""
+        return DataCentre(self.data_centre)
+
+    @classmethod
+    def from_yaml(cls, text: str, source: str) -> "DaemonConfig":
+        """Read and check the file, reporting every fault in it.
+
+        Parameters
+        ----------
+        text : str
+            The file's content.
+        source : str
+            The file's name, for messages.
+
+        Returns
+        -------
+        DaemonConfig
+            The checked configuration.
+
+        Raises
+        ------
+        ConfigError
+            With one line per fault: file, line, key and reason.
+        """
+        document = load_yaml(text, source)
+        config, problems = check_struct(document, (), document.data, cls)
+        if config is not None:
+            problems = [
+                document.problem((key,), message) for key, message in _conflicts(config)
+            ]
+        raise_problems(problems)
+        return config
+
+
+def _conflicts(config: DaemonConfig) -> list[tuple[str, str]]:
+    found = []
+    if Role.CONTROL in config.roles:
+        if config.data_folder is None:
+            found.append(("roles", "the control role needs data_folder"))
+        if config.node not in {member.node for member in config.control}:
+            found.append(("control", f"does not list this node, {config.node!r}"))
+    if len({member.node for member in config.control}) != len(config.control):
+        found.append(("control", "names a node twice"))
+    if not config.mesh.startswith(LOOPBACK_PREFIXES) and config.tls is None:
+        found.append(("mesh", "an address off loopback needs tls"))
+    return found
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT``.
+
+    Parameters
+    ----------
+    address : str
+        An IPv4 address, or an IPv6 one in brackets, and a port.
+
+    Returns
+    -------
+    host : str
+        Without brackets.
+    port : int
+        The port.
+
+    Examples
+    --------
+    >>> split_address("[::1]:9000")
+    ('::1', 9000)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/errors.py
@@ -0,0 +1,255 @@
+"""The exception tree, the closed list of error kinds and their answers.
+
+Every refusal that leaves a process is one of `ErrorKind`. The table `ANSWERS`
+gives, for each kind, the HTTP status, what may be said about whether the
+request ran, whether a time to come back is given, and the exit code of the
+operators' client.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "CallerError",
+    "ConfigError",
+    "ControlError",
+    "CranberryfieldError",
+    "ErrorKind",
+    "InternalError",
+    "ProtocolError",
+    "StorageError",
+    "UnavailableError",
+    "WasRun",
+    "error_of_kind",
+]
+
+
+class WasRun(Enum):
+    """Whether a refused request was run by any upstream."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Closed list of the reasons for which anything is refused."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_REQUEST = "unknown_request"
+    KEY_REQUIRED = "key_required"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    KEY_BUSY = "key_busy"
+    REQUEST_CRASHES_UPSTREAMS = "request_crashes_upstreams"
+    OVER_LIMIT = "over_limit"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    RECORDS_FULL = "records_full"
+    NOT_READY = "not_ready"
+    STALE_INCARNATION = "stale_incarnation"
+    NO_QUORUM = "no_quorum"
+    UNKNOWN_PATH = "unknown_path"
+    INVALID_SETTING = "invalid_setting"
+    STALE_REVISION = "stale_revision"
+    FOREIGN_DATA = "foreign_data"
+    DATA_IN_USE = "data_in_use"
+    CORRUPT_DATA = "corrupt_data"
+    INVALID_CONFIG = "invalid_config"
+    PROTOCOL = "protocol"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How one error kind is answered.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    was_run : WasRun
+        What the answer says unless the raiser knows better.
+    retry : bool
+        Whether the answer carries ``Retry-After``.
+    exit_code : int
+        Exit code of the operators' client.
+    """
+
+    status: int
+    was_run: WasRun
+    retry: bool
+    exit_code: int
+
+
+_NO = WasRun.NO
+_UNKNOWN = WasRun.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NO, False, 2),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NO, False, 2),
+    ErrorKind.UNAUTHENTICATED: Answer(401, _NO, False, 3),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, _NO, False, 4),
+    ErrorKind.UNKNOWN_REQUEST: Answer(404, _NO, False, 4),
+    ErrorKind.KEY_REQUIRED: Answer(400, _NO, False, 2),
+    ErrorKind.KEY_REUSED: Answer(422, _NO, False, 5),
+    ErrorKind.KEY_EXPIRED: Answer(410, _UNKNOWN, False, 5),
+    ErrorKind.KEY_BUSY: Answer(409, _UNKNOWN, True, 6),
+    ErrorKind.REQUEST_CRASHES_UPSTREAMS: Answer(422, WasRun.YES, False, 5),
+    ErrorKind.OVER_LIMIT: Answer(429, _NO, True, 6),
+    ErrorKind.QUEUE_FULL: Answer(503, _NO, True, 6),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, _UNKNOWN, True, 6),
+    ErrorKind.NO_UPSTREAM: Answer(503, _NO, True, 6),
+    ErrorKind.UPSTREAM_FAILED: Answer(502, _UNKNOWN, True, 6),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(409, _UNKNOWN, False, 7),
+    ErrorKind.ANSWER_TOO_LARGE: Answer(502, WasRun.YES, False, 7),
+    ErrorKind.RECORDS_FULL: Answer(503, _NO, True, 6),
+    ErrorKind.NOT_READY: Answer(503, _NO, True, 6),
+    ErrorKind.STALE_INCARNATION: Answer(409, _NO, False, 5),
+    ErrorKind.NO_QUORUM: Answer(503, _NO, True, 6),
+    ErrorKind.UNKNOWN_PATH: Answer(404, _NO, False, 4),
+    ErrorKind.INVALID_SETTING: Answer(422, _NO, False, 8),
+    ErrorKind.STALE_REVISION: Answer(409, _NO, False, 9),
+    ErrorKind.FOREIGN_DATA: Answer(500, _NO, False, 10),
+    ErrorKind.DATA_IN_USE: Answer(500, _NO, False, 10),
+    ErrorKind.CORRUPT_DATA: Answer(500, _NO, False, 11),
+    ErrorKind.INVALID_CONFIG: Answer(500, _NO, False, 2),
+    ErrorKind.PROTOCOL: Answer(502, _UNKNOWN, True, 12),
+    ErrorKind.INTERNAL: Answer(500, _UNKNOWN, True, 1),
+}
+
+
+class CranberryfieldError(Exception):
+    """Root of all errors that this project raises on purpose.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Why the operation was refused.
+    detail : str
+        One sentence for a person.
+    was_run : WasRun, optional
+        Overrides what `ANSWERS` says of the kind.
+    retry_after_s : float, optional
+        Seconds after which coming back may help.
+
+    Examples
+    --------
+    >>> error = CranberryfieldError(ErrorKind.QUEUE_FULL, "64 requests wait")
+    >>> error.answer.status, error.was_run.value
+    (503, 'no')
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        was_run: WasRun | None = None,
+        retry_after_s: float | None = None,
+    ):
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+        self.was_run = was_run or ANSWERS[kind].was_run
+        self.retry_after_s = retry_after_s
+
+    @property
+    def answer(self) -> Answer:
+        """The row of `ANSWERS` for this error's kind."""
+        return ANSWERS[self.kind]
+
+
+class CallerError(CranberryfieldError):
+    """The request itself is at fault; sending it again unchanged cannot help."""
+
+
+class UnavailableError(CranberryfieldError):
+    """The request is sound but cannot be served now."""
+
+
+class ControlError(CranberryfieldError):
+    """A change of the control state was refused."""
+
+
+class StorageError(CranberryfieldError):
+    """The data folder cannot be used as it is."""
+
+
+class ConfigError(CranberryfieldError):
+    """A settings or configuration file is at fault."""
+
+
+class ProtocolError(CranberryfieldError):
+    """Another process sent what this one cannot understand."""
+
+
+class InternalError(CranberryfieldError):
+    """A fault of this program."""
+
+
+_CLASS_OF_KIND: dict[ErrorKind, type[CranberryfieldError]] = {
+    ErrorKind.BAD_REQUEST: CallerError,
+    ErrorKind.BODY_TOO_LARGE: CallerError,
+    ErrorKind.UNAUTHENTICATED: CallerError,
+    ErrorKind.UNKNOWN_SERVICE: CallerError,
+    ErrorKind.UNKNOWN_REQUEST: CallerError,
+    ErrorKind.KEY_REQUIRED: CallerError,
+    ErrorKind.KEY_REUSED: CallerError,
+    ErrorKind.KEY_EXPIRED: CallerError,
+    ErrorKind.REQUEST_CRASHES_UPSTREAMS: CallerError,
+    ErrorKind.STALE_INCARNATION: CallerError,
+    ErrorKind.UNKNOWN_PATH: ControlError,
+    ErrorKind.INVALID_SETTING: ControlError,
+    ErrorKind.STALE_REVISION: ControlError,
+    ErrorKind.NO_QUORUM: ControlError,
+    ErrorKind.FOREIGN_DATA: StorageError,
+    ErrorKind.DATA_IN_USE: StorageError,
+    ErrorKind.CORRUPT_DATA: StorageError,
+    ErrorKind.INVALID_CONFIG: ConfigError,
+    ErrorKind.PROTOCOL: ProtocolError,
+    ErrorKind.INTERNAL: InternalError,
+}
+
+
+def error_of_kind(
+    kind: ErrorKind,
+    detail: str,
+    *,
+    was_run: WasRun | None = None,
+    retry_after_s: float | None = None,
+) -> CranberryfieldError:
+    """Build the exception of the branch that `kind` belongs to.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Why the operation was refused.
+    detail : str
+        One sentence for a person.
+    was_run : WasRun, optional
+        Overrides what `ANSWERS` says of the kind.
+    retry_after_s : float, optional
+        Seconds after which coming back may help.
+
+    Returns
+    -------
+    CranberryfieldError
+        An instance of the matching subclass.
+
+    Examples
+    --------
+    >>> type(error_of_kind(ErrorKind.KEY_REUSED, "another body")).__name__
+    'CallerError'
+    """
+    cls = _CLASS_OF_KIND.get(kind, UnavailableError)
+    return cls(kind, detail, was_run=was_run, retry_after_s=retry_after_s)
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http/__init__.py
@@ -0,0 +1,28 @@
+"""What all HTTP endpoints share: keys, refusals, bounded bodies."""
+
+from cranberryfield.core.http.auth import (
+    given_digest,
+    key_digest,
+    key_matches,
+    require_key,
+)
+from cranberryfield.core.http.bodies import decode_json, read_body
+from cranberryfield.core.http.problems import (
+    Problem,
+    handle_error,
+    problem_of_error,
+    problem_response,
+)
+
+__all__ = [
+    "Problem",
+    "decode_json",
+    "given_digest",
+    "handle_error",
+    "key_digest",
+    "key_matches",
+    "problem_of_error",
+    "problem_response",
+    "read_body",
+    "require_key",
+]
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http/bodies.py
@@ -0,0 +1,75 @@
+"""Reads request bodies of bounded size."""
+
+from typing import TypeVar
+
+import msgspec
+from starlette.requests import Request as HttpRequest
+
+from cranberryfield.core.errors import CallerError, ErrorKind
+
+__all__ = ["decode_json", "read_body"]
+
+T = TypeVar("T")
+
+
+async def read_body(request: HttpRequest, limit: int) -> bytes:
+    """Read a body of at most `limit` bytes.
+
+    Parameters
+    ----------
+    request : starlette.requests.Request
+        The request.
+    limit : int
+        Largest size in bytes.
+
+    Returns
+    -------
+    bytes
+        The body.
+
+    Raises
+    ------
+    CallerError
+        Of kind ``body_too_large``.
+    """
+    parts = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > limit:
+            raise CallerError(
+                ErrorKind.BODY_TOO_LARGE, f"the body is larger than {limit} bytes"
+            )
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+async def decode_json(request: HttpRequest, kind: type[T], limit: int) -> T:
+    """Read a JSON body into a typed value.
+
+    Parameters
+    ----------
+    request : starlette.requests.Request
+        The request.
+    kind : type
+        What the body must be.
+    limit : int
+        Largest size in bytes.
+
+    Returns
+    -------
+    object
+        An instance of `kind`.
+
+    Raises
+    ------
+    CallerError
+        Of kind ``body_too_large`` or ``bad_request``.
+    """
+    body = await read_body(request, limit)
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise CallerError(
+            ErrorKind.BAD_REQUEST, f"the body cannot be read: {error}"
+        ) from error
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/ids.py
@@ -0,0 +1,43 @@
+"""Identifier and quantity types shared by all packages."""
+
+from typing import NewType
+
+__all__ = [
+    "ChangeId",
+    "DataCentre",
+    "Incarnation",
+    "LogIndex",
+    "NodeId",
+    "RequestKey",
+    "Revision",
+    "RunId",
+    "ServiceName",
+    "Term",
+    "UpstreamId",
+    "WorkspaceId",
+]
+
+#: One process of cranberryfield.
+NodeId = NewType("NodeId", str)
+#: One upstream: an engine runner or a plain service process.
+UpstreamId = NewType("UpstreamId", str)
+#: A data centre (an availability zone).
+DataCentre = NewType("DataCentre", str)
+#: A workspace (a tenant).
+WorkspaceId = NewType("WorkspaceId", str)
+#: A service that callers name, as the ``model`` of a completion or in the path.
+ServiceName = NewType("ServiceName", str)
+#: The caller's ``Idempotency-Key``, unique inside its workspace.
+RequestKey = NewType("RequestKey", str)
+#: One execution of a request on one upstream.
+RunId = NewType("RunId", str)
+#: The operator's name for one settings change; a resend carries the same one.
+ChangeId = NewType("ChangeId", str)
+#: Version of the settings tree; only ever grows.
+Revision = NewType("Revision", int)
+#: Election term of the replicated log.
+Term = NewType("Term", int)
+#: Position in the replicated log; the first entry has index 1.
+LogIndex = NewType("LogIndex", int)
+#: Counts the starts of one upstream or node; a higher one replaces a lower.
+Incarnation = NewType("Incarnation", int)
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
@@ -0,0 +1,174 @@
+"""One open link to another process."""
+
+from itertools import count
+
+import anyio
+from websockets.exceptions import ConnectionClosed
+
+from cranberryfield.core.errors import (
+    CranberryfieldError,
+    ErrorKind,
+    UnavailableError,
+    error_of_kind,
+)
+from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.codec import (
+    Envelope,
+    EnvelopeKind,
+    decode_frame,
+    encode_frame,
+)
+from cranberryfield.core.messages.links import Failure, Hello
+
+__all__ = ["Link"]
+
+MAX_WAITING_ENVELOPES = 10_000
+MAX_BATCH_ENVELOPES = 500
+CLOSE_TIMEOUT_S = 1.0
+
+
+class _Call:
+    """A request that waits for its reply."""
+
+    def __init__(self):
+        self.done = anyio.Event()
+        self.reply: Message | None = None
+
+
+class Link:
+    """Sends and receives envelopes over one websocket.
+
+    Parameters
+    ----------
+    connection : websockets connection
+        Open connection.
+    peer : Hello
+        What the other process said of itself.
+    """
+
+    def __init__(self, connection, peer: Hello):
+        self._connection = connection
+        self._peer = peer
+        self._calls: dict[int, _Call] = {}
+        self._numbers = count(1)
+        self._outgoing, self._to_send = anyio.create_memory_object_stream[Envelope](
+            MAX_WAITING_ENVELOPES
+        )
+        self._open = True
+
+    @property
+    def peer(self) -> Hello:
+        """What the other process said of itself."""
+        return self._peer
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the link has not been seen to fail."""
+        return self._open
+
+    def send(self, envelope: Envelope) -> bool:
+        """Queue an envelope; return False if the link can take no more."""
+        if not self._open:
+            return False
+        try:
+            self._outgoing.send_nowait(envelope)
+        except anyio.WouldBlock:
+            return False
+        return True
+
+    async def request(self, message: Message, timeout_s: float) -> Message:
+        """Send a request and wait for the reply.
+
+        Parameters
+        ----------
+        message : Message
+            The request.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        Message
+            The reply.
+
+        Raises
+        ------
+        CranberryfieldError
+            Of the kind that the other process gave, or ``not_ready`` if no
+            reply came.
+        """
+        number = next(self._numbers)
+        call = self._calls[number] = _Call()
+        try:
+            if not self.send(Envelope(EnvelopeKind.REQUEST, number, message)):
+                raise UnavailableError(ErrorKind.NOT_READY, "the link is down")
+            with anyio.move_on_after(timeout_s):
+                await call.done.wait()
+        finally:
+            del self._calls[number]
+        if call.reply is None:
+            raise UnavailableError(
+                ErrorKind.NOT_READY, f"no reply from {self._peer.node}"
+            )
+        if isinstance(call.reply, Failure):
+            raise error_of_kind(ErrorKind(call.reply.kind), call.reply.detail)
+        return call.reply
+
+    async def run(self, on_envelope) -> None:
+        """Carry envelopes until the connection ends.
+
+        Parameters
+        ----------
+        on_envelope : callable
+            Takes this link and an envelope that is no reply.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                await self._read(on_envelope)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        self._open = False
+        self._outgoing.close()
+        self._to_send.close()
+        for call in self._calls.values():
+            call.done.set()
+
+    async def _read(self, on_envelope) -> None:
+        try:
+            async for data in self._connection:
+                for envelope in decode_frame(data):
+                    if envelope.kind is EnvelopeKind.REPLY:
+                        self._take_reply(envelope)
+                    else:
+                        on_envelope(self, envelope)
+        except (ConnectionClosed, CranberryfieldError):
+            return
+
+    def _take_reply(self, envelope: Envelope) -> None:
+        call = self._calls.get(envelope.call)
+        if call is not None:
+            call.reply = envelope.message
+            call.done.set()
+
+    async def _write(self) -> None:
+        try:
+            async for first in self._to_send:
+                batch = [first]
+                while len(batch) < MAX_BATCH_ENVELOPES:
+                    try:
+                        batch.append(self._to_send.receive_nowait())
+                    except anyio.WouldBlock:
+                        break
+                await self._connection.send(encode_frame(tuple(batch)))
+        except (ConnectionClosed, anyio.EndOfStream):
+            await self._connection.close()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self._open = False
+        with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+            await self._connection.close()
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -0,0 +1,144 @@
+"""Frames: batches of envelopes, encoded as CBOR with a format version."""
+
+from enum import IntEnum
+from functools import reduce
+from operator import or_
+
+import cbor2
+import msgspec
+
+from cranberryfield.core.errors import ErrorKind, ProtocolError
+from cranberryfield.core.messages import (
+    commands,
+    consensus,
+    links,
+    membership,
+    settings,
+)
+from cranberryfield.core.messages.base import Message
+
+__all__ = [
+    "FRAME_VERSION",
+    "MAX_FRAME_BYTES",
+    "Envelope",
+    "EnvelopeKind",
+    "decode_frame",
+    "decode_message",
+    "encode_frame",
+    "encode_message",
+]
+
+FRAME_VERSION = 1
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+
+_MODULES = (commands, consensus, links, membership, settings)
+_MESSAGE_TYPES = tuple(
+    value
+    for module in _MODULES
+    for value in vars(module).values()
+    if isinstance(value, type) and issubclass(value, Message) and value is not Message
+)
+AnyMessage = reduce(or_, dict.fromkeys(_MESSAGE_TYPES))
+
+
+class EnvelopeKind(IntEnum):
+    """How an envelope is to be treated."""
+
+    SEND = 0
+    REQUEST = 1
+    REPLY = 2
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message and how it relates to others on its link.
+
+    Attributes
+    ----------
+    kind : EnvelopeKind
+        A one-way message, a request, or the reply to one.
+    call : int
+        Number of the request on this link; 0 for a one-way message.
+    message : Message
+        The message.
+    """
+
+    kind: EnvelopeKind
+    call: int
+    message: AnyMessage
+
+
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    version: int
+    envelopes: tuple[Envelope, ...]
+
+
+def encode_frame(envelopes: tuple[Envelope, ...]) -> bytes:
+    """Encode a batch of envelopes.
+
+    Parameters
+    ----------
+    envelopes : tuple of Envelope
+        What is to be sent together.
+
+    Returns
+    -------
+    bytes
+        One CBOR item.
+    """
+    return _encode(_Frame(FRAME_VERSION, envelopes))
+
+
+def decode_frame(data: bytes) -> tuple[Envelope, ...]:
+    """Decode what `encode_frame` made.
+
+    Parameters
+    ----------
+    data : bytes
+        One CBOR item.
+
+    Returns
+    -------
+    tuple of Envelope
+        The batch.
+
+    Raises
+    ------
+    ProtocolError
+        If the frame is too large, not CBOR, of another version, or holds
+        anything but known messages.
+
+    Examples
+    --------
+    >>> from cranberryfield.core.messages.links import Failure
+    >>> sent = Envelope(EnvelopeKind.REPLY, 7, Failure("no_quorum", "one of three"))
+    >>> decode_frame(encode_frame((sent,))) == (sent,)
+    True
+    """
+    if len(data) > MAX_FRAME_BYTES:
+        raise ProtocolError(ErrorKind.PROTOCOL, "frame too large")
+    return _decode(data, _Frame).envelopes
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a single message, for the log."""
+    return _encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Decode a single message from the log."""
+    return _decode(data, AnyMessage)
+
+
+def _encode(value: msgspec.Struct) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(value, builtin_types=(bytes,)))
+
+
+def _decode(data: bytes, kind):
+    try:
+        return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
+    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as error:
+        raise ProtocolError(
+            ErrorKind.PROTOCOL, f"message cannot be read: {error}"
+        ) from error
+    except RecursionError as error:
+        raise ProtocolError(ErrorKind.PROTOCOL, "message nested too deep") from error
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators and nodes send each other over HTTP."""
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/proposals/proposer.py
@@ -0,0 +1,100 @@
+"""Finds the leader of the control group and puts commands through it."""
+
+import anyio
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import (
+    CranberryfieldError,
+    ErrorKind,
+    UnavailableError,
+    error_of_kind,
+)
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.codec import encode_message
+from cranberryfield.core.messages.commands import (
+    ProposalRedirected,
+    Propose,
+    Refused,
+)
+
+__all__ = ["Proposer"]
+
+ATTEMPT_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.05
+
+
+class Proposer:
+    """Remembers the leader between commands.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links to the control hosts.
+    control : tuple of NodeId
+        The control hosts.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, mesh: Mesh, control: tuple[NodeId, ...], clock: Clock):
+        self._mesh = mesh
+        self._control = control
+        self._clock = clock
+        self._leader = control[0]
+
+    async def propose(self, command: Message, timeout_s: float) -> Message:
+        """Put a command through the log and return its result.
+
+        The command is resent until a result comes, so it must be idempotent.
+
+        Parameters
+        ----------
+        command : Message
+            One of the log's commands.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        Message
+            The result.
+
+        Raises
+        ------
+        UnavailableError
+            Of kind ``no_quorum`` if no leader answered in time; the command
+            may still take effect.
+        CranberryfieldError
+            Of the kind with which the command was refused.
+        """
+        deadline = self._clock() + timeout_s
+        request = Propose(encode_message(command))
+        while (remaining_s := deadline - self._clock()) > 0:
+            reply = await self._try_leader(request, min(ATTEMPT_TIMEOUT_S, remaining_s))
+            if isinstance(reply, Refused):
+                raise error_of_kind(ErrorKind(reply.kind), reply.detail)
+            if reply is not None:
+                return reply
+            await anyio.sleep(RETRY_PAUSE_S)
+        raise UnavailableError(
+            ErrorKind.NO_QUORUM, "no leader of the control group answered in time"
+        )
+
+    async def _try_leader(self, request: Propose, timeout_s: float) -> Message | None:
+        try:
+            reply = await self._mesh.request(self._leader, request, timeout_s)
+        except CranberryfieldError as error:
+            if error.kind not in (ErrorKind.NOT_READY, ErrorKind.NO_QUORUM):
+                raise
+            self._leader = self._after(self._leader)
+            return None
+        if isinstance(reply, ProposalRedirected):
+            self._leader = reply.leader or self._after(self._leader)
+            return None
+        return reply
+
+    def _after(self, node: NodeId) -> NodeId:
+        place = self._control.index(node) if node in self._control else -1
+        return self._control[(place + 1) % len(self._control)]
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
@@ -0,0 +1,167 @@
+"""Every setting: its type, bounds, default and the levels it may stand at."""
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.settings.levels import LevelKind
+
+__all__ = [
+    "LEVELS_OF",
+    "EffectiveSettings",
+    "ServiceKind",
+    "SettingValue",
+    "check_value",
+]
+
+#: A value as it stands in the tree, before its type is applied.
+SettingValue = bool | int | float | str | list[str] | None
+
+Milliseconds = Annotated[int, msgspec.Meta(ge=1, le=86_400_000)]
+Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 32)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
+KeyHash = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class ServiceKind(Enum):
+    """What stands behind a service."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class EffectiveSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The settings in force for one workspace at one service.
+
+    Attributes
+    ----------
+    kind : ServiceKind
+        Whether upstreams are model engines or plain services.
+    idempotent : bool
+        Whether a request may be run again when its outcome is not known.
+    request_timeout_ms : int
+        Longest time for one request, in milliseconds.
+    max_body_bytes, max_answer_bytes : int
+        Largest request body and largest kept answer, in bytes.
+    queue_limit : int
+        Requests that may wait at one entry host.
+    concurrency_limit : int
+        Requests that may run at once from one entry host.
+    share : float
+        Weight of the workspace among those that wait.
+    rate_limit_per_s : float or None
+        Requests a second over all entry hosts; None for no limit.
+    priority_classes : tuple of str
+        Known classes, most urgent first.
+    default_priority : str
+        Class of a request that names none.
+    retention_ms : int
+        How long a finished answer stays available, in milliseconds.
+    record_memory_bytes : int
+        Memory for request records on one entry host, in bytes.
+    claim_limit : int
+        Claims kept in the replicated log's state.
+    retry_budget : float
+        Retries allowed per first attempt, as a ratio.
+    silence_factor : float
+        A stream silent for this many token gaps is abandoned.
+    first_token_target_ms, token_gap_target_ms : int
+        Latency targets at the 95th percentile, in milliseconds.
+    key_hashes : tuple of str
+        SHA-256 digests of the workspace's keys.
+    drained : bool
+        Whether an upstream takes no new work.
+    """
+
+    kind: ServiceKind = ServiceKind.MODEL
+    idempotent: bool = True
+    request_timeout_ms: Milliseconds = 120_000
+    max_body_bytes: Bytes = 1 << 20
+    max_answer_bytes: Bytes = 8 << 20
+    queue_limit: Count = 256
+    concurrency_limit: Count = 256
+    share: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
+    rate_limit_per_s: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    priority_classes: tuple[str, ...] = ("interactive", "standard", "batch")
+    default_priority: str = "standard"
+    retention_ms: Milliseconds = 600_000
+    record_memory_bytes: Bytes = 8 << 20
+    claim_limit: Count = 100_000
+    retry_budget: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
+    silence_factor: Annotated[float, msgspec.Meta(ge=2, le=1000)] = 8.0
+    first_token_target_ms: Milliseconds = 340
+    token_gap_target_ms: Milliseconds = 28
+    key_hashes: tuple[KeyHash, ...] = ()
+    drained: bool = False
+
+
+_INHERITED = frozenset(
+    {
+        LevelKind.SYSTEM,
+        LevelKind.SERVICE,
+        LevelKind.WORKSPACE,
+        LevelKind.WORKSPACE_SERVICE,
+    }
+)
+_SERVICE_WIDE = frozenset({LevelKind.SYSTEM, LevelKind.SERVICE})
+_SYSTEM_ONLY = frozenset({LevelKind.SYSTEM})
+_WORKSPACE_ONLY = frozenset({LevelKind.WORKSPACE})
+
+#: Levels at which each setting may stand; those not named here may stand at
+#: every level that requests inherit from.
+LEVELS_OF: dict[str, frozenset[LevelKind]] = {
+    "kind": frozenset({LevelKind.SERVICE}),
+    "max_answer_bytes": _SERVICE_WIDE,
+    "priority_classes": _SYSTEM_ONLY,
+    "record_memory_bytes": _SYSTEM_ONLY,
+    "claim_limit": _SYSTEM_ONLY,
+    "retry_budget": _SERVICE_WIDE,
+    "silence_factor": _SERVICE_WIDE,
+    "share": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
+    "rate_limit_per_s": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
+    "key_hashes": _WORKSPACE_ONLY,
+    "drained": frozenset({LevelKind.UPSTREAM}),
+}
+
+_TYPES = {field.name: field.type for field in msgspec.structs.fields(EffectiveSettings)}
+
+
+def check_value(level_kind: LevelKind, name: str, value: SettingValue) -> None:
+    """Check one value against the schema.
+
+    Parameters
+    ----------
+    level_kind : LevelKind
+        Where the value is to stand.
+    name : str
+        The setting.
+    value : SettingValue
+        Its value.
+
+    Raises
+    ------
+    ControlError
+        Of kind ``unknown_path`` for an unknown setting, or
+        ``invalid_setting`` for a wrong level, type or range.
+
+    Examples
+    --------
+    >>> check_value(LevelKind.SYSTEM, "queue_limit", 64)
+    >>> check_value(LevelKind.SYSTEM, "queue_limit", -1)
+    Traceback (most recent call last):
+    ...
+    cranberryfield.core.errors.ControlError: queue_limit: Expected `int` >= 0
+    """
+    if name not in _TYPES:
+        raise ControlError(ErrorKind.UNKNOWN_PATH, f"no setting is named {name!r}")
+    if level_kind not in LEVELS_OF.get(name, _INHERITED):
+        raise ControlError(
+            ErrorKind.INVALID_SETTING,
+            f"{name}: may not be set for a {level_kind.value}",
+        )
+    try:
+        msgspec.convert(value, _TYPES[name])
+    except msgspec.ValidationError as error:
+        raise ControlError(ErrorKind.INVALID_SETTING, f"{name}: {error}") from error
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/settings/tree.py
@@ -0,0 +1,193 @@
+"""The tree itself: what is set where, what is in force, and what can't work."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from cranberryfield.core.ids import Revision, ServiceName, UpstreamId, WorkspaceId
+from cranberryfield.core.settings.levels import Level, LevelKind, parse_level
+from cranberryfield.core.settings.schema import EffectiveSettings, SettingValue
+
+__all__ = [
+    "LevelState",
+    "Origin",
+    "SettingsTree",
+    "check_tree",
+    "effective_settings",
+    "explain_settings",
+    "upstream_is_drained",
+]
+
+
+class LevelState(msgspec.Struct, array_like=True):
+    """What one level overrides.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the tree at which the level last changed.
+    values : dict
+        Settings that stand at this level, by name.
+    """
+
+    revision: int
+    values: dict[str, SettingValue]
+
+
+class SettingsTree(msgspec.Struct, array_like=True):
+    """All levels by name, and the tree's revision.
+
+    Examples
+    --------
+    >>> tree = SettingsTree(3, {"system": LevelState(3, {"queue_limit": 9})})
+    >>> effective_settings(tree, None, None).queue_limit
+    9
+    """
+
+    revision: Revision = Revision(0)
+    levels: dict[str, LevelState] = msgspec.field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """A value in force and the level it comes from; ``default`` for none."""
+
+    name: str
+    value: SettingValue
+    level: str
+
+
+def _chain(workspace: WorkspaceId | None, service: ServiceName | None) -> list[str]:
+    chain = ["system"]
+    if service is not None:
+        chain.append(str(Level(LevelKind.SERVICE, service=service)))
+    if workspace is not None:
+        chain.append(str(Level(LevelKind.WORKSPACE, workspace=workspace)))
+    if workspace is not None and service is not None:
+        level = Level(LevelKind.WORKSPACE_SERVICE, workspace, service)
+        chain.append(str(level))
+    return chain
+
+
+def _merge(
+    tree: SettingsTree, workspace: WorkspaceId | None, service: ServiceName | None
+) -> dict[str, SettingValue]:
+    merged: dict[str, SettingValue] = {}
+    for name in _chain(workspace, service):
+        level = tree.levels.get(name)
+        if level is not None:
+            merged.update(level.values)
+    return merged
+
+
+def effective_settings(
+    tree: SettingsTree, workspace: WorkspaceId | None, service: ServiceName | None
+) -> EffectiveSettings:
+    """Return the settings in force for a workspace at a service.
+
+    Parameters
+    ----------
+    tree : SettingsTree
+        A checked tree.
+    workspace : WorkspaceId or None
+        None leaves out the workspace's levels.
+    service : ServiceName or None
+        None leaves out the service's levels.
+
+    Returns
+    -------
+    EffectiveSettings
+        Each value from the narrowest level that sets it.
+    """
+    return msgspec.convert(_merge(tree, workspace, service), EffectiveSettings)
+
+
+def explain_settings(
+    tree: SettingsTree, workspace: WorkspaceId | None, service: ServiceName | None
+) -> list[Origin]:
+    """Return every value in force together with the level that sets it.
+
+    Parameters
+    ----------
+    tree : SettingsTree
+        A checked tree.
+    workspace, service : str or None
+        As for `effective_settings`.
+
+    Returns
+    -------
+    list of Origin
+        In the order of the schema.
+    """
+    effective = msgspec.to_builtins(effective_settings(tree, workspace, service))
+    chain = _chain(workspace, service)
+    rows = []
+    for name, value in effective.items():
+        holders = [
+            level
+            for level in chain
+            if level in tree.levels and name in tree.levels[level].values
+        ]
+        rows.append(Origin(name, value, holders[-1] if holders else "default"))
+    return rows
+
+
+def upstream_is_drained(tree: SettingsTree, upstream: UpstreamId) -> bool:
+    """Say whether operators have taken an upstream out of use.
+
+    Parameters
+    ----------
+    tree : SettingsTree
+        The tree in force.
+    upstream : UpstreamId
+        The upstream.
+
+    Returns
+    -------
+    bool
+        The upstream's ``drained`` setting.
+    """
+    level = tree.levels.get(str(Level(LevelKind.UPSTREAM, upstream=upstream)))
+    return bool(level is not None and level.values.get("drained", False))
+
+
+def check_tree(tree: SettingsTree) -> list[str]:
+    """Find what in a whole tree cannot work together.
+
+    Parameters
+    ----------
+    tree : SettingsTree
+        A tree in which each single value fits the schema.
+
+    Returns
+    -------
+    list of str
+        One sentence for each fault; empty for a sound tree.
+
+    Examples
+    --------
+    >>> check_tree(
+    ...     SettingsTree(1, {"workspace/w/service/s": LevelState(1, {"share": 2.0})})
+    ... )
+    ['workspace/w/service/s: the service s has no level', \
+'workspace/w/service/s: the workspace w has no level']
+    """
+    found = []
+    for name in tree.levels:
+        level = parse_level(name)
+        if level.kind is LevelKind.WORKSPACE_SERVICE:
+            if f"service/{level.service}" not in tree.levels:
+                found.append(f"{name}: the service {level.service} has no level")
+            if f"workspace/{level.workspace}" not in tree.levels:
+                found.append(f"{name}: the workspace {level.workspace} has no level")
+        if level.kind is LevelKind.SERVICE and "kind" not in tree.levels[name].values:
+            found.append(f"{name}: a service needs the setting kind")
+        if level.kind is LevelKind.UPSTREAM:
+            continue
+        effective = effective_settings(tree, level.workspace, level.service)
+        if effective.default_priority not in effective.priority_classes:
+            found.append(
+                f"{name}: default_priority {effective.default_priority!r} "
+                "is not among priority_classes"
+            )
+    return found
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The binary `cranberryfieldd`: builds the roles that its file names."""
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/__init__.py
@@ -0,0 +1,5 @@
+"""The HTTP interface for operators."""
+
+from cranberryfield.daemon.operators.api import OperatorApi
+
+__all__ = ["OperatorApi"]
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -0,0 +1,129 @@
+"""One process: mesh, roles, HTTP server, and its stop."""
+
+import signal
+import time
+from random import Random
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve
+from hypercorn.config import Config as HypercornConfig
+
+from cranberryfield.control.runtime import ControlRuntime
+from cranberryfield.core.blackboard import Blackboard
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.core.config import DaemonConfig, Role
+from cranberryfield.core.ids import Incarnation, NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.proposals import Proposer
+from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.daemon.web import build_web_app
+from cranberryfield.entry.runtime import EntryRuntime
+
+__all__ = ["run_process"]
+
+#: Time for the balancer to see that the host is not ready, in seconds.
+NOT_READY_NOTICE_S = 0.5
+#: Longest time that open answers may take after the listener closed, in seconds.
+LONGEST_ANSWER_S = 86_400
+KEEP_ALIVE_S = 75
+NS_PER_MS = 1_000_000
+
+logger = structlog.get_logger(__name__)
+
+
+def _hello(config: DaemonConfig) -> Hello:
+    return Hello(
+        config.node_id,
+        config.group,
+        Incarnation(time.time_ns() // NS_PER_MS),
+        config.zone,
+        tuple(role.value for role in config.roles),
+        config.mesh,
+        config.callers,
+    )
+
+
+def _web_config(config: DaemonConfig) -> HypercornConfig:
+    web = HypercornConfig()
+    web.bind = [config.callers]
+    web.graceful_timeout = LONGEST_ANSWER_S
+    web.shutdown_timeout = LONGEST_ANSWER_S
+    web.keep_alive_timeout = KEEP_ALIVE_S
+    web.accesslog = None
+    web.errorlog = None
+    return web
+
+
+async def run_process(config: DaemonConfig) -> None:
+    """Run until SIGTERM or SIGINT, then finish what is in progress and return.
+
+    Parameters
+    ----------
+    config : DaemonConfig
+        The checked configuration.
+
+    Raises
+    ------
+    StorageError
+        If the data folder cannot be used.
+    """
+    board = Blackboard()
+    board.add(SettingsSection())
+    mesh = Mesh(_hello(config), config.mesh_key, config.tls)
+    metrics = Metrics.from_config(config.statsd, config.node)
+    members = tuple(NodeId(member.node) for member in config.control)
+    proposer = Proposer(mesh, members, monotonic_clock)
+    rng = Random(config.node)
+    control = None
+    if Role.CONTROL in config.roles:
+        control = ControlRuntime.from_config(config, mesh, board, monotonic_clock, rng)
+    async with anyio.create_task_group() as tasks:
+        entry = None
+        if Role.ENTRY in config.roles:
+            entry = EntryRuntime.from_config(
+                config,
+                mesh,
+                board,
+                metrics,
+                proposer,
+                tasks,
+                monotonic_clock,
+                rng,
+                follows_settings=control is None,
+            )
+            tasks.start_soon(entry.run)
+        if control is not None:
+            tasks.start_soon(control.run)
+        await tasks.start(mesh.listen, config.mesh)
+        _dial_all(config, mesh, tasks)
+        web = build_web_app(config, board, mesh, metrics, proposer, entry, control)
+        stop = anyio.Event()
+        tasks.start_soon(_stop_on_signal, entry, stop)
+        logger.info("started", callers=config.callers, mesh=config.mesh)
+        await serve(web, _web_config(config), shutdown_trigger=stop.wait)
+        if entry is not None:
+            await entry.close()
+        logger.info("stopped")
+        tasks.cancel_scope.cancel()
+
+
+def _dial_all(config: DaemonConfig, mesh: Mesh, tasks: TaskGroup) -> None:
+    addresses = {member.mesh for member in config.control} | set(config.seeds)
+    for address in sorted(addresses - {config.mesh}):
+        tasks.start_soon(mesh.dial, address)
+
+
+async def _stop_on_signal(entry: EntryRuntime | None, stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            logger.info("stopping")
+            if entry is not None:
+                entry.begin_stop()
+                await anyio.sleep(NOT_READY_NOTICE_S)
+                await entry.wait_drained()
+            stop.set()
+            return
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: between callers and upstreams."""
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
@@ -0,0 +1,231 @@
+"""Endpoints for callers and upstreams."""
+
+from collections.abc import Callable
+
+import msgspec
+from anyio.abc import TaskGroup
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import CallerError, ErrorKind, UnavailableError
+from cranberryfield.core.http import (
+    decode_json,
+    problem_response,
+    read_body,
+    require_key,
+)
+from cranberryfield.core.ids import RequestKey
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.entry.callers.answers import (
+    stream_events,
+    wait_until_ended,
+    whole_completion,
+)
+from cranberryfield.entry.callers.auth import workspace_of_key
+from cranberryfield.entry.callers.parse import (
+    last_event_id,
+    parse_completion,
+    parse_service_call,
+)
+from cranberryfield.entry.membership import (
+    Announcement,
+    Leave,
+    UpstreamsSection,
+    accept_announcement,
+    accept_leave,
+)
+from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.requests import RecordsSection, Request, RequestRecord
+from cranberryfield.entry.requests.records import RequestState
+from cranberryfield.entry.requests.runner import RequestRunner
+
+__all__ = ["CallerApi"]
+
+MAX_ANY_BODY_BYTES = 64 << 20
+MAX_ANNOUNCE_BYTES = 16 << 10
+ALL_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+JSON = "application/json"
+
+
+class RequestView(msgspec.Struct):
+    """Body of ``GET /v1/requests/{key}``."""
+
+    key: str
+    service: str
+    state: str
+    events: int
+    kind: str | None = None
+    was_run: str | None = None
+
+
+class CallerApi:
+    """Endpoints of the entry role.
+
+    Parameters
+    ----------
+    settings : SettingsSection
+        The settings in force.
+    upstreams : UpstreamsSection
+        The table of upstreams.
+    records : RecordsSection
+        The records of requests.
+    gossip : MembershipGossip
+        Passes announcements on.
+    runner : RequestRunner
+        Runs requests.
+    metrics : Metrics
+        Counters and histograms.
+    upstream_keys : tuple of str
+        Digests of the keys that upstreams announce themselves with.
+    is_ready : callable
+        Says whether new requests are taken.
+    tasks : anyio.abc.TaskGroup
+        Where requests run on when their caller has gone.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        settings: SettingsSection,
+        upstreams: UpstreamsSection,
+        records: RecordsSection,
+        gossip: MembershipGossip,
+        runner: RequestRunner,
+        metrics: Metrics,
+        upstream_keys: tuple[str, ...],
+        is_ready: Callable[[], bool],
+        tasks: TaskGroup,
+        clock: Clock,
+    ):
+        self._settings = settings
+        self._upstreams = upstreams
+        self._records = records
+        self._gossip = gossip
+        self._runner = runner
+        self._metrics = metrics
+        self._upstream_keys = upstream_keys
+        self._is_ready = is_ready
+        self._tasks = tasks
+        self._clock = clock
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the entry role."""
+        return [
+            Route("/v1/chat/completions", self._completion, methods=["POST"]),
+            Route("/v1/completions", self._completion, methods=["POST"]),
+            Route("/v1/requests/{key}", self._show_request, methods=["GET"]),
+            Route(
+                "/services/{service}/{path:path}",
+                self._service_call,
+                methods=ALL_METHODS,
+            ),
+            Route("/upstreams/announce", self._announce, methods=["POST"]),
+            Route("/upstreams/leave", self._leave, methods=["POST"]),
+        ]
+
+    def _refuse_unless_ready(self) -> None:
+        if not self._is_ready():
+            raise UnavailableError(
+                ErrorKind.NOT_READY, "this host takes no new requests"
+            )
+
+    async def _completion(self, http: HttpRequest) -> Response:
+        tree = self._settings.tree
+        workspace = workspace_of_key(http, tree)
+        self._refuse_unless_ready()
+        body = await read_body(http, MAX_ANY_BODY_BYTES)
+        after = last_event_id(http)
+        now = self._clock()
+        request, stream = parse_completion(http, body, tree, workspace, now)
+        record = self._open(request)
+        if stream:
+            return await self._streamed(record, after)
+        await wait_until_ended(record)
+        self._observe_first_byte(record, now)
+        if record.state is RequestState.FAILED:
+            return problem_response(record.error)
+        chat = http.url.path.endswith("/chat/completions")
+        return Response(whole_completion(record, chat), media_type=JSON)
+
+    def _open(self, request: Request) -> RequestRecord:
+        record, is_new = self._records.open(request, self._clock())
+        if is_new:
+            self._tasks.start_soon(self._runner.run, record)
+        return record
+
+    async def _streamed(self, record: RequestRecord, after: int) -> Response:
+        started = self._clock()
+        while len(record.events) <= after and record.state is RequestState.RUNNING:
+            await record.wait_change()
+        self._observe_first_byte(record, started)
+        if record.state is RequestState.FAILED and len(record.events) <= after:
+            return problem_response(record.error)
+        if after > len(record.events) + 1:
+            raise CallerError(
+                ErrorKind.BAD_REQUEST, "Last-Event-ID is past the answer's end"
+            )
+        return StreamingResponse(
+            stream_events(record, min(after, len(record.events))),
+            media_type="text/event-stream",
+            headers={"Cache-Control": "no-store"},
+        )
+
+    def _observe_first_byte(self, record: RequestRecord, started: float) -> None:
+        request = record.request
+        self._metrics.observe(
+            "first_token",
+            self._clock() - started,
+            workspace=request.workspace,
+            priority=request.priority,
+        )
+
+    async def _service_call(self, http: HttpRequest) -> Response:
+        tree = self._settings.tree
+        workspace = workspace_of_key(http, tree)
+        self._refuse_unless_ready()
+        body = await read_body(http, MAX_ANY_BODY_BYTES)
+        request = parse_service_call(http, body, tree, workspace, self._clock())
+        record = self._open(request)
+        await wait_until_ended(record)
+        if record.state is RequestState.FAILED:
+            return problem_response(record.error)
+        outcome = record.outcome
+        return Response(
+            outcome.body, outcome.status, headers={"Content-Type": outcome.content_type}
+        )
+
+    async def _show_request(self, http: HttpRequest) -> Response:
+        workspace = workspace_of_key(http, self._settings.tree)
+        key = RequestKey(http.path_params["key"])
+        record = self._records.records.get((workspace, key))
+        if record is None:
+            raise CallerError(ErrorKind.UNKNOWN_REQUEST, f"no request {key!r} is known")
+        error = record.error
+        view = RequestView(
+            key,
+            record.request.service,
+            record.state.value,
+            len(record.events),
+            error.kind.value if error else None,
+            error.was_run.value if error else None,
+        )
+        return Response(msgspec.json.encode(view), media_type=JSON)
+
+    async def _announce(self, http: HttpRequest) -> Response:
+        require_key(http, self._upstream_keys)
+        announcement = await decode_json(http, Announcement, MAX_ANNOUNCE_BYTES)
+        record = accept_announcement(self._upstreams, announcement, self._clock())
+        self._gossip.publish(record)
+        return Response(status_code=204)
+
+    async def _leave(self, http: HttpRequest) -> Response:
+        require_key(http, self._upstream_keys)
+        leave = await decode_json(http, Leave, MAX_ANNOUNCE_BYTES)
+        record = accept_leave(self._upstreams, leave, self._clock())
+        if record is not None:
+            self._gossip.publish(record)
+        return Response(status_code=204)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/dispatch/framing.py
@@ -0,0 +1,44 @@
+"""Splits a server-sent event stream without decoding its JSON."""
+
+__all__ = ["DONE", "EventSplitter"]
+
+DONE = b"[DONE]"
+_SEPARATOR = b"\n\n"
+_DATA = b"data:"
+
+
+class EventSplitter:
+    r"""Collects chunks of a stream and gives out the payloads of whole events.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"data: 1\n\nda")
+    [b'1']
+    >>> splitter.feed(b"ta: 2\n\n")
+    [b'2']
+    """
+
+    def __init__(self):
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Add a chunk.
+
+        Parameters
+        ----------
+        chunk : bytes
+            What came next.
+
+        Returns
+        -------
+        list of bytes
+            Payloads of the events that are now whole.
+        """
+        *events, self._rest = (self._rest + chunk).split(_SEPARATOR)
+        return [
+            line[len(_DATA) :].strip()
+            for event in events
+            for line in event.split(b"\n")
+            if line.startswith(_DATA)
+        ]
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/lifecycle.py
@@ -0,0 +1,103 @@
+"""What follows the end of an attempt, decided without I/O."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from cranberryfield.core.errors import ErrorKind, WasRun
+
+__all__ = [
+    "AttemptEnd",
+    "AttemptResult",
+    "Finish",
+    "GiveUp",
+    "NextStep",
+    "Retry",
+    "after_attempt",
+]
+
+MAX_ATTEMPTS = 8
+
+
+class AttemptResult(Enum):
+    """How an attempt ended.
+
+    ``NOT_RUN`` is proved: the connection was refused, no byte of the request
+    was written, or the upstream refused before it started.
+    """
+
+    FINISHED = "finished"
+    NOT_RUN = "not run"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """End of one attempt; `detail` is for logs and answers."""
+
+    result: AttemptResult
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The answer is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Another attempt may be made, on another upstream if there is one."""
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The request fails with this kind."""
+
+    kind: ErrorKind
+    was_run: WasRun
+    detail: str
+
+
+NextStep = Finish | Retry | GiveUp
+
+
+def after_attempt(
+    end: AttemptEnd, *, idempotent: bool, attempts: int, ran_before: bool, late: bool
+) -> NextStep:
+    """Decide what follows an attempt.
+
+    Parameters
+    ----------
+    end : AttemptEnd
+        How it ended.
+    idempotent : bool
+        Whether the request may run more than once.
+    attempts : int
+        Attempts made so far, this one included.
+    ran_before : bool
+        Whether any attempt may have started to run.
+    late : bool
+        Whether the request's deadline has passed.
+
+    Returns
+    -------
+    NextStep
+        What to do.
+
+    Examples
+    --------
+    >>> end = AttemptEnd(AttemptResult.BROKEN, "reset")
+    >>> after_attempt(
+    ...     end, idempotent=False, attempts=1, ran_before=True, late=False
+    ... ).kind.value
+    'outcome_unknown'
+    """
+    if end.result is AttemptResult.FINISHED:
+        return Finish()
+    if end.result is AttemptResult.BROKEN and not idempotent:
+        return GiveUp(ErrorKind.OUTCOME_UNKNOWN, WasRun.UNKNOWN, end.detail)
+    was_run = WasRun.UNKNOWN if ran_before else WasRun.NO
+    if late:
+        return GiveUp(ErrorKind.DEADLINE_EXCEEDED, was_run, end.detail)
+    if attempts >= MAX_ATTEMPTS:
+        return GiveUp(ErrorKind.UPSTREAM_FAILED, was_run, end.detail)
+    return Retry()
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -0,0 +1,162 @@
+"""Builds the entry role from its parts."""
+
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from cranberryfield.core.blackboard import Blackboard
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.config import DaemonConfig
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.proposals import Proposer
+from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.entry.admission import AdmissionGate
+from cranberryfield.entry.callers import CallerApi
+from cranberryfield.entry.dispatch import Dispatcher
+from cranberryfield.entry.membership import UpstreamsSection
+from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.records import RequestState
+from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.routing import DispatchSection, make_chooser
+from cranberryfield.entry.settings import SettingsFollower
+
+__all__ = ["EntryRuntime"]
+
+DRAIN_POLL_S = 0.05
+
+
+class EntryRuntime:
+    """The entry role of one process.
+
+    Parameters
+    ----------
+    settings : SettingsSection
+        The settings in force.
+    records : RecordsSection
+        The records of requests.
+    api : CallerApi
+        Endpoints for callers and upstreams.
+    follower : SettingsFollower or None
+        Follows settings; None where the control role does so.
+    dispatcher : Dispatcher
+        Connections to upstreams.
+    """
+
+    def __init__(
+        self,
+        settings: SettingsSection,
+        records: RecordsSection,
+        follower: SettingsFollower | None,
+        dispatcher: Dispatcher,
+    ):
+        self._settings = settings
+        self._records = records
+        self._follower = follower
+        self._dispatcher = dispatcher
+        self._stopping = False
+        self.api: CallerApi | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        config: DaemonConfig,
+        mesh: Mesh,
+        board: Blackboard,
+        metrics: Metrics,
+        proposer: Proposer,
+        tasks: TaskGroup,
+        clock: Clock,
+        rng: Random,
+        follows_settings: bool,
+    ) -> "EntryRuntime":
+        """Build the role.
+
+        Parameters
+        ----------
+        config : DaemonConfig
+            The process's configuration.
+        mesh : Mesh
+            Links to other processes.
+        board : Blackboard
+            Holds the settings; gains the entry role's sections.
+        metrics : Metrics
+            Counters and histograms.
+        proposer : Proposer
+            Puts claims through the replicated log.
+        tasks : anyio.abc.TaskGroup
+            Where requests run.
+        clock : Clock
+            Monotonic time.
+        rng : random.Random
+            Seeded generator.
+        follows_settings : bool
+            Whether settings come over the mesh.
+
+        Returns
+        -------
+        EntryRuntime
+            The role; its routes are those of `api`.
+        """
+        settings = board.read(SettingsSection)
+        upstreams = board.add(UpstreamsSection())
+        records = board.add(RecordsSection())
+        dispatched = board.add(DispatchSection())
+        dispatcher = Dispatcher.from_clock(clock)
+        control = tuple(NodeId(member.node) for member in config.control)
+        follower = None
+        if follows_settings:
+            follower = SettingsFollower(settings, mesh, control, clock)
+        runtime = cls(settings, records, follower, dispatcher)
+        runner = RequestRunner(
+            config.node_id,
+            make_chooser(board, config.zone, clock, rng),
+            dispatched,
+            AdmissionGate(),
+            dispatcher,
+            proposer,
+            metrics,
+            clock,
+        )
+        runtime.api = CallerApi(
+            settings,
+            upstreams,
+            records,
+            MembershipGossip(upstreams, mesh, clock),
+            runner,
+            metrics,
+            config.upstream_keys,
+            runtime.is_ready,
+            tasks,
+            clock,
+        )
+        return runtime
+
+    def is_ready(self) -> bool:
+        """Say whether new requests are taken."""
+        return not self._stopping and self._settings.confirmed_at is not None
+
+    def begin_stop(self) -> None:
+        """Take no new requests from now on."""
+        self._stopping = True
+
+    async def wait_drained(self) -> None:
+        """Wait until no request is running here."""
+        while any(
+            record.state is RequestState.RUNNING
+            for record in self._records.records.values()
+        ):
+            await anyio.sleep(DRAIN_POLL_S)
+
+    async def run(self) -> None:
+        """Follow settings until cancelled."""
+        if self._follower is None:
+            await anyio.sleep_forever()
+        await self._follower.run()
+
+    async def close(self) -> None:
+        """Close connections to upstreams."""
+        await self._dispatcher.close()
--- /dev/null
+++ b/standins/batching.py
@@ -0,0 +1,200 @@
+"""Continuous batching and a bounded prefix cache, without any model."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import anyio
+
+from standins.tokens import CompletionRequest, prompt_of, token_text
+
+__all__ = ["Batcher", "PrefixCache", "Run"]
+
+BLOCK_TOKENS = 16
+PREFILL_TOKENS_PER_STEP = 512
+
+
+class PrefixCache:
+    """Remembers which prompt prefixes have been processed lately.
+
+    Parameters
+    ----------
+    capacity_blocks : int
+        Blocks of 16 tokens that fit.
+    """
+
+    def __init__(self, capacity_blocks: int):
+        self._capacity = capacity_blocks
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def _hashes(self, words: list[str]) -> list[int]:
+        hashes = []
+        running = 0
+        for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+            running = hash((running, tuple(words[start : start + BLOCK_TOKENS])))
+            hashes.append(running)
+        return hashes
+
+    def hit_tokens(self, words: list[str]) -> int:
+        """Return how many leading tokens need no processing."""
+        hit = 0
+        for block in self._hashes(words):
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            hit += BLOCK_TOKENS
+        return hit
+
+    def add(self, words: list[str]) -> list[int]:
+        """Remember a prompt; return the blocks that are new."""
+        added = []
+        for block in self._hashes(words):
+            if block not in self._blocks:
+                added.append(block)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+        return added
+
+
+@dataclass(slots=True)
+class Run:
+    """One request in progress.
+
+    Attributes
+    ----------
+    run : str
+        Its name.
+    request : CompletionRequest
+        What was asked.
+    prompt : str
+        The prompt.
+    produced : int
+        Tokens that exist, those of an earlier upstream included.
+    prefill_left : int
+        Prompt tokens still to be processed.
+    tokens : list of str
+        Tokens produced here.
+    changed : anyio.Event
+        Set at each new token and at the end.
+    cancelled : bool
+        Whether it was stopped from outside.
+    """
+
+    run: str
+    request: CompletionRequest
+    prompt: str
+    produced: int
+    prefill_left: int
+    priority: int = 1
+    tokens: list[str] = field(default_factory=list)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    cancelled: bool = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether no more tokens will come."""
+        return self.cancelled or self.produced >= self.request.max_tokens
+
+    def notify(self) -> None:
+        """Wake whoever waits for this run."""
+        changed, self.changed = self.changed, anyio.Event()
+        changed.set()
+
+
+class Batcher:
+    """Steps all running requests together.
+
+    Parameters
+    ----------
+    step_s : float
+        Time of one step in seconds.
+    capacity : int
+        Requests that run at once; others wait.
+    """
+
+    def __init__(self, step_s: float, capacity: int):
+        self._step_s = step_s
+        self._capacity = capacity
+        self._running: list[Run] = []
+        self._waiting: list[Run] = []
+        self._wake = anyio.Event()
+
+    @property
+    def load(self) -> dict[str, int]:
+        """Requests running and waiting, and prompt tokens to process."""
+        return {
+            "running": len(self._running),
+            "queued": len(self._waiting),
+            "prefill_tokens": sum(
+                run.prefill_left for run in (*self._running, *self._waiting)
+            ),
+        }
+
+    def add(self, run: Run) -> None:
+        """Queue a run, behind those of the same or a more urgent priority."""
+        self._waiting.append(run)
+        self._waiting.sort(key=lambda one: one.priority)
+        self._wake.set()
+
+    async def loop(self, before_token) -> None:
+        """Step until cancelled.
+
+        Parameters
+        ----------
+        before_token : callable
+            Called with a run before each of its tokens.
+        """
+        while True:
+            if not self._running and not self._waiting:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            await anyio.sleep(self._step_s)
+            self._admit()
+            self._step(before_token)
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self._capacity:
+            self._running.append(self._waiting.pop(0))
+
+    def _step(self, before_token) -> None:
+        budget = PREFILL_TOKENS_PER_STEP
+        for run in self._running:
+            if run.prefill_left:
+                done = min(budget, run.prefill_left)
+                run.prefill_left -= done
+                budget -= done
+            elif not run.is_done:
+                before_token(run)
+                seed = run.request.seed
+                run.tokens.append(token_text(seed, run.prompt, run.produced))
+                run.produced += 1
+                run.notify()
+        for run in self._running:
+            if run.cancelled:
+                run.notify()
+        self._running = [run for run in self._running if not run.is_done]
+
+
+def new_run(run: str, request: CompletionRequest, cache: PrefixCache) -> Run:
+    """Prepare a request that starts here, using the cache.
+
+    Parameters
+    ----------
+    run : str
+        Its name.
+    request : CompletionRequest
+        What is asked.
+    cache : PrefixCache
+        Processed prefixes; gains this prompt.
+
+    Returns
+    -------
+    Run
+        Ready to be added to a batcher.
+    """
+    prompt = prompt_of(request)
+    words = prompt.split()
+    prefill = len(words) - cache.hit_tokens(words)
+    cache.add(words)
+    return Run(run, request, prompt, 0, prefill)
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,199 @@
+"""A caller that retries until it has a whole answer, as the users' programs do."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+import msgspec
+
+__all__ = ["Answer", "call_service", "stream_completion"]
+
+PAUSE_S = 0.1
+TIMEOUT_S = 20.0
+FINAL_KINDS = frozenset({"outcome_unknown", "key_reused", "request_crashes_upstreams"})
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller has of an answer.
+
+    Attributes
+    ----------
+    text : str
+        Text of the events so far.
+    events : int
+        Number of the last event.
+    is_whole : bool
+        Whether ``[DONE]`` came.
+    refusals : list of str
+        Kinds of the refusals met.
+    status : int
+        HTTP status of the last response.
+    """
+
+    text: str = ""
+    events: int = 0
+    is_whole: bool = False
+    refusals: list[str] = field(default_factory=list)
+    status: int = 0
+
+
+async def stream_completion(
+    hosts: list[str],
+    workspace_key: str,
+    request_key: str,
+    body: dict,
+    on_event: Callable[[Answer], None] = lambda answer: None,
+    headers: dict[str, str] | None = None,
+    attempts: int = 100,
+) -> Answer:
+    """Ask for a streamed completion, at one host after the other.
+
+    Parameters
+    ----------
+    hosts : list of str
+        Entry hosts, tried in turn.
+    workspace_key, request_key : str
+        Who asks, and the request's ``Idempotency-Key``.
+    body : dict
+        The completion's body; `stream` is added.
+    on_event : callable
+        Called after each event.
+    headers : dict, optional
+        Further headers.
+    attempts : int
+        Tries before it returns what it has.
+
+    Returns
+    -------
+    Answer
+        What came.
+    """
+    answer = Answer()
+    async with httpx.AsyncClient(timeout=TIMEOUT_S, trust_env=False) as client:
+        for attempt in range(attempts):
+            host = hosts[attempt % len(hosts)]
+            try:
+                await _read_stream(
+                    client, host, workspace_key, request_key, body, headers or {},
+                    answer, on_event,
+                )  # fmt: skip
+            except httpx.HTTPError as error:
+                answer.refusals.append(type(error).__name__)
+            if answer.is_whole or FINAL_KINDS & set(answer.refusals):
+                return answer
+            await anyio.sleep(PAUSE_S)
+    return answer
+
+
+async def _read_stream(
+    client: httpx.AsyncClient,
+    host: str,
+    workspace_key: str,
+    request_key: str,
+    body: dict,
+    headers: dict[str, str],
+    answer: Answer,
+    on_event: Callable[[Answer], None],
+) -> None:
+    async with client.stream(
+        "POST",
+        f"http://{host}/v1/completions",
+        json={**body, "stream": True},
+        headers={
+            "Authorization": f"Bearer {workspace_key}",
+            "Idempotency-Key": request_key,
+            "Last-Event-ID": str(answer.events),
+            **headers,
+        },
+    ) as response:
+        answer.status = response.status_code
+        if response.is_error:
+            answer.refusals.append((await _problem(response))["kind"])
+            return
+        number, kind = 0, ""
+        async for line in response.aiter_lines():
+            name, _, value = line.partition(": ")
+            if name == "id":
+                number = int(value)
+            elif name == "event":
+                kind = value
+            elif name == "data":
+                _take_event(answer, number, kind, value)
+                on_event(answer)
+                kind = ""
+
+
+def _take_event(answer: Answer, number: int, kind: str, data: str) -> None:
+    if kind:
+        answer.refusals.append(msgspec.json.decode(data).get("kind", kind))
+        return
+    if number != answer.events + 1:
+        raise AssertionError(f"event {number} after {answer.events}")
+    if data == "[DONE]":
+        answer.is_whole = True
+        return
+    answer.events = number
+    answer.text += msgspec.json.decode(data)["choices"][0]["text"]
+
+
+async def _problem(response: httpx.Response) -> dict:
+    return msgspec.json.decode(await response.aread())
+
+
+async def call_service(
+    hosts: list[str],
+    workspace_key: str,
+    request_key: str,
+    path: str,
+    body: bytes,
+    attempts: int = 100,
+) -> Answer:
+    """Call a plain service until there is an answer or a final refusal.
+
+    Parameters
+    ----------
+    hosts : list of str
+        Entry hosts, tried in turn.
+    workspace_key, request_key : str
+        Who asks, and the request's ``Idempotency-Key``.
+    path : str
+        As ``booking-app/slots``.
+    body : bytes
+        The body.
+    attempts : int
+        Tries before it returns what it has.
+
+    Returns
+    -------
+    Answer
+        `text` is the answer's body.
+    """
+    answer = Answer()
+    async with httpx.AsyncClient(timeout=TIMEOUT_S, trust_env=False) as client:
+        for attempt in range(attempts):
+            host = hosts[attempt % len(hosts)]
+            try:
+                response = await client.post(
+                    f"http://{host}/services/{path}",
+                    content=body,
+                    headers={
+                        "Authorization": f"Bearer {workspace_key}",
+                        "Idempotency-Key": request_key,
+                    },
+                )
+            except httpx.HTTPError as error:
+                answer.refusals.append(type(error).__name__)
+                await anyio.sleep(PAUSE_S)
+                continue
+            answer.status = response.status_code
+            if response.is_success:
+                answer.text = response.text
+                answer.is_whole = True
+                return answer
+            answer.refusals.append(response.json()["kind"])
+            if answer.refusals[-1] in FINAL_KINDS:
+                return answer
+            await anyio.sleep(PAUSE_S)
+    return answer
--- /dev/null
+++ b/standins/fleets.py
@@ -0,0 +1,65 @@
+"""The users' two fleets in small: settings, engines and plain services."""
+
+from hashlib import sha256
+
+from standins.group import Group, HostPlan
+
+__all__ = [
+    "HOSTS",
+    "NOTARY_KEY",
+    "RELEVE_KEY",
+    "fleet_settings",
+    "start_upstreams",
+]
+
+RELEVE_KEY = "releve-key"
+NOTARY_KEY = "notary-key"
+
+HOSTS = [
+    HostPlan("control-1", "plateau", ("control",)),
+    HostPlan("control-2", "fann", ("control",)),
+    HostPlan("control-3", "almadies", ("control",)),
+    HostPlan("entry-1", "plateau"),
+    HostPlan("entry-2", "fann"),
+    HostPlan("entry-3", "almadies"),
+]
+ENGINES = [
+    ("redacteur-1", "redacteur", "plateau"),
+    ("redacteur-2", "redacteur", "fann"),
+    ("redacteur-3", "redacteur", "almadies"),
+    ("archives-1", "archives", "plateau"),
+    ("clerk-lm-1", "clerk-lm", "fann"),
+    ("clerk-lm-2", "clerk-lm", "almadies"),
+]
+PLAIN_SERVICES = [
+    ("booking-app-1", "booking-app", "plateau"),
+    ("booking-app-2", "booking-app", "fann"),
+]
+
+
+def _digest(key: str) -> str:
+    return sha256(key.encode()).hexdigest()
+
+
+def fleet_settings() -> list[dict]:
+    """Return the edits that set up both fleets."""
+    return [
+        {"level": "service/redacteur", "set": {"kind": "model"}},
+        {"level": "service/archives", "set": {"kind": "model"}},
+        {"level": "service/clerk-lm", "set": {"kind": "model"}},
+        {
+            "level": "service/booking-app",
+            "set": {"kind": "plain", "idempotent": False},
+        },
+        {"level": "workspace/releve", "set": {"key_hashes": [_digest(RELEVE_KEY)]}},
+        {"level": "workspace/notary", "set": {"key_hashes": [_digest(NOTARY_KEY)]}},
+    ]
+
+
+def start_upstreams(group: Group, **engine_options) -> int:
+    """Start every stand-in of both fleets; return how many there are."""
+    for name, service, data_centre in ENGINES:
+        group.add_engine(name, service, data_centre, **engine_options)
+    for name, service, data_centre in PLAIN_SERVICES:
+        group.add_service(name, service, data_centre)
+    return len(ENGINES) + len(PLAIN_SERVICES)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests: real processes on loopback."""
