Add the frame of the bench

Cause: each part will measure its own decisions; the figures need one form.

No figure has been taken yet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each a module `measure_TOPIC` with a function `measure`."""
