Gossip tables of entry hosts and upstreams over bounded links

Each announcement and each renewal was sent to every linked entry host, which grows with the square of the number of hosts.

- Mesh opens links on demand for send and request, closes them when idle and keeps standing ones to a chosen set.
- PeersSection lists the entry hosts; live_peers(section, now) gives those held to be alive, with their data centres.
- Only changes go to all hosts, over a ring with chords; renewals go from an upstream's home to the hosts that follow it.
- An announcement is granted a lease of at most 2 s, so that a host that is cut off stops using an upstream in that time.
- Nothing measured yet.

--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
@@ -44,6 +44,13 @@
         Open connection.
     peer : Hello
         What the other process said of itself.
+
+    Attributes
+    ----------
+    bytes_sent, bytes_received : int
+        Payload carried so far, in bytes.
+    envelopes : int
+        Envelopes carried so far in both directions.
     """
 
     def __init__(self, connection, peer: Hello):
@@ -55,6 +62,9 @@
             MAX_WAITING_ENVELOPES
         )
         self._open = True
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.envelopes = 0
 
     @property
     def peer(self) -> Hello:
@@ -140,7 +150,9 @@
     async def _read(self, on_envelope) -> None:
         try:
             async for data in self._connection:
+                self.bytes_received += len(data)
                 for envelope in decode_frame(data):
+                    self.envelopes += 1
                     if envelope.kind is EnvelopeKind.REPLY:
                         self._take_reply(envelope)
                     else:
@@ -163,7 +175,10 @@
                         batch.append(self._to_send.receive_nowait())
                     except anyio.WouldBlock:
                         break
-                await self._connection.send(encode_frame(tuple(batch)))
+                frame = encode_frame(tuple(batch))
+                self.bytes_sent += len(frame)
+                self.envelopes += len(batch)
+                await self._connection.send(frame)
         except (ConnectionClosed, anyio.EndOfStream):
             await self._connection.close()
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -37,6 +37,12 @@
 OPEN_TIMEOUT_S = 2.0
 REDIAL_MIN_S = 0.1
 REDIAL_MAX_S = 2.0
+#: A link opened for a message is closed after this time without any, in seconds.
+IDLE_S = 15.0
+IDLE_POLL_S = 1.0
+#: Messages kept for a peer while the link to it is being opened.
+MAX_WAITING_FOR_LINK = 1000
+OPENING_POLL_S = 0.01
 
 #: Handles one message from a node; may return a reply, or an awaitable of one.
 Handler = Callable[[NodeId, Message], Message | None | Awaitable[Message | None]]
@@ -65,6 +71,15 @@
         self._handlers: dict[type[Message], Handler] = {}
         self._link_watchers: list[Callable[[Hello, bool], None]] = []
         self._tasks: TaskGroup | None = None
+        self._addresses: dict[NodeId, str] = {}
+        self._standing: dict[NodeId, anyio.CancelScope] = {}
+        self._opening: dict[NodeId, list[Envelope]] = {}
+        self._closed_bytes = (0, 0)
+
+    @property
+    def hello(self) -> Hello:
+        """What this process says of itself."""
+        return self._hello
 
     @property
     def peers(self) -> list[Hello]:
@@ -87,12 +102,60 @@
         """Call `watcher` with the peer and True (False) as links open (close)."""
         self._link_watchers.append(watcher)
 
+    @property
+    def standing(self) -> frozenset[NodeId]:
+        """Peers to which a link is kept open from this side."""
+        return frozenset(self._standing)
+
+    @property
+    def traffic_bytes(self) -> tuple[int, int]:
+        """Payload bytes sent and received on all links so far."""
+        links = [link for links in self._links.values() for link in links]
+        return (
+            self._closed_bytes[0] + sum(link.bytes_sent for link in links),
+            self._closed_bytes[1] + sum(link.bytes_received for link in links),
+        )
+
     def is_linked(self, node: NodeId) -> bool:
         """Say whether there is an open link to `node`."""
         return bool(self._links.get(node))
 
+    def learn_address(self, node: NodeId, address: str) -> None:
+        """Remember the mesh address of a peer, for links opened on demand."""
+        if self._addresses.get(node, address) != address and node in self._standing:
+            self._standing.pop(node).cancel()
+        self._addresses[node] = address
+
+    def forget_address(self, node: NodeId) -> None:
+        """Open no more links to a peer on demand."""
+        self._addresses.pop(node, None)
+
+    def keep_standing(self, nodes: frozenset[NodeId]) -> None:
+        """Keep links open to exactly these peers, from this side.
+
+        Links to others stay until they are idle.
+
+        Parameters
+        ----------
+        nodes : frozenset of NodeId
+            Peers with a known address.
+        """
+        if self._tasks is None:
+            return
+        for node in self._standing.keys() - nodes:
+            self._standing.pop(node).cancel()
+        for node in nodes - self._standing.keys():
+            if node in self._addresses:
+                scope = self._standing[node] = anyio.CancelScope()
+                self._tasks.start_soon(self._dial_standing, node, scope)
+
+    def probe(self, address: str) -> None:
+        """Open a link to an address once; it is closed again when idle."""
+        if self._tasks is not None:
+            self._tasks.start_soon(self._open_once, None, address)
+
     def send(self, node: NodeId, message: Message) -> bool:
-        """Queue a one-way message.
+        """Queue a one-way message, for which a link is opened if need be.
 
         Parameters
         ----------
@@ -104,19 +167,67 @@
         Returns
         -------
         bool
-            False if there is no link that can take it.
+            False if there is no link that can take it, nor an address to open
+            one to. True is no promise of delivery.
         """
+        envelope = Envelope(EnvelopeKind.SEND, 0, message)
         links = self._links.get(node)
-        return bool(links) and links[-1].send(Envelope(EnvelopeKind.SEND, 0, message))
+        if links:
+            return links[-1].send(envelope)
+        if not self._start_opening(node):
+            return False
+        waiting = self._opening[node]
+        if len(waiting) >= MAX_WAITING_FOR_LINK:
+            return False
+        waiting.append(envelope)
+        return True
 
     async def request(
         self, node: NodeId, message: Message, timeout_s: float
     ) -> Message:
-        """Send a request to `node` and return its reply; see `Link.request`."""
+        """Send a request to `node` and return its reply.
+
+        A link is opened if there is none and the address is known; the time
+        for that counts towards `timeout_s`. See `Link.request`.
+        """
+        deadline = anyio.current_time() + timeout_s
+        if not self._links.get(node):
+            await self._wait_opened(node, timeout_s)
         links = self._links.get(node)
         if not links:
             raise UnavailableError(ErrorKind.NOT_READY, f"no link to {node}")
-        return await links[-1].request(message, timeout_s)
+        left_s = max(0.0, deadline - anyio.current_time())
+        return await links[-1].request(message, left_s)
+
+    async def _wait_opened(self, node: NodeId, timeout_s: float) -> None:
+        if not self._start_opening(node):
+            return
+        with anyio.move_on_after(timeout_s):
+            while node in self._opening:
+                await anyio.sleep(OPENING_POLL_S)
+
+    def _start_opening(self, node: NodeId) -> bool:
+        if node in self._opening:
+            return True
+        address = self._addresses.get(node)
+        if address is None or self._tasks is None or node == self._hello.node:
+            return False
+        self._opening[node] = []
+        self._tasks.start_soon(self._open_once, node, address)
+        return True
+
+    async def _open_once(self, node: NodeId | None, address: str) -> None:
+        try:
+            await self._connect(address, closes_when_idle=True)
+        except (OSError, WebSocketException, CranberryfieldError) as error:
+            logger.debug("link failed", address=address, error=str(error))
+        finally:
+            if node is not None:
+                self._opening.pop(node, None)
+
+    async def _dial_standing(self, node: NodeId, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self.dial(self._addresses[node])
 
     async def listen(self, address: str, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Accept links until cancelled.
@@ -153,30 +264,33 @@
         address : str
             ``IP:PORT`` of another process's mesh.
         """
-        scheme = "wss" if self._tls else "ws"
         delay_s = REDIAL_MIN_S
         while True:
             try:
-                async with connect(
-                    f"{scheme}://{address}/",
-                    additional_headers={"Authorization": f"Bearer {self._key}"},
-                    compression=None,
-                    max_size=MAX_FRAME_BYTES,
-                    open_timeout=OPEN_TIMEOUT_S,
-                    ping_interval=PING_INTERVAL_S,
-                    ping_timeout=PING_TIMEOUT_S,
-                    close_timeout=OPEN_TIMEOUT_S,
-                    ssl=_client_tls(self._tls),
-                    proxy=None,
-                ) as connection:
-                    delay_s = REDIAL_MIN_S
-                    await connection.send(self._greeting())
-                    await self._serve_link(connection, dialled=True)
+                await self._connect(address, closes_when_idle=False)
+                delay_s = REDIAL_MIN_S
             except (OSError, WebSocketException, CranberryfieldError) as error:
                 logger.debug("link failed", address=address, error=str(error))
             await anyio.sleep(delay_s)
             delay_s = min(delay_s * 2, REDIAL_MAX_S)
 
+    async def _connect(self, address: str, closes_when_idle: bool) -> None:
+        scheme = "wss" if self._tls else "ws"
+        async with connect(
+            f"{scheme}://{address}/",
+            additional_headers={"Authorization": f"Bearer {self._key}"},
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            open_timeout=OPEN_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            close_timeout=OPEN_TIMEOUT_S,
+            ssl=_client_tls(self._tls),
+            proxy=None,
+        ) as connection:
+            await connection.send(self._greeting())
+            await self._serve_link(connection, True, closes_when_idle)
+
     async def _accept(self, connection) -> None:
         given = connection.request.headers.get("Authorization", "")
         if not compare_digest(given.encode(), f"Bearer {self._key}".encode()):
@@ -185,33 +299,63 @@
             return
         try:
             await connection.send(self._greeting())
-            await self._serve_link(connection, dialled=False)
+            await self._serve_link(connection, False, False)
         except (CranberryfieldError, WebSocketException) as error:
             logger.warning("link ended", error=str(error))
 
     def _greeting(self) -> bytes:
         return encode_frame((Envelope(EnvelopeKind.SEND, 0, self._hello),))
 
-    async def _serve_link(self, connection, dialled: bool) -> None:
-        with anyio.fail_after(OPEN_TIMEOUT_S):
-            first = decode_frame(await connection.recv())
+    async def _serve_link(
+        self, connection, dialled: bool, closes_when_idle: bool
+    ) -> None:
+        try:
+            with anyio.fail_after(OPEN_TIMEOUT_S):
+                first = decode_frame(await connection.recv())
+        except TimeoutError as error:
+            raise ProtocolError(ErrorKind.PROTOCOL, "no greeting came") from error
         peer = first[0].message if first else None
         if not isinstance(peer, Hello) or peer.group != self._hello.group:
             raise ProtocolError(ErrorKind.PROTOCOL, "not a member of this group")
         if peer.node == self._hello.node:
+            if closes_when_idle:
+                return
             await anyio.sleep_forever()
         link = Link(connection, peer)
         self._links.setdefault(peer.node, []).append(link)
+        for envelope in self._opening.pop(peer.node, ()):
+            link.send(envelope)
         self._tell_watchers(peer, True)
         logger.info("link open", peer=peer.node, dialled=dialled)
         try:
-            await link.run(self._on_envelope)
+            async with anyio.create_task_group() as tasks:
+                if closes_when_idle:
+                    tasks.start_soon(self._close_when_idle, link)
+                await link.run(self._on_envelope)
+                tasks.cancel_scope.cancel()
         finally:
-            self._links[peer.node].remove(link)
-            if not self._links[peer.node]:
-                del self._links[peer.node]
-            self._tell_watchers(peer, False)
-            logger.info("link closed", peer=peer.node)
+            self._remove_link(link)
+
+    async def _close_when_idle(self, link: Link) -> None:
+        seen = -1
+        idle_s = 0.0
+        while idle_s < IDLE_S:
+            await anyio.sleep(IDLE_POLL_S)
+            idle_s = idle_s + IDLE_POLL_S if link.envelopes == seen else 0.0
+            seen = link.envelopes
+        await link.close()
+
+    def _remove_link(self, link: Link) -> None:
+        node = link.peer.node
+        self._closed_bytes = (
+            self._closed_bytes[0] + link.bytes_sent,
+            self._closed_bytes[1] + link.bytes_received,
+        )
+        self._links[node].remove(link)
+        if not self._links[node]:
+            del self._links[node]
+        self._tell_watchers(link.peer, False)
+        logger.info("link closed", peer=node)
 
     def _tell_watchers(self, peer: Hello, is_open: bool) -> None:
         for watcher in self._link_watchers:
@@ -225,7 +369,10 @@
         if envelope.kind is EnvelopeKind.REQUEST:
             self._tasks.start_soon(self._answer, link, envelope, handler)
             return
-        handler(link.peer.node, envelope.message)
+        try:
+            handler(link.peer.node, envelope.message)
+        except Exception:
+            logger.exception("handler failed", message=type(envelope.message).__name__)
 
     async def _answer(self, link: Link, envelope: Envelope, handler: Handler) -> None:
         try:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -112,7 +112,7 @@
 
 
 def _dial_all(config: DaemonConfig, mesh: Mesh, tasks: TaskGroup) -> None:
-    addresses = {member.mesh for member in config.control} | set(config.seeds)
+    addresses = {member.mesh for member in config.control}
     for address in sorted(addresses - {config.mesh}):
         tasks.start_soon(mesh.dial, address)
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
@@ -30,14 +30,8 @@
     parse_completion,
     parse_service_call,
 )
-from cranberryfield.entry.membership import (
-    Announcement,
-    Leave,
-    UpstreamsSection,
-    accept_announcement,
-    accept_leave,
-)
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import Announcement, Leave
+from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection, Request, RequestRecord
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
@@ -68,12 +62,10 @@
     ----------
     settings : SettingsSection
         The settings in force.
-    upstreams : UpstreamsSection
-        The table of upstreams.
     records : RecordsSection
         The records of requests.
-    gossip : MembershipGossip
-        Passes announcements on.
+    leases : LeaseKeeper
+        Takes announcements in.
     runner : RequestRunner
         Runs requests.
     metrics : Metrics
@@ -91,9 +83,8 @@
     def __init__(
         self,
         settings: SettingsSection,
-        upstreams: UpstreamsSection,
         records: RecordsSection,
-        gossip: MembershipGossip,
+        leases: LeaseKeeper,
         runner: RequestRunner,
         metrics: Metrics,
         upstream_keys: tuple[str, ...],
@@ -102,9 +93,8 @@
         clock: Clock,
     ):
         self._settings = settings
-        self._upstreams = upstreams
         self._records = records
-        self._gossip = gossip
+        self._leases = leases
         self._runner = runner
         self._metrics = metrics
         self._upstream_keys = upstream_keys
@@ -218,14 +208,11 @@
     async def _announce(self, http: HttpRequest) -> Response:
         require_key(http, self._upstream_keys)
         announcement = await decode_json(http, Announcement, MAX_ANNOUNCE_BYTES)
-        record = accept_announcement(self._upstreams, announcement, self._clock())
-        self._gossip.publish(record)
-        return Response(status_code=204)
+        view = self._leases.announce(announcement)
+        return Response(msgspec.json.encode(view), media_type=JSON)
 
     async def _leave(self, http: HttpRequest) -> Response:
         require_key(http, self._upstream_keys)
         leave = await decode_json(http, Leave, MAX_ANNOUNCE_BYTES)
-        record = accept_leave(self._upstreams, leave, self._clock())
-        if record is not None:
-            self._gossip.publish(record)
+        self._leases.leave(leave)
         return Response(status_code=204)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/__init__.py
@@ -1,25 +1,28 @@
-"""Which upstreams there are, as announced here or heard from other hosts."""
+"""Which upstreams and entry hosts there are, as heard here or from others."""
 
 from cranberryfield.entry.membership.announcements import (
     Announcement,
+    LeaseView,
     Leave,
-    accept_announcement,
-    accept_leave,
 )
+from cranberryfield.entry.membership.peers import PeersSection, live_peers
 from cranberryfield.entry.membership.section import (
     KnownUpstream,
     UpstreamsSection,
     fresh_upstreams,
     merge_record,
+    usable_upstreams,
 )
 
 __all__ = [
     "Announcement",
     "KnownUpstream",
+    "LeaseView",
     "Leave",
+    "PeersSection",
     "UpstreamsSection",
-    "accept_announcement",
-    "accept_leave",
     "fresh_upstreams",
+    "live_peers",
     "merge_record",
+    "usable_upstreams",
 ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/announcements.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/announcements.py
@@ -8,13 +8,35 @@
 from cranberryfield.core.ids import (
     DataCentre,
     Incarnation,
+    NodeId,
     ServiceName,
     UpstreamId,
 )
-from cranberryfield.core.messages.membership import LoadReport, UpstreamRecord
-from cranberryfield.entry.membership.section import UpstreamsSection, merge_record
+from cranberryfield.core.messages.membership import (
+    LoadReport,
+    Renewal,
+    UpstreamRecord,
+)
+from cranberryfield.entry.membership.section import (
+    KnownUpstream,
+    UpstreamsSection,
+    has_lease,
+    merge_record,
+    merge_renewal,
+)
+
+__all__ = [
+    "Accepted",
+    "Announcement",
+    "LeaseView",
+    "Leave",
+    "accept_announcement",
+    "accept_leave",
+]
 
-__all__ = ["Announcement", "Leave", "accept_announcement", "accept_leave"]
+#: Longest lease that is granted: a host that is cut off uses no upstream for
+#: longer than this after the last word of it.
+MAX_LEASE_MS = 2000
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 IpAddress = Annotated[
@@ -56,23 +78,59 @@
     deadline_ms: Counter = 0
 
 
+class LeaseView(msgspec.Struct):
+    """Answer to an announcement: the lease granted, to be renewed in time."""
+
+    lease_ms: int
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """What follows an accepted announcement.
+
+    Attributes
+    ----------
+    lease_ms : int
+        The lease granted.
+    renewal : Renewal
+        For all hosts that follow the upstream.
+    record : UpstreamRecord or None
+        For all hosts; None if nothing but the load is new.
+    """
+
+    lease_ms: int
+    renewal: Renewal
+    record: UpstreamRecord | None
+
+
 def accept_announcement(
-    section: UpstreamsSection, announcement: Announcement, now: float
-) -> UpstreamRecord:
+    section: UpstreamsSection,
+    announcement: Announcement,
+    own: NodeId,
+    usable_homes: frozenset[NodeId],
+    now: float,
+) -> Accepted:
     """Take in what an upstream says of itself.
 
+    The host at which an upstream first announces itself becomes its home.
+    Another host takes over when the home is not usable, the lease has run
+    out, or two announcements in a row came here.
+
     Parameters
     ----------
     section : UpstreamsSection
         Changed in place.
     announcement : Announcement
         What it says.
+    own : NodeId
+        This node.
+    usable_homes : frozenset of NodeId
+        Entry hosts held to be alive.
     now : float
         Monotonic time in seconds.
 
     Returns
     -------
-    UpstreamRecord
+    Accepted
         What is to be passed on to other hosts.
 
     Raises
@@ -82,7 +140,6 @@
         one has announced that it leaves.
     """
     known = section.upstreams.get(UpstreamId(announcement.id))
-    sequence = announcement.sequence
     if known is not None:
         _refuse_stale(known.record, announcement.incarnation)
         if known.record.leaving and known.record.incarnation == (
@@ -92,30 +149,77 @@
                 ErrorKind.STALE_INCARNATION,
                 f"{announcement.id} has announced that it leaves",
             )
-        if known.record.incarnation == announcement.incarnation:
-            sequence = max(sequence, known.record.sequence + 1)
+    record = _described(announcement, own, LoadReport(*_load_fields(announcement)))
+    report = announcement.sequence
+    changed: UpstreamRecord | None = record
+    if known is not None and known.record.incarnation == announcement.incarnation:
+        report = max(report, known.report + 1)
+        home = known.record.home
+        if not _takes_over(known, own, usable_homes, report, now):
+            record = msgspec.structs.replace(record, home=home)
+        changed = _next_version(known.record, record)
+    if changed is not None:
+        merge_record(section, changed, now)
+    renewal = Renewal(
+        record.upstream, record.incarnation, max(report, 1), record.load, 0
+    )
+    merge_renewal(section, renewal, now)
+    section.upstreams[record.upstream].heard_here = True
+    return Accepted(record.lease_ms, renewal, changed)
+
+
+def _load_fields(announcement: Announcement) -> tuple[int, int, int]:
     load = announcement.load
-    record = UpstreamRecord(
+    return (load.running, load.queued, load.prefill_tokens)
+
+
+def _described(
+    announcement: Announcement, home: NodeId, load: LoadReport
+) -> UpstreamRecord:
+    return UpstreamRecord(
         UpstreamId(announcement.id),
         Incarnation(announcement.incarnation),
-        sequence,
+        0,
         ServiceName(announcement.service),
         DataCentre(announcement.data_centre),
         announcement.address,
         announcement.machine_class,
         announcement.capabilities,
         announcement.capacity,
-        announcement.lease_ms,
+        min(announcement.lease_ms, MAX_LEASE_MS),
         False,
-        LoadReport(load.running, load.queued, load.prefill_tokens),
+        load,
+        home,
     )
-    merge_record(section, record, now)
-    return record
 
 
-def accept_leave(
-    section: UpstreamsSection, leave: Leave, now: float
+def _takes_over(
+    known: KnownUpstream,
+    own: NodeId,
+    usable_homes: frozenset[NodeId],
+    report: int,
+    now: float,
+) -> bool:
+    home = known.record.home
+    if home == own or home not in usable_homes or not has_lease(known, now):
+        return True
+    return known.heard_here and report == known.report + 1
+
+
+def _next_version(
+    known: UpstreamRecord, record: UpstreamRecord
 ) -> UpstreamRecord | None:
+    same = msgspec.structs.replace(
+        known, sequence=record.sequence, load=record.load
+    ) == msgspec.structs.replace(record)
+    if same:
+        return None
+    return msgspec.structs.replace(record, sequence=known.sequence + 1)
+
+
+def accept_leave(
+    section: UpstreamsSection, leave: Leave, own: NodeId, now: float
+) -> UpstreamRecord:
     """Take an upstream out of use at its own word.
 
     Parameters
@@ -124,13 +228,17 @@
         Changed in place.
     leave : Leave
         What it says.
+    own : NodeId
+        This node.
     now : float
         Monotonic time in seconds.
 
     Returns
     -------
-    UpstreamRecord or None
-        What is to be passed on; None for an upstream not known here.
+    UpstreamRecord
+        What is to be passed on. For an upstream not known here it says
+        nothing but that this incarnation has left, which wins over whatever
+        is heard of it later.
 
     Raises
     ------
@@ -139,18 +247,36 @@
     """
     known = section.upstreams.get(UpstreamId(leave.id))
     if known is None:
-        return None
-    _refuse_stale(known.record, leave.incarnation)
-    record = msgspec.structs.replace(
-        known.record,
-        incarnation=Incarnation(leave.incarnation),
-        sequence=known.record.sequence + 1,
-        leaving=True,
-    )
+        record = _departed(leave, own)
+    else:
+        _refuse_stale(known.record, leave.incarnation)
+        record = msgspec.structs.replace(
+            known.record,
+            incarnation=Incarnation(leave.incarnation),
+            sequence=known.record.sequence + 1,
+            leaving=True,
+        )
     merge_record(section, record, now)
     return record
 
 
+def _departed(leave: Leave, own: NodeId) -> UpstreamRecord:
+    return UpstreamRecord(
+        UpstreamId(leave.id),
+        Incarnation(leave.incarnation),
+        0,
+        ServiceName(""),
+        DataCentre(""),
+        "",
+        "",
+        (),
+        1,
+        0,
+        leaving=True,
+        home=own,
+    )
+
+
 def _refuse_stale(known: UpstreamRecord, incarnation: int) -> None:
     if incarnation < known.incarnation:
         raise CallerError(
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/digests.py
@@ -0,0 +1,42 @@
+"""Compares two tables of hosts and upstreams at little cost."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from cranberryfield.core.messages.membership import (
+    ItemVersion,
+    PeerRecord,
+    UpstreamRecord,
+)
+
+__all__ = ["BUCKETS", "bucket_digests", "bucket_of", "item_version"]
+
+BUCKETS = 32
+_MASK = (1 << 53) - 1
+
+
+def item_version(record: PeerRecord | UpstreamRecord) -> ItemVersion:
+    """Return the name under which a record is compared, and its version."""
+    if isinstance(record, PeerRecord):
+        version = f"{record.incarnation} {record.sequence} {record.state:d}"
+        return ItemVersion(f"p:{record.node}", _hash(version))
+    version = f"{record.incarnation} {record.leaving:d} {record.sequence} {record.home}"
+    return ItemVersion(f"u:{record.upstream}", _hash(version))
+
+
+def bucket_of(item: str) -> int:
+    """Return the bucket of an item, from 0."""
+    return _hash(item) % BUCKETS
+
+
+def bucket_digests(versions: Iterable[ItemVersion]) -> tuple[int, ...]:
+    """Return one digest per bucket, the same for any order of the items."""
+    digests = [0] * BUCKETS
+    for one in versions:
+        digests[bucket_of(one.item)] ^= _hash(f"{one.item} {one.version}")
+    return tuple(digests)
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode()) & _MASK
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/gossip.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/gossip.py
@@ -1,58 +1,274 @@
-"""Passes announcements on to the other entry hosts."""
+"""Keeps the tables of entry hosts and upstreams alike on all entry hosts."""
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import Role
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.links import Hello
-from cranberryfield.core.messages.membership import UpstreamRecord, UpstreamUpdate
+from cranberryfield.core.messages.membership import (
+    BucketDigests,
+    BucketVersions,
+    ItemVersion,
+    PeerRecord,
+    PeerState,
+    PeerUpdate,
+    UpstreamRecord,
+    UpstreamUpdate,
+)
+from cranberryfield.entry.membership.digests import (
+    bucket_digests,
+    bucket_of,
+    item_version,
+)
+from cranberryfield.entry.membership.outbox import BATCH_ITEMS, Outbox
+from cranberryfield.entry.membership.overlay import dialled_neighbours, neighbours
+from cranberryfield.entry.membership.peers import (
+    PeersSection,
+    confirm_dead,
+    forget_peers,
+    live_peers,
+    merge_peer,
+    own_record,
+    suspect_peer,
+)
 from cranberryfield.entry.membership.section import UpstreamsSection, merge_record
 
-__all__ = ["MembershipGossip"]
+__all__ = ["TableGossip"]
 
 MS_PER_S = 1000
+FLUSH_S = 0.05
+TICK_S = 0.25
+#: A neighbour without a link for this time is suspected, in seconds.
+RELINK_S = 1.5
+#: Time between two comparisons of tables, in seconds.
+COMPARE_S = 5.0
+#: Time between two tries to reach a host that is held for dead, in seconds.
+RECONNECT_S = 2.0
+
 
+class TableGossip:
+    """Passes changes of both tables on and repairs what was missed.
 
-class MembershipGossip:
-    """Keeps the tables of upstreams on all entry hosts alike.
+    Changes go over standing links to all hosts. Links that open, and one
+    neighbour at a time every few seconds, compare digests of the tables, so
+    that a change lost with a link arrives all the same.
 
     Parameters
     ----------
-    section : UpstreamsSection
-        This host's table.
+    peers : PeersSection
+        The table of entry hosts; owned by this object.
+    upstreams : UpstreamsSection
+        The table of upstreams.
     mesh : Mesh
         Links to other processes.
+    hello : Hello
+        What this process says of itself.
+    seeds : tuple of str
+        Mesh addresses at which some entry hosts may be found.
     clock : Clock
         Monotonic time.
+    rng : random.Random
+        Seeded generator.
     """
 
-    def __init__(self, section: UpstreamsSection, mesh: Mesh, clock: Clock):
-        self._section = section
+    def __init__(
+        self,
+        peers: PeersSection,
+        upstreams: UpstreamsSection,
+        mesh: Mesh,
+        hello: Hello,
+        seeds: tuple[str, ...],
+        clock: Clock,
+        rng: Random,
+    ):
+        self._peers = peers
+        self._upstreams = upstreams
         self._mesh = mesh
+        self._own = hello.node
+        self._seeds = tuple(seed for seed in seeds if seed != hello.mesh)
         self._clock = clock
-        mesh.handle(UpstreamUpdate, self._on_update)
+        self._rng = rng
+        self._outbox = Outbox()
+        self._neighbours: frozenset[NodeId] = frozenset()
+        self._unlinked_since: dict[NodeId, float] = {}
+        self._watchers: list[Callable[[UpstreamRecord], None]] = []
+        merge_peer(peers, own_record(hello), clock())
+        mesh.handle(PeerUpdate, self._on_peers)
+        mesh.handle(UpstreamUpdate, self._on_upstreams)
+        mesh.handle(BucketDigests, self._on_digests)
+        mesh.handle(BucketVersions, self._on_versions)
         mesh.watch_links(self._on_link)
 
-    def publish(self, record: UpstreamRecord) -> None:
-        """Send one announcement, just heard, to every linked entry host."""
-        update = UpstreamUpdate((record,), (0,))
-        for peer in self._mesh.peers:
-            if Role.ENTRY.value in peer.roles:
-                self._mesh.send(peer.node, update)
+    def watch_upstreams(self, watcher: Callable[[UpstreamRecord], None]) -> None:
+        """Call `watcher` with each record of an upstream that has changed."""
+        self._watchers.append(watcher)
+
+    def publish(self, record: PeerRecord | UpstreamRecord) -> None:
+        """Pass a change made here on to all entry hosts."""
+        self._add_to_outbox(record, None)
+
+    def say_goodbye(self) -> None:
+        """Tell the neighbours that this node leaves."""
+        known = self._peers.peers[self._own]
+        left = PeerRecord(
+            known.record.node,
+            known.record.incarnation,
+            known.record.sequence,
+            PeerState.LEFT,
+            known.record.data_centre,
+            known.record.mesh,
+            known.record.callers,
+        )
+        for node in self._neighbours:
+            if self._mesh.is_linked(node):
+                self._mesh.send(node, PeerUpdate((left,)))
+
+    async def run(self) -> None:
+        """Gossip until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._repeat, self._flush, FLUSH_S)
+            tasks.start_soon(self._repeat, self._tick, TICK_S)
+            tasks.start_soon(self._repeat, self._compare, COMPARE_S)
+            tasks.start_soon(self._repeat, self._reconnect, RECONNECT_S)
+
+    async def _repeat(self, step: Callable[[], None], pause_s: float) -> None:
+        while True:
+            step()
+            await anyio.sleep(pause_s)
+
+    def _add_to_outbox(
+        self, record: PeerRecord | UpstreamRecord, heard_from: NodeId | None
+    ) -> None:
+        urgent = isinstance(record, UpstreamRecord) and record.leaving
+        self._outbox.add(item_version(record).item, heard_from, urgent)
+
+    def _flush(self) -> None:
+        batch = self._outbox.take_batch()
+        if not batch:
+            return
+        for node in self._neighbours:
+            if self._mesh.is_linked(node):
+                items = [item for item, heard in batch if node not in heard]
+                self._send_items(node, items)
+
+    def _send_items(self, node: NodeId, items: list[str]) -> None:
+        peers, upstreams, ages_ms = [], [], []
+        now = self._clock()
+        for item in items:
+            name = item[2:]
+            if item.startswith("p:") and name in self._peers.peers:
+                peers.append(self._peers.peers[name].record)
+            elif item.startswith("u:") and name in self._upstreams.upstreams:
+                known = self._upstreams.upstreams[name]
+                upstreams.append(known.record)
+                ages_ms.append(int((now - known.heard_at) * MS_PER_S))
+        if peers:
+            self._mesh.send(node, PeerUpdate(tuple(peers)))
+        if upstreams:
+            self._mesh.send(node, UpstreamUpdate(tuple(upstreams), tuple(ages_ms)))
+
+    def _tick(self) -> None:
+        now = self._clock()
+        for record in confirm_dead(self._peers, now):
+            self._add_to_outbox(record, None)
+        for node in forget_peers(self._peers, now):
+            self._mesh.forget_address(node)
+        self._link_neighbours(now)
+        self._suspect_unlinked(now)
+
+    def _link_neighbours(self, now: float) -> None:
+        live = [record.node for record in live_peers(self._peers, now)]
+        self._neighbours = neighbours(self._own, live)
+        self._mesh.keep_standing(dialled_neighbours(self._own, self._neighbours))
+
+    def _suspect_unlinked(self, now: float) -> None:
+        unlinked = {
+            node: self._unlinked_since.get(node, now)
+            for node in self._neighbours
+            if not self._mesh.is_linked(node)
+        }
+        self._unlinked_since = unlinked
+        for node, since in unlinked.items():
+            if now >= since + RELINK_S:
+                record = suspect_peer(self._peers, node, now)
+                if record is not None:
+                    self._add_to_outbox(record, None)
+
+    def _compare(self) -> None:
+        linked = [node for node in self._neighbours if self._mesh.is_linked(node)]
+        if linked:
+            self._send_digests(self._rng.choice(sorted(linked)))
+
+    def _reconnect(self) -> None:
+        """Try a seed, or a host held for dead: a partition may have ended."""
+        known = {one.record.mesh for one in self._peers.peers.values()}
+        lost = {
+            one.record.mesh
+            for one in self._peers.peers.values()
+            if one.record.state in (PeerState.SUSPECTED, PeerState.DEAD)
+        }
+        targets = sorted(lost | (set(self._seeds) - known))
+        if targets:
+            self._mesh.probe(self._rng.choice(targets))
+
+    def _versions(self) -> list[ItemVersion]:
+        peers = (one.record for one in self._peers.peers.values())
+        upstreams = (one.record for one in self._upstreams.upstreams.values())
+        return [item_version(record) for record in (*peers, *upstreams)]
+
+    def _send_digests(self, node: NodeId) -> None:
+        self._mesh.send(node, BucketDigests(bucket_digests(self._versions())))
 
     def _on_link(self, peer: Hello, is_open: bool) -> None:
-        if is_open and Role.ENTRY.value in peer.roles and self._section.upstreams:
-            self._mesh.send(peer.node, self._whole_table())
+        if not is_open or Role.ENTRY.value not in peer.roles:
+            return
+        record = own_record(peer)
+        if merge_peer(self._peers, record, self._clock()):
+            self._mesh.learn_address(peer.node, peer.mesh)
+            self._add_to_outbox(record, None)
+        self._send_digests(peer.node)
 
-    def _whole_table(self) -> UpstreamUpdate:
+    def _on_peers(self, sender: NodeId, update: PeerUpdate) -> None:
         now = self._clock()
-        known = self._section.upstreams.values()
-        return UpstreamUpdate(
-            tuple(one.record for one in known),
-            tuple(int((now - one.heard_at) * MS_PER_S) for one in known),
-        )
+        for record in update.records:
+            if merge_peer(self._peers, record, now):
+                current = self._peers.peers[record.node].record
+                self._mesh.learn_address(current.node, current.mesh)
+                refuted = current != record
+                self._add_to_outbox(current, None if refuted else sender)
 
-    def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
+    def _on_upstreams(self, sender: NodeId, update: UpstreamUpdate) -> None:
         now = self._clock()
         for record, age_ms in zip(update.records, update.ages_ms, strict=True):
-            merge_record(self._section, record, now - age_ms / MS_PER_S)
+            if merge_record(self._upstreams, record, now - age_ms / MS_PER_S):
+                self._add_to_outbox(record, sender)
+                for watcher in self._watchers:
+                    watcher(record)
+
+    def _on_digests(self, sender: NodeId, message: BucketDigests) -> None:
+        versions = self._versions()
+        own = bucket_digests(versions)
+        differ = tuple(
+            bucket
+            for bucket, digest in enumerate(message.digests[: len(own)])
+            if digest != own[bucket]
+        )
+        if differ:
+            mine = tuple(one for one in versions if bucket_of(one.item) in differ)
+            self._mesh.send(sender, BucketVersions(differ, mine))
+
+    def _on_versions(self, sender: NodeId, message: BucketVersions) -> None:
+        buckets = frozenset(message.buckets)
+        theirs = {one.item: one.version for one in message.versions}
+        items = [
+            one.item
+            for one in self._versions()
+            if bucket_of(one.item) in buckets and theirs.get(one.item) != one.version
+        ]
+        for start in range(0, len(items), BATCH_ITEMS):
+            self._send_items(sender, items[start : start + BATCH_ITEMS])
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/chooser.py
@@ -13,6 +13,7 @@
     KnownUpstream,
     UpstreamsSection,
     fresh_upstreams,
+    usable_upstreams,
 )
 from cranberryfield.entry.requests.request import Request
 from cranberryfield.entry.routing.choose import DispatchSection, choose_upstream
@@ -53,11 +54,13 @@
     def choose(
         request: Request, tried: frozenset[UpstreamId], ran_before: bool
     ) -> KnownUpstream:
+        now = clock()
         candidates = [
             known
-            for known in fresh_upstreams(upstreams, request.service, clock())
+            for known in fresh_upstreams(upstreams, request.service, now)
             if not upstream_is_drained(settings.tree, known.record.upstream)
         ]
+        candidates = usable_upstreams(candidates, now)
         untried = [one for one in candidates if one.record.upstream not in tried]
         chosen = choose_upstream(
             untried or candidates, dispatched, own_data_centre, rng
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -16,8 +16,9 @@
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import UpstreamsSection
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.membership.gossip import TableGossip
+from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
@@ -44,6 +45,10 @@
         Follows settings; None where the control role does so.
     dispatcher : Dispatcher
         Connections to upstreams.
+    gossip : TableGossip
+        Keeps the tables of entry hosts and upstreams.
+    leases : LeaseKeeper
+        Renews the leases of upstreams.
     """
 
     def __init__(
@@ -52,11 +57,15 @@
         records: RecordsSection,
         follower: SettingsFollower | None,
         dispatcher: Dispatcher,
+        gossip: TableGossip,
+        leases: LeaseKeeper,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
+        self._gossip = gossip
+        self._leases = leases
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -110,7 +119,12 @@
         follower = None
         if follows_settings:
             follower = SettingsFollower(settings, mesh, control, clock)
-        runtime = cls(settings, records, follower, dispatcher)
+        peers = board.add(PeersSection(config.node_id))
+        gossip = TableGossip(
+            peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
+        )
+        leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
+        runtime = cls(settings, records, follower, dispatcher, gossip, leases)
         runner = RequestRunner(
             config.node_id,
             make_chooser(board, config.zone, clock, rng),
@@ -123,9 +137,8 @@
         )
         runtime.api = CallerApi(
             settings,
-            upstreams,
             records,
-            MembershipGossip(upstreams, mesh, clock),
+            leases,
             runner,
             metrics,
             config.upstream_keys,
@@ -152,11 +165,14 @@
             await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings until cancelled."""
-        if self._follower is None:
-            await anyio.sleep_forever()
-        await self._follower.run()
+        """Follow settings and membership until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._leases.run)
+            if self._follower is not None:
+                tasks.start_soon(self._follower.run)
 
     async def close(self) -> None:
-        """Close connections to upstreams."""
+        """Tell the other entry hosts and close connections to upstreams."""
+        self._gossip.say_goodbye()
         await self._dispatcher.close()
