--- /dev/null
+++ b/bench/measure_membership.py
@@ -0,0 +1,122 @@
+"""Bytes of membership traffic per entry host, and how fast a leave spreads."""
+
+import logging
+
+import anyio
+import structlog
+
+from bench.figures import Figure
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.entry.membership import live_peers
+from cranberryfield.entry.membership.announcements import Announcement, Leave
+from standins.tables import TableHost, wait_for
+
+#: The design's 930 upstreams on 360 entry hosts.
+UPSTREAMS_PER_HOST = 930 / 360
+HOSTS = (9, 18, 36)
+SERVICES = 3
+DATA_CENTRES = 7
+LEASE_MS = 2000
+RENEWALS_PER_LEASE = 3
+SETTLE_S = 6.0
+WINDOW_S = 8.0
+LEAVES = 5
+TARGET_BYTES_PER_S = 6000
+TARGET_LEAVE_S = 3.0
+
+
+def measure() -> list[Figure]:
+    """Run groups of several sizes, one after the other, in this process."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    figures = []
+    for count in HOSTS:
+        figures += anyio.run(_measure_group, count)
+    return figures
+
+
+async def _measure_group(count: int) -> list[Figure]:
+    async with anyio.create_task_group() as tasks:
+        hosts: list[TableHost] = []
+        for number in range(count):
+            seeds = (hosts[0].address,) if hosts else ()
+            data_centre = f"d{number % DATA_CENTRES}"
+            host = TableHost(f"entry-{number}", data_centre, seeds=seeds)
+            await host.start(tasks)
+            hosts.append(host)
+        await wait_for(lambda: _all_known(hosts), "all hosts are known", 60)
+        upstreams = round(count * UPSTREAMS_PER_HOST)
+        for number in range(upstreams):
+            tasks.start_soon(_announce, hosts[number % count], number)
+        await anyio.sleep(SETTLE_S)
+        before = [host.mesh.traffic_bytes for host in hosts]
+        await anyio.sleep(WINDOW_S)
+        after = [host.mesh.traffic_bytes for host in hosts]
+        rates = [
+            (sum(end) - sum(start)) / WINDOW_S
+            for start, end in zip(before, after, strict=True)
+        ]
+        spreads = [await _spread_leave(hosts, number) for number in range(LEAVES)]
+        tasks.cancel_scope.cancel()
+    note = f"{count} hosts, {upstreams} upstreams, sent and received payload"
+    standing = [len(host.mesh.peers) for host in hosts]
+    return [
+        Figure(
+            f"membership.bytes_per_host.{count}",
+            sum(rates) / count,
+            "B/s",
+            TARGET_BYTES_PER_S,
+            note=note,
+        ),
+        Figure(
+            f"membership.bytes_busiest_host.{count}",
+            max(rates),
+            "B/s",
+            TARGET_BYTES_PER_S,
+            note=note,
+        ),
+        Figure(f"membership.links_busiest_host.{count}", max(standing), "links"),
+        Figure(
+            f"membership.leave_known_everywhere.{count}",
+            max(spreads),
+            "s",
+            TARGET_LEAVE_S,
+            note=f"slowest of {LEAVES}",
+        ),
+    ]
+
+
+def _all_known(hosts: list[TableHost]) -> bool:
+    now = monotonic_clock()
+    return all(len(live_peers(host.peers, now)) == len(hosts) for host in hosts)
+
+
+async def _announce(host: TableHost, number: int) -> None:
+    announcement = Announcement(
+        f"upstream-{number}",
+        1,
+        f"service-{number % SERVICES}",
+        f"d{number % DATA_CENTRES}",
+        "127.0.0.1:9",
+        LEASE_MS,
+        capabilities=("resume", "cancel", "kv", "orders"),
+        capacity=16,
+    )
+    pause_s = LEASE_MS / 1000 / RENEWALS_PER_LEASE
+    await anyio.sleep(number % 10 / 10 * pause_s)
+    while not _is_leaving(host, number):
+        host.leases.announce(announcement)
+        await anyio.sleep(pause_s)
+
+
+def _is_leaving(host: TableHost, number: int) -> bool:
+    known = host.upstreams.upstreams.get(f"upstream-{number}")
+    return known is not None and known.record.leaving
+
+
+async def _spread_leave(hosts: list[TableHost], number: int) -> float:
+    started = monotonic_clock()
+    hosts[(number * 7) % len(hosts)].leases.leave(Leave(f"upstream-{number}", 1))
+    await wait_for(lambda: all(_is_leaving(host, number) for host in hosts), "leave")
+    return monotonic_clock() - started
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -35,6 +35,7 @@
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 2.0
 OPEN_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.5
 REDIAL_MIN_S = 0.1
 REDIAL_MAX_S = 2.0
 #: A link opened for a message is closed after this time without any, in seconds.
@@ -250,6 +251,7 @@
                 max_size=MAX_FRAME_BYTES,
                 ping_interval=PING_INTERVAL_S,
                 ping_timeout=PING_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
                 ssl=_server_tls(self._tls),
             ),
         ):
@@ -284,7 +286,7 @@
             open_timeout=OPEN_TIMEOUT_S,
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
-            close_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
             ssl=_client_tls(self._tls),
             proxy=None,
         ) as connection:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/gossip.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/gossip.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import anyio
+import msgspec
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import Role
@@ -113,20 +114,12 @@
         self._add_to_outbox(record, None)
 
     def say_goodbye(self) -> None:
-        """Tell the neighbours that this node leaves."""
-        known = self._peers.peers[self._own]
-        left = PeerRecord(
-            known.record.node,
-            known.record.incarnation,
-            known.record.sequence,
-            PeerState.LEFT,
-            known.record.data_centre,
-            known.record.mesh,
-            known.record.callers,
-        )
-        for node in self._neighbours:
-            if self._mesh.is_linked(node):
-                self._mesh.send(node, PeerUpdate((left,)))
+        """Tell all linked entry hosts that this node leaves."""
+        own = self._peers.peers[self._own].record
+        left = msgspec.structs.replace(own, state=PeerState.LEFT)
+        for peer in self._mesh.peers:
+            if Role.ENTRY.value in peer.roles:
+                self._mesh.send(peer.node, PeerUpdate((left,)))
 
     async def run(self) -> None:
         """Gossip until cancelled."""
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/leases.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/leases.py
@@ -28,6 +28,7 @@
     UpstreamsSection,
     expire_upstreams,
     forget_upstreams,
+    merge_record,
     merge_renewal,
 )
 
@@ -132,6 +133,12 @@
         self._gossip.publish(record)
         self._table_changed = True
 
+    def take_departure(self, record: UpstreamRecord) -> None:
+        """Take in that an upstream said, when asked, that it leaves."""
+        if merge_record(self._upstreams, record, self._clock()):
+            self._gossip.publish(record)
+            self._table_changed = True
+
     async def run(self) -> None:
         """Carry renewals until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/peers.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/peers.py
@@ -91,7 +91,8 @@
     if known is not None and _version(known.record) >= _version(record):
         return False
     if record.node == section.own and known is not None:
-        if record.incarnation > known.record.incarnation:
+        is_newer = record.incarnation > known.record.incarnation
+        if is_newer or record.state is PeerState.LEFT:
             return False
         record = msgspec.structs.replace(known.record, sequence=record.sequence + 1)
     section.peers[record.node] = KnownPeer(record, now)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/probing.py
@@ -0,0 +1,165 @@
+"""Asks upstreams for themselves when their home has fallen silent."""
+
+import anyio
+import httpx
+import msgspec
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.messages.membership import LoadReport, UpstreamRecord
+from cranberryfield.entry.membership.leases import LeaseKeeper
+from cranberryfield.entry.membership.section import KnownUpstream, UpstreamsSection
+
+__all__ = ["LOAD_CAPABILITY", "ProbeAnswer", "UpstreamProber", "is_probe_due"]
+
+#: Upstreams that answer ``GET /load`` announce this capability.
+LOAD_CAPABILITY = "load"
+#: A lease is probed once this part of it has passed without a renewal.
+DUE_RATIO = 0.6
+PROBE_INTERVAL_S = 0.25
+PROBE_TIMEOUT_S = 0.5
+STATUS_OK = 200
+MAX_ANSWER_BYTES = 4096
+
+
+class ProbeAnswer(msgspec.Struct, frozen=True):
+    """What an upstream answers to ``GET /load``.
+
+    Attributes
+    ----------
+    incarnation : int or None
+        None where the upstream does not say; then the answer renews nothing.
+    leaving : bool
+        Whether it takes no new work.
+    """
+
+    incarnation: int | None = None
+    leaving: bool = False
+    running: int = 0
+    queued: int = 0
+    prefill_tokens: int = 0
+
+
+def is_probe_due(known: KnownUpstream, now: float) -> bool:
+    """Say whether an upstream's lease needs a probe to be renewed.
+
+    Parameters
+    ----------
+    known : KnownUpstream
+        The upstream.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    bool
+        True late in the lease and for one more lease after it, so that one
+        lost answer is made up for but a dead upstream is left alone.
+    """
+    record = known.record
+    if record.leaving or LOAD_CAPABILITY not in record.capabilities:
+        return False
+    lease_s = known.lease_ends_at() - known.heard_at
+    age_s = now - known.heard_at
+    return DUE_RATIO * lease_s <= age_s < 2 * lease_s
+
+
+def take_probe_answer(
+    known: KnownUpstream, answer: ProbeAnswer, asked_at: float
+) -> UpstreamRecord | None:
+    """Renew a lease by what the upstream itself said.
+
+    Parameters
+    ----------
+    known : KnownUpstream
+        The upstream; changed in place.
+    answer : ProbeAnswer
+        What it said.
+    asked_at : float
+        Monotonic time in seconds at which it was asked.
+
+    Returns
+    -------
+    UpstreamRecord or None
+        A record to merge and pass on if it said that it leaves.
+    """
+    record = known.record
+    if answer.incarnation != record.incarnation or record.leaving:
+        return None
+    if answer.leaving:
+        return msgspec.structs.replace(
+            record, sequence=record.sequence + 1, leaving=True
+        )
+    load = LoadReport(answer.running, answer.queued, answer.prefill_tokens)
+    known.record = msgspec.structs.replace(record, load=load)
+    known.heard_at = max(known.heard_at, asked_at)
+    return None
+
+
+class UpstreamProber:
+    """Probes followed upstreams whose renewals do not arrive.
+
+    Parameters
+    ----------
+    upstreams : UpstreamsSection
+        The table of upstreams.
+    leases : LeaseKeeper
+        Says which upstreams matter to this node.
+    client : httpx.AsyncClient
+        Connections of its own, opened for each probe.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamsSection,
+        leases: LeaseKeeper,
+        client: httpx.AsyncClient,
+        clock: Clock,
+    ):
+        self._upstreams = upstreams
+        self._leases = leases
+        self._client = client
+        self._clock = clock
+        self._asking: set[UpstreamId] = set()
+
+    @classmethod
+    def from_clock(
+        cls, upstreams: UpstreamsSection, leases: LeaseKeeper, clock: Clock
+    ) -> "UpstreamProber":
+        """Build a prober with connections of its own."""
+        client = httpx.AsyncClient(
+            timeout=PROBE_TIMEOUT_S,
+            limits=httpx.Limits(max_keepalive_connections=0),
+            trust_env=False,
+        )
+        return cls(upstreams, leases, client, clock)
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with self._client, anyio.create_task_group() as tasks:
+            while True:
+                now = self._clock()
+                for upstream in self._leases.followed - self._asking:
+                    known = self._upstreams.upstreams.get(upstream)
+                    if known is not None and is_probe_due(known, now):
+                        self._asking.add(upstream)
+                        tasks.start_soon(self._ask, known)
+                await anyio.sleep(PROBE_INTERVAL_S)
+
+    async def _ask(self, known: KnownUpstream) -> None:
+        asked_at = self._clock()
+        record = known.record
+        try:
+            response = await self._client.get(f"http://{record.address}/load")
+            body = response.content[:MAX_ANSWER_BYTES]
+            if response.status_code == STATUS_OK:
+                answer = msgspec.json.decode(body, type=ProbeAnswer)
+                left = take_probe_answer(known, answer, asked_at)
+                if left is not None:
+                    self._leases.take_departure(left)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return
+        finally:
+            self._asking.discard(record.upstream)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -38,7 +38,7 @@
 )
 from cranberryfield.entry.requests.records import Outcome, RequestRecord, RequestState
 from cranberryfield.entry.requests.request import Request
-from cranberryfield.entry.routing import Chooser, DispatchSection
+from cranberryfield.entry.routing import AttemptObserver, Chooser, DispatchSection
 
 __all__ = ["RequestRunner"]
 
@@ -76,6 +76,8 @@
         Counters and histograms.
     clock : Clock
         Monotonic time.
+    observe : AttemptObserver
+        Told how each attempt ended.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         proposer: Proposer,
         metrics: Metrics,
         clock: Clock,
+        observe: AttemptObserver,
     ):
         self._node = node
         self._choose = choose
@@ -97,6 +100,7 @@
         self._proposer = proposer
         self._metrics = metrics
         self._clock = clock
+        self._observe = observe
 
     async def run(self, record: RequestRecord) -> None:
         """Run a request and put its end into the record.
@@ -186,6 +190,7 @@
             if claim is not None:
                 await self._record_dispatch(request, claim, upstream)
             end, outcome = await self._attempt(record, upstream)
+            self._observe(upstream, end)
             attempts += 1
             ran_before = ran_before or end.result is AttemptResult.BROKEN
             step = after_attempt(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -19,10 +19,11 @@
 from cranberryfield.entry.membership import PeersSection, UpstreamsSection
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
+from cranberryfield.entry.membership.probing import UpstreamProber
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
-from cranberryfield.entry.routing import DispatchSection, make_chooser
+from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
 from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
@@ -49,6 +50,8 @@
         Keeps the tables of entry hosts and upstreams.
     leases : LeaseKeeper
         Renews the leases of upstreams.
+    prober : UpstreamProber
+        Renews those whose home has fallen silent.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         dispatcher: Dispatcher,
         gossip: TableGossip,
         leases: LeaseKeeper,
+        prober: UpstreamProber,
     ):
         self._settings = settings
         self._records = records
@@ -66,6 +70,7 @@
         self._dispatcher = dispatcher
         self._gossip = gossip
         self._leases = leases
+        self._prober = prober
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -124,7 +129,8 @@
             peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
-        runtime = cls(settings, records, follower, dispatcher, gossip, leases)
+        prober = UpstreamProber.from_clock(upstreams, leases, clock)
+        runtime = cls(settings, records, follower, dispatcher, gossip, leases, prober)
         runner = RequestRunner(
             config.node_id,
             make_chooser(board, config.zone, clock, rng),
@@ -134,6 +140,7 @@
             proposer,
             metrics,
             clock,
+            make_observer(clock),
         )
         runtime.api = CallerApi(
             settings,
@@ -169,6 +176,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._prober.run)
             if self._follower is not None:
                 tasks.start_soon(self._follower.run)
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -131,7 +131,7 @@
             "data_centre": options.data_centre,
             "address": options.address or f"127.0.0.1:{options.port}",
             "machine_class": options.machine_class,
-            "capabilities": ["resume", "cancel", "kv", "orders"],
+            "capabilities": ["resume", "cancel", "kv", "orders", "load"],
             "capacity": options.capacity,
             "lease_ms": options.lease_ms,
         }
@@ -273,7 +273,13 @@
         return Response(status_code=204)
 
     async def _show_load(self, http: HttpRequest) -> Response:
-        return JSONResponse(self._lagging_load)
+        return JSONResponse(
+            {
+                **self._lagging_load,
+                "incarnation": self._options.incarnation,
+                "leaving": self._leaving,
+            }
+        )
 
     async def _order(self, http: HttpRequest) -> Response:
         order = msgspec.json.decode(await http.body(), type=Order)
--- /dev/null
+++ b/standins/tables.py
@@ -0,0 +1,91 @@
+"""The membership part of an entry host, many of them in one process."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.core.ids import DataCentre, Incarnation, NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.links import Hello
+from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.membership.gossip import TableGossip
+from cranberryfield.entry.membership.leases import LeaseKeeper
+from standins.processes import free_port
+
+__all__ = ["TableHost", "wait_for"]
+
+MESH_KEY = "mesh-key-for-loopback-only"
+
+
+@dataclass(slots=True)
+class TableHost:
+    """One entry host's tables, with a mesh of its own.
+
+    Attributes
+    ----------
+    node, data_centre : str
+        Its id and where it is said to run.
+    address : str
+        ``IP:PORT`` that it listens on.
+    told_address : str
+        ``IP:PORT`` that it tells others, which may be a proxy's.
+    """
+
+    node: NodeId
+    data_centre: DataCentre
+    address: str = ""
+    told_address: str = ""
+    seeds: tuple[str, ...] = ()
+    incarnation: int = 1
+    upstreams: UpstreamsSection = field(default_factory=UpstreamsSection)
+    peers: PeersSection | None = None
+    mesh: Mesh | None = None
+    gossip: TableGossip | None = None
+    leases: LeaseKeeper | None = None
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listen and gossip in the given task group."""
+        self.address = self.address or f"127.0.0.1:{free_port()}"
+        hello = Hello(
+            self.node,
+            "tables",
+            Incarnation(self.incarnation),
+            self.data_centre,
+            ("entry",),
+            self.told_address or self.address,
+            self.address,
+        )
+        self.peers = PeersSection(self.node)
+        self.mesh = Mesh(hello, MESH_KEY)
+        self.gossip = TableGossip(
+            self.peers,
+            self.upstreams,
+            self.mesh,
+            hello,
+            self.seeds,
+            monotonic_clock,
+            Random(self.node),
+        )
+        self.leases = LeaseKeeper(
+            self.upstreams,
+            self.peers,
+            self.gossip,
+            self.mesh,
+            self.data_centre,
+            monotonic_clock,
+        )
+        await tasks.start(self.mesh.listen, self.address)
+        tasks.start_soon(self.gossip.run)
+        tasks.start_soon(self.leases.run)
+
+
+async def wait_for(condition, what: str, timeout_s: float = 30.0) -> None:
+    """Poll until a condition holds; the timeout guards against hanging."""
+    with anyio.move_on_after(timeout_s):
+        while not condition():
+            await anyio.sleep(0.02)
+        return
+    raise TimeoutError(f"not within {timeout_s} s: {what}")
--- /dev/null
+++ b/tests/test_membership_leave.py
@@ -0,0 +1,95 @@
+import time
+import uuid
+
+import httpx
+import pytest
+
+from standins.fleets import NOTARY_KEY, fleet_settings
+from standins.group import UPSTREAM_KEY, HostPlan, running_group
+from standins.processes import wait_until
+
+HOSTS = [
+    HostPlan("control-1", "plateau", ("control",)),
+    HostPlan("entry-1", "plateau"),
+    HostPlan("entry-2", "fann"),
+    HostPlan("entry-3", "almadies"),
+]
+LEAVE_BOUND_NS = 3_000_000_000
+CALLS_AFTER_S = 3.5
+
+
+@pytest.fixture(scope="module")
+def group(tmp_path_factory):
+    with running_group(tmp_path_factory.mktemp("leave"), HOSTS) as running:
+        running.wait_revision(running.change_settings(fleet_settings(), "f", "entry-1"))
+        for name in ("booking-1", "booking-2", "booking-3"):
+            running.add_service(name, "booking-app", "plateau", work_ms=1.0)
+        running.wait_upstreams(3)
+        yield running
+
+
+def book(group, host, **options):
+    return httpx.post(
+        f"http://{group.entry_addresses[host]}/services/booking-app/x",
+        headers={
+            "Authorization": f"Bearer {NOTARY_KEY}",
+            "Idempotency-Key": uuid.uuid4().hex,
+        },
+        timeout=10,
+        trust_env=False,
+        **options,
+    )
+
+
+def tell(group, host, verb, body):
+    return httpx.post(
+        f"http://{group.entry_addresses[host]}/upstreams/{verb}",
+        headers={"Authorization": f"Bearer {UPSTREAM_KEY}"},
+        json=body,
+        timeout=5,
+        trust_env=False,
+    )
+
+
+def incarnation(group, upstream):
+    views = group.known_upstreams("entry-1")
+    return next(one["incarnation"] for one in views if one["upstream"] == upstream)
+
+
+def starts_of(group, upstream):
+    return [
+        entry.at_ns
+        for entry in group.journal()
+        if entry.upstream == upstream and entry.event == "started"
+    ]
+
+
+def test_no_run_starts_after_a_leave_told_to_one_host(group):
+    """The upstream itself goes on to announce and to take whatever comes."""
+    for host in range(3):
+        assert book(group, host).status_code == 200
+    left_at = time.time_ns()
+    body = {"id": "booking-1", "incarnation": incarnation(group, "booking-1")}
+    assert tell(group, 1, "leave", body).status_code == 204
+    group.hosts["entry-3"].process.freeze()
+    ends = time.monotonic() + CALLS_AFTER_S
+    while time.monotonic() < ends:
+        assert {book(group, host).status_code for host in (0, 1)} == {200}
+    group.hosts["entry-3"].process.thaw()
+    answers = [book(group, 2) for _ in range(30)]
+    assert {one.status_code for one in answers} <= {200, 503}
+    late = [at for at in starts_of(group, "booking-1") if at > left_at + LEAVE_BOUND_NS]
+    assert not late
+
+
+def test_crash_is_noticed_without_a_notice(group):
+    group.upstreams["booking-2"].kill()
+    assert {book(group, host).status_code for host in (0, 1, 2) * 5} == {200}
+
+    def lease_ended(node):
+        views = group.known_upstreams(node)
+        left = [one["lease_left_ms"] for one in views if one["upstream"] == "booking-2"]
+        return not left or left[0] <= 0
+
+    for node in ("entry-1", "entry-2", "entry-3"):
+        wait_until(lambda node=node: lease_ended(node), f"lease ended on {node}")
