Route by expected time to the first token

Two random choices by load ignored prefix caches, and the stand-in's block hashes differed between processes (hash()).

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/leases.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/leases.py
@@ -6,7 +6,7 @@
 import anyio
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.ids import DataCentre, NodeId, UpstreamId
+from cranberryfield.core.ids import DataCentre, NodeId, ServiceName, UpstreamId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.membership import (
     FollowUpstreams,
@@ -35,7 +35,7 @@
 __all__ = ["LeaseKeeper"]
 
 FLUSH_S = 0.05
-TICK_S = 0.5
+TICK_S = 0.25
 #: Wishes to follow are repeated in this time and end after the other.
 REPEAT_FOLLOW_S = 4.0
 FOLLOW_ENDS_S = 10.0
@@ -192,6 +192,13 @@
             if not known.record.leaving and known.record.lease_ms
         ]
         self._followed = followed_upstreams(self._own, self._data_centre, records)
+        by_service: dict[ServiceName, list[UpstreamId]] = defaultdict(list)
+        for record in records:
+            if record.upstream in self._followed:
+                by_service[record.service].append(record.upstream)
+        self._upstreams.followed = {
+            service: tuple(upstreams) for service, upstreams in by_service.items()
+        }
 
     def _ask_homes(self, now: float) -> None:
         wanted: dict[NodeId, set[UpstreamId]] = defaultdict(set)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/section.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass, field
 
 import msgspec
+import xxhash
 
 from cranberryfield.core.ids import NodeId, ServiceName, UpstreamId
 from cranberryfield.core.messages.membership import Renewal, UpstreamRecord
 from cranberryfield.entry.membership.stability import (
+    STEADY,
     Stability,
     after_return,
     is_suppressed,
@@ -49,13 +51,20 @@
         Whether that report came to this node from the upstream itself.
     stability : Stability
         How often it has gone and returned of late.
+    affinity : int
+        Hash of its id, for choices that are the same on all nodes.
     """
 
     record: UpstreamRecord
     heard_at: float
     report: int = 0
     heard_here: bool = False
-    stability: Stability = Stability()
+    stability: Stability = STEADY
+
+    affinity: int = field(init=False)
+
+    def __post_init__(self):
+        self.affinity = xxhash.xxh64_intdigest(self.record.upstream.encode())
 
     def lease_ends_at(self) -> float:
         """Return the monotonic time in seconds at which the lease runs out."""
@@ -64,9 +73,18 @@
 
 @dataclass(slots=True)
 class UpstreamsSection:
-    """Section of the blackboard: every upstream heard of."""
+    """Section of the blackboard: every upstream heard of.
+
+    Attributes
+    ----------
+    upstreams : dict
+        All of them.
+    followed : dict
+        Those of each service whose renewals this node receives.
+    """
 
     upstreams: dict[UpstreamId, KnownUpstream] = field(default_factory=dict)
+    followed: dict[ServiceName, tuple[UpstreamId, ...]] = field(default_factory=dict)
 
 
 def _version(record: UpstreamRecord) -> tuple[int, bool, int, str]:
@@ -238,11 +256,22 @@
     Returns
     -------
     list of KnownUpstream
-        Those with a lease that has not run out and that are not leaving.
+        Those with a lease that has not run out and that are not leaving, of
+        the followed ones if any of them is left.
     """
+    upstreams = section.upstreams
+    followed = section.followed.get(service, ())
+    fresh = []
+    for known in map(upstreams.get, followed):
+        if known is None or known.record.leaving:
+            continue
+        if now < known.heard_at + known.record.lease_ms / MS_PER_S:
+            fresh.append(known)
+    if fresh:
+        return fresh
     return [
         known
-        for known in section.upstreams.values()
+        for known in upstreams.values()
         if known.record.service == service and has_lease(known, now)
     ]
 
@@ -262,5 +291,9 @@
     list of KnownUpstream
         All of `fresh` if there is no better one among them.
     """
-    steady = [one for one in fresh if not is_suppressed(one.stability, now)]
+    steady = [
+        one
+        for one in fresh
+        if one.stability is STEADY or not is_suppressed(one.stability, now)
+    ]
     return steady or fresh
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/stability.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/stability.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 
 __all__ = [
+    "STEADY",
     "Stability",
     "after_failure",
     "after_return",
@@ -49,6 +50,10 @@
     paused_until: float = float("-inf")
 
 
+#: An upstream of which nothing bad is known.
+STEADY = Stability()
+
+
 def penalty_at(stability: Stability, now: float) -> float:
     """Return the penalty after exponential decay.
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/chooser.py
@@ -7,8 +7,9 @@
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.ids import DataCentre, UpstreamId
+from cranberryfield.core.settings import ServiceKind, parse_level
 from cranberryfield.core.settings.follow import SettingsSection
-from cranberryfield.core.settings.tree import upstream_is_drained
+from cranberryfield.core.settings.tree import SettingsTree, upstream_is_drained
 from cranberryfield.entry.membership import (
     KnownUpstream,
     UpstreamsSection,
@@ -16,11 +17,24 @@
     usable_upstreams,
 )
 from cranberryfield.entry.requests.request import Request
-from cranberryfield.entry.routing.choose import DispatchSection, choose_upstream
+from cranberryfield.entry.routing.choose import (
+    Dispatch,
+    DispatchSection,
+    RoutingModel,
+    choose_upstream,
+    note_own_dispatch,
+)
+from cranberryfield.entry.routing.prefix import (
+    PrefixSection,
+    PromptPrefix,
+    note_dispatch,
+    prompt_prefix,
+)
 
 __all__ = ["Chooser", "make_chooser"]
 
 NO_UPSTREAM_RETRY_S = 1.0
+MS_PER_S = 1000
 
 #: Takes a request, the upstreams tried before and whether it may have run.
 Chooser = Callable[[Request, frozenset[UpstreamId], bool], KnownUpstream]
@@ -50,20 +64,51 @@
     settings = board.read(SettingsSection)
     upstreams = board.read(UpstreamsSection)
     dispatched = board.read(DispatchSection)
+    prefixes = board.read(PrefixSection)
+    model = RoutingModel()
+
+    drained_at: tuple[SettingsTree | None, frozenset[UpstreamId]] = (None, frozenset())
+
+    def drained_upstreams() -> frozenset[UpstreamId]:
+        nonlocal drained_at
+        tree = settings.tree
+        if drained_at[0] is not tree:
+            names = (parse_level(name).upstream for name in tree.levels)
+            drained_at = (
+                tree,
+                frozenset(
+                    one for one in names if one and upstream_is_drained(tree, one)
+                ),
+            )
+        return drained_at[1]
+
+    def prefix_of(request: Request) -> PromptPrefix:
+        if request.settings.kind is ServiceKind.PLAIN:
+            return PromptPrefix()
+        return prompt_prefix(request.body)
 
     def choose(
         request: Request, tried: frozenset[UpstreamId], ran_before: bool
     ) -> KnownUpstream:
         now = clock()
+        drained = drained_upstreams()
         candidates = [
             known
             for known in fresh_upstreams(upstreams, request.service, now)
-            if not upstream_is_drained(settings.tree, known.record.upstream)
+            if known.record.upstream not in drained
         ]
         candidates = usable_upstreams(candidates, now)
         untried = [one for one in candidates if one.record.upstream not in tried]
+        prefix = prefix_of(request)
         chosen = choose_upstream(
-            untried or candidates, dispatched, own_data_centre, rng
+            untried or candidates,
+            dispatched,
+            prefixes,
+            prefix,
+            own_data_centre,
+            rng,
+            request.settings.first_token_target_ms / MS_PER_S,
+            model,
         )
         if chosen is None:
             raise UnavailableError(
@@ -72,6 +117,9 @@
                 was_run=WasRun.UNKNOWN if ran_before else WasRun.NO,
                 retry_after_s=NO_UPSTREAM_RETRY_S,
             )
-        return chosen
+        upstream = chosen.known.record.upstream
+        note_own_dispatch(dispatched, upstream, Dispatch(now, chosen.prefill_tokens))
+        note_dispatch(prefixes, upstream, prefix)
+        return chosen.known
 
     return choose
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/events.py
@@ -0,0 +1,104 @@
+"""Follows the prefix caches of engines, within a bounded rate."""
+
+import anyio
+import httpx
+import msgspec
+
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.entry.membership import UpstreamsSection
+from cranberryfield.entry.routing.prefix import (
+    CacheEvent,
+    PrefixSection,
+    take_cache_event,
+)
+
+__all__ = ["CACHE_EVENTS_CAPABILITY", "CacheEventReader"]
+
+#: Engines that serve ``GET /cache/events`` announce this capability.
+CACHE_EVENTS_CAPABILITY = "cache_events"
+#: Blocks a second that all engines together may send to this node; what is
+#: over is left out by the engine, as a gap. About 20 bytes each.
+TOTAL_BLOCKS_PER_S = 100
+TICK_S = 1.0
+MAX_LINE_BYTES = 1 << 16
+_TIMEOUT = httpx.Timeout(2.0, read=30.0)
+
+
+class CacheEventReader:
+    """Reads the events of the upstreams that this node follows.
+
+    Parameters
+    ----------
+    upstreams : UpstreamsSection
+        The table of upstreams.
+    prefixes : PrefixSection
+        What is held to be cached; owned by this object and the chooser.
+    client : httpx.AsyncClient
+        Connections of its own.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamsSection,
+        prefixes: PrefixSection,
+        client: httpx.AsyncClient,
+    ):
+        self._upstreams = upstreams
+        self._prefixes = prefixes
+        self._client = client
+        self._reading: dict[UpstreamId, anyio.CancelScope] = {}
+
+    @classmethod
+    def from_sections(
+        cls, upstreams: UpstreamsSection, prefixes: PrefixSection
+    ) -> "CacheEventReader":
+        """Build a reader with connections of its own."""
+        client = httpx.AsyncClient(timeout=_TIMEOUT, trust_env=False)
+        return cls(upstreams, prefixes, client)
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with self._client, anyio.create_task_group() as tasks:
+            while True:
+                wanted = self._wanted()
+                for upstream in self._reading.keys() - wanted:
+                    self._reading.pop(upstream).cancel()
+                for upstream in self._prefixes.caches.keys() - (
+                    self._upstreams.upstreams.keys()
+                ):
+                    del self._prefixes.caches[upstream]
+                for upstream in wanted - self._reading.keys():
+                    scope = self._reading[upstream] = anyio.CancelScope()
+                    rate = max(1, TOTAL_BLOCKS_PER_S // len(wanted))
+                    tasks.start_soon(self._read, upstream, rate, scope)
+                await anyio.sleep(TICK_S)
+
+    def _wanted(self) -> set[UpstreamId]:
+        wanted = set()
+        for upstreams in self._upstreams.followed.values():
+            for upstream in upstreams:
+                known = self._upstreams.upstreams.get(upstream)
+                if known and CACHE_EVENTS_CAPABILITY in known.record.capabilities:
+                    wanted.add(upstream)
+        return wanted
+
+    async def _read(
+        self, upstream: UpstreamId, rate: int, scope: anyio.CancelScope
+    ) -> None:
+        address = self._upstreams.upstreams[upstream].record.address
+        url = f"http://{address}/cache/events?blocks_per_s={rate}"
+        with scope:
+            try:
+                async with self._client.stream("GET", url) as response:
+                    if response.is_success:
+                        await self._take_lines(upstream, response)
+            except (httpx.HTTPError, msgspec.MsgspecError):
+                pass
+        if self._reading.get(upstream) is scope:
+            del self._reading[upstream]
+
+    async def _take_lines(self, upstream: UpstreamId, response: httpx.Response) -> None:
+        async for line in response.aiter_lines():
+            if line and len(line) <= MAX_LINE_BYTES:
+                event = msgspec.json.decode(line, type=CacheEvent)
+                take_cache_event(self._prefixes, upstream, event)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/prefix.py
@@ -0,0 +1,189 @@
+"""Estimates how much of a prompt an upstream has in its prefix cache."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from cranberryfield.core.ids import UpstreamId
+
+__all__ = [
+    "BLOCK_WORDS",
+    "CacheEvent",
+    "PrefixSection",
+    "PromptPrefix",
+    "hit_words",
+    "note_dispatch",
+    "prompt_prefix",
+    "take_cache_event",
+]
+
+BLOCK_WORDS = 16
+#: Blocks of a prompt that are looked at; the rest counts as not cached.
+MAX_PROMPT_BLOCKS = 256
+#: Blocks remembered for one upstream.
+MAX_UPSTREAM_BLOCKS = 2048
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """What an engine tells of its prefix cache, late and with gaps.
+
+    Attributes
+    ----------
+    sequence : int
+        Grows by one with each event; a larger step means that some are lost.
+    added, removed : tuple of int
+        Chained hashes of blocks, see `prompt_prefix`.
+    """
+
+    sequence: int
+    added: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPrefix:
+    """A prompt as the prefix cache sees it.
+
+    Attributes
+    ----------
+    words : int
+        Length in words, which stand for tokens.
+    blocks : tuple of int
+        Hash of each whole block chained with all before it.
+    """
+
+    words: int = 0
+    blocks: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class _KnownCache:
+    blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    sequence: int = 0
+
+
+@dataclass(slots=True)
+class PrefixSection:
+    """Section of the blackboard: blocks held to be cached on each upstream."""
+
+    caches: dict[UpstreamId, _KnownCache] = field(default_factory=dict)
+
+
+class _ChatMessage(msgspec.Struct):
+    role: str = ""
+    content: str = ""
+
+
+class _Prompt(msgspec.Struct):
+    prompt: str = ""
+    messages: list[_ChatMessage] = msgspec.field(default_factory=list)
+
+
+def prompt_prefix(body: bytes) -> PromptPrefix:
+    """Return the prefix of a completion's prompt; empty for any other body.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON of a completion or chat completion.
+
+    Returns
+    -------
+    PromptPrefix
+        The same on every node and in the engine.
+
+    Examples
+    --------
+    >>> long = prompt_prefix(b'{"prompt": "' + b"a " * 40 + b'"}')
+    >>> long.words, len(long.blocks)
+    (40, 2)
+    >>> prompt_prefix(b"not JSON")
+    PromptPrefix(words=0, blocks=())
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=_Prompt)
+    except (msgspec.MsgspecError, RecursionError):
+        return PromptPrefix()
+    chat = "\n".join(f"{one.role}: {one.content}" for one in parsed.messages)
+    words = (parsed.prompt or chat).split()
+    return PromptPrefix(len(words), tuple(block_hashes(words)))
+
+
+def block_hashes(words: list[str]) -> list[int]:
+    """Return the chained hashes of a prompt's whole blocks."""
+    hashes = []
+    running = 0
+    last = min(len(words), MAX_PROMPT_BLOCKS * BLOCK_WORDS) - BLOCK_WORDS + 1
+    for start in range(0, last, BLOCK_WORDS):
+        block = " ".join(words[start : start + BLOCK_WORDS])
+        running = xxhash.xxh64_intdigest(block.encode(), seed=running)
+        hashes.append(running)
+    return hashes
+
+
+def hit_words(
+    section: PrefixSection, upstream: UpstreamId, prefix: PromptPrefix
+) -> int:
+    """Return how many leading words are held to be cached.
+
+    The first and last known blocks are found by bisection: a block that is
+    cached implies that all before it are.
+    """
+    cache = section.caches.get(upstream)
+    if cache is None or not prefix.blocks or prefix.blocks[0] not in cache.blocks:
+        return 0
+    known, unknown = 0, len(prefix.blocks)
+    while unknown - known > 1:
+        middle = (known + unknown) // 2
+        if prefix.blocks[middle] in cache.blocks:
+            known = middle
+        else:
+            unknown = middle
+    return (known + 1) * BLOCK_WORDS
+
+
+def note_dispatch(
+    section: PrefixSection, upstream: UpstreamId, prefix: PromptPrefix
+) -> None:
+    """Hold a prompt for cached where it has just been sent."""
+    if prefix.blocks:
+        _add(section.caches.setdefault(upstream, _KnownCache()), prefix.blocks)
+
+
+def _add(cache: _KnownCache, blocks: tuple[int, ...]) -> None:
+    # Later blocks first: what is dropped first must be the end of a prefix.
+    for block in reversed(blocks):
+        cache.blocks[block] = None
+        cache.blocks.move_to_end(block)
+    while len(cache.blocks) > MAX_UPSTREAM_BLOCKS:
+        cache.blocks.popitem(last=False)
+
+
+def take_cache_event(
+    section: PrefixSection, upstream: UpstreamId, event: CacheEvent
+) -> None:
+    """Take in an event; after a gap the older half of what is held is dropped.
+
+    Parameters
+    ----------
+    section : PrefixSection
+        Changed in place.
+    upstream : UpstreamId
+        The engine.
+    event : CacheEvent
+        Ignored if its sequence is not new, unless it starts again at 1.
+    """
+    cache = section.caches.setdefault(upstream, _KnownCache())
+    if event.sequence == 1 and cache.sequence:
+        cache.blocks.clear()
+    elif event.sequence <= cache.sequence:
+        return
+    elif cache.sequence and event.sequence > cache.sequence + 1:
+        for _ in range(len(cache.blocks) // 2):
+            cache.blocks.popitem(last=False)
+    cache.sequence = event.sequence
+    for block in event.removed:
+        cache.blocks.pop(block, None)
+    _add(cache, event.added)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -23,7 +23,13 @@
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
-from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
+from cranberryfield.entry.routing import (
+    DispatchSection,
+    PrefixSection,
+    make_chooser,
+    make_observer,
+)
+from cranberryfield.entry.routing.events import CacheEventReader
 from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
@@ -52,6 +58,8 @@
         Renews the leases of upstreams.
     prober : UpstreamProber
         Renews those whose home has fallen silent.
+    cache_events : CacheEventReader
+        Follows what engines have in their prefix caches.
     """
 
     def __init__(
@@ -63,6 +71,7 @@
         gossip: TableGossip,
         leases: LeaseKeeper,
         prober: UpstreamProber,
+        cache_events: CacheEventReader,
     ):
         self._settings = settings
         self._records = records
@@ -71,6 +80,7 @@
         self._gossip = gossip
         self._leases = leases
         self._prober = prober
+        self._cache_events = cache_events
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -119,6 +129,7 @@
         upstreams = board.add(UpstreamsSection())
         records = board.add(RecordsSection())
         dispatched = board.add(DispatchSection())
+        prefixes = board.add(PrefixSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
         follower = None
@@ -130,7 +141,17 @@
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         prober = UpstreamProber.from_clock(upstreams, leases, clock)
-        runtime = cls(settings, records, follower, dispatcher, gossip, leases, prober)
+        cache_events = CacheEventReader.from_sections(upstreams, prefixes)
+        runtime = cls(
+            settings,
+            records,
+            follower,
+            dispatcher,
+            gossip,
+            leases,
+            prober,
+            cache_events,
+        )
         runner = RequestRunner(
             config.node_id,
             make_chooser(board, config.zone, clock, rng),
@@ -177,6 +198,7 @@
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._leases.run)
             tasks.start_soon(self._prober.run)
+            tasks.start_soon(self._cache_events.run)
             if self._follower is not None:
                 tasks.start_soon(self._follower.run)
 
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -1,18 +1,30 @@
 """Continuous batching and a bounded prefix cache, without any model."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 import anyio
+import msgspec
+import xxhash
 
 from standins.tokens import CompletionRequest, prompt_of, token_text
 
-__all__ = ["Batcher", "PrefixCache", "Run"]
+__all__ = ["Batcher", "CacheChange", "PrefixCache", "Run"]
 
 BLOCK_TOKENS = 16
+#: Changes kept for those who read them late; older ones are lost to them.
+KEPT_CHANGES = 64
 PREFILL_TOKENS_PER_STEP = 512
 
 
+class CacheChange(msgspec.Struct, omit_defaults=True):
+    """Blocks that came into or fell out of the cache together."""
+
+    sequence: int
+    added: list[int] = msgspec.field(default_factory=list)
+    removed: list[int] = msgspec.field(default_factory=list)
+
+
 class PrefixCache:
     """Remembers which prompt prefixes have been processed lately.
 
@@ -25,12 +37,15 @@
     def __init__(self, capacity_blocks: int):
         self._capacity = capacity_blocks
         self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._sequence = 0
+        self.changes: deque[CacheChange] = deque(maxlen=KEPT_CHANGES)
 
     def _hashes(self, words: list[str]) -> list[int]:
         hashes = []
         running = 0
         for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
-            running = hash((running, tuple(words[start : start + BLOCK_TOKENS])))
+            block = " ".join(words[start : start + BLOCK_TOKENS])
+            running = xxhash.xxh64_intdigest(block.encode(), seed=running)
             hashes.append(running)
         return hashes
 
@@ -40,20 +55,22 @@
         for block in self._hashes(words):
             if block not in self._blocks:
                 break
-            self._blocks.move_to_end(block)
             hit += BLOCK_TOKENS
         return hit
 
     def add(self, words: list[str]) -> list[int]:
         """Remember a prompt; return the blocks that are new."""
-        added = []
-        for block in self._hashes(words):
+        added, removed = [], []
+        for block in reversed(self._hashes(words)):
             if block not in self._blocks:
                 added.append(block)
             self._blocks[block] = None
             self._blocks.move_to_end(block)
         while len(self._blocks) > self._capacity:
-            self._blocks.popitem(last=False)
+            removed.append(self._blocks.popitem(last=False)[0])
+        if added or removed:
+            self._sequence += 1
+            self.changes.append(CacheChange(self._sequence, added, removed))
         return added
 
 
@@ -150,8 +167,12 @@
                 self._wake = anyio.Event()
                 await self._wake.wait()
             await anyio.sleep(self._step_s)
-            self._admit()
-            self._step(before_token)
+            self.step(before_token)
+
+    def step(self, before_token) -> None:
+        """Do what one step does, without its time."""
+        self._admit()
+        self._step(before_token)
 
     def _admit(self) -> None:
         while self._waiting and len(self._running) < self._capacity:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -28,6 +28,8 @@
 CRASH_EXIT_CODE = 70
 CACHE_BLOCKS = 4096
 LOAD_LAG_S = 0.2
+CACHE_EVENT_LAG_S = 0.3
+MAX_BLOCKS_PER_S = 1000.0
 
 
 class Fencing(Enum):
@@ -131,7 +133,14 @@
             "data_centre": options.data_centre,
             "address": options.address or f"127.0.0.1:{options.port}",
             "machine_class": options.machine_class,
-            "capabilities": ["resume", "cancel", "kv", "orders", "load"],
+            "capabilities": [
+                "resume",
+                "cancel",
+                "kv",
+                "orders",
+                "load",
+                "cache_events",
+            ],
             "capacity": options.capacity,
             "lease_ms": options.lease_ms,
         }
@@ -173,6 +182,7 @@
                 Route("/runs/{run}/cancel", self._cancel, methods=["POST"]),
                 Route("/runs/{run}/export", self._export, methods=["POST"]),
                 Route("/load", self._show_load),
+                Route("/cache/events", self._cache_events),
                 Route("/orders", self._order, methods=["POST"]),
                 Route("/orders", self._show_orders, methods=["GET"]),
             ]
@@ -281,6 +291,26 @@
             }
         )
 
+    async def _cache_events(self, http: HttpRequest) -> Response:
+        rate = float(http.query_params.get("blocks_per_s", MAX_BLOCKS_PER_S))
+        return StreamingResponse(
+            self._change_lines(rate), media_type="application/x-ndjson"
+        )
+
+    async def _change_lines(self, rate: float):
+        """Yield changes late; those over the rate are left out, as gaps."""
+        sent = 0
+        allowance = rate
+        while True:
+            await anyio.sleep(CACHE_EVENT_LAG_S)
+            allowance = min(rate, allowance + rate * CACHE_EVENT_LAG_S)
+            for change in list(self._cache.changes):
+                size = len(change.added) + len(change.removed)
+                if change.sequence > sent and size <= allowance:
+                    allowance -= size
+                    sent = change.sequence
+                    yield msgspec.json.encode(change) + b"\n"
+
     async def _order(self, http: HttpRequest) -> Response:
         order = msgspec.json.decode(await http.body(), type=Order)
         checks = self._options.fencing is Fencing.CHECK
