Add history and difference of settings, and show the winner of a race

Accepted changes kept only the new values, so no difference between two revisions could be given, and the loser of a race saw a revision number but not who had won. Each kept change now holds the values it replaced.

--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
@@ -13,6 +13,7 @@
 from cranberryfield.core.settings import (
     LevelState,
     SettingsTree,
+    SettingValue,
     check_tree,
     check_value,
     parse_level,
@@ -20,16 +21,31 @@
 
 __all__ = ["SettingsChange", "SettingsState", "apply_change"]
 
-KEPT_CHANGES = 10_000
+KEPT_CHANGES = 4_000
 
 
 class SettingsChange(msgspec.Struct, array_like=True):
-    """One accepted change, for the history."""
+    """One accepted change, for the history.
+
+    Attributes
+    ----------
+    revision : Revision
+        Revision of the tree after it.
+    change_id : ChangeId
+        The operator's name for it.
+    author : str
+        Who asked.
+    edits : tuple of LevelEdit
+        What it did.
+    before : dict
+        By level, the values that it replaced or removed.
+    """
 
     revision: Revision
     change_id: ChangeId
     author: str
     edits: tuple[LevelEdit, ...]
+    before: dict[str, dict[str, SettingValue]] = msgspec.field(default_factory=dict)
 
 
 class SettingsState(msgspec.Struct, array_like=True):
@@ -76,19 +92,53 @@
     try:
         tree = _edited(state.tree, change.edits, revision)
     except ControlError as error:
-        return Refused(error.kind.value, error.detail)
+        return Refused(error.kind.value, _with_winner(state, error, change))
     faults = check_tree(tree)
     if faults:
         return Refused(ErrorKind.INVALID_SETTING.value, "; ".join(faults))
-    state.tree = tree
     state.changes[change.change_id] = SettingsChange(
-        revision, change.change_id, change.author, change.edits
+        revision,
+        change.change_id,
+        change.author,
+        change.edits,
+        _replaced_values(state.tree, change.edits),
     )
+    state.tree = tree
     if len(state.changes) > KEPT_CHANGES:
         del state.changes[next(iter(state.changes))]
     return SettingsAccepted(revision)
 
 
+def _with_winner(
+    state: SettingsState, error: ControlError, change: ChangeSettings
+) -> str:
+    if error.kind is not ErrorKind.STALE_REVISION:
+        return error.detail
+    levels = {edit.level for edit in change.edits}
+    for winner in reversed(state.changes.values()):
+        edits = [edit for edit in winner.edits if edit.level in levels]
+        if edits:
+            values = {edit.level: edit.set_values for edit in edits}
+            return (
+                f"{error.detail}; changed by {winner.author} in "
+                f"{winner.change_id} (revision {winner.revision}): {values}"
+            )
+    return error.detail
+
+
+def _replaced_values(
+    tree: SettingsTree, edits: tuple[LevelEdit, ...]
+) -> dict[str, dict[str, SettingValue]]:
+    replaced: dict[str, dict[str, SettingValue]] = {}
+    for edit in edits:
+        level = tree.levels.get(edit.level)
+        old = level.values if level is not None else {}
+        names = (*edit.set_values, *edit.unset)
+        values = replaced.setdefault(edit.level, {})
+        values.update({name: old[name] for name in names if name in old})
+    return replaced
+
+
 def _edited(
     tree: SettingsTree, edits: tuple[LevelEdit, ...], revision: Revision
 ) -> SettingsTree:
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/settings.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/settings.py
@@ -1,10 +1,37 @@
 """Messages that carry settings from control hosts to all nodes."""
 
 from cranberryfield.core.ids import Revision
-from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.base import Message, NestedRecord
+from cranberryfield.core.settings.schema import SettingValue
 from cranberryfield.core.settings.tree import LevelState
 
-__all__ = ["FollowSettings", "SettingsDelta", "SettingsSnapshot"]
+__all__ = [
+    "FollowSettings",
+    "SettingDifference",
+    "SettingsDelta",
+    "SettingsSnapshot",
+]
+
+
+class SettingDifference(NestedRecord):
+    """One setting that differs between two revisions.
+
+    Attributes
+    ----------
+    level, name : str
+        The setting.
+    set_before, set_after : bool
+        Whether it stood at the level.
+    before, after : SettingValue
+        Its values; None where it did not stand.
+    """
+
+    level: str
+    name: str
+    set_before: bool
+    before: SettingValue
+    set_after: bool
+    after: SettingValue
 
 
 class FollowSettings(Message):
