--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/compaction.py
@@ -0,0 +1,66 @@
+"""Takes snapshots of the applied state, so that the log stays bounded."""
+
+import anyio
+import structlog
+
+from cranberryfield.control.consensus import Compacted
+from cranberryfield.control.loading import StoredReplica, encode_state
+from cranberryfield.control.storage import SnapshotHead
+from cranberryfield.core.ids import LogIndex
+
+__all__ = ["Compactor"]
+
+CHECK_INTERVAL_S = 0.5
+#: Applied entries after which a snapshot is taken.
+SNAPSHOT_ENTRIES = 8_000
+#: Segments on disk at which a snapshot is taken even of fewer entries.
+SNAPSHOT_SEGMENTS = 4
+#: Entries that stay in memory for replicas that lag a little.
+KEPT_ENTRIES = 1_000
+
+logger = structlog.get_logger(__name__)
+
+
+class Compactor:
+    """Takes a snapshot when the log has grown enough since the last one.
+
+    Parameters
+    ----------
+    section : ControlSection
+        The replica and its applied state, for reading.
+    stored : StoredReplica
+        The data folder's open files.
+    submit : callable
+        Hands an event to the replica.
+    """
+
+    def __init__(self, section, stored: StoredReplica, submit):
+        self._section = section
+        self._stored = stored
+        self._submit = submit
+
+    async def run(self) -> None:
+        """Check again and again until cancelled."""
+        while True:
+            if self._is_due():
+                await self._take_snapshot()
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    def _is_due(self) -> bool:
+        new = self._section.applied_index - self._stored.snapshots.head.last_index
+        segments = self._stored.journal.segments
+        return new >= SNAPSHOT_ENTRIES or (
+            new > KEPT_ENTRIES and segments >= SNAPSHOT_SEGMENTS
+        )
+
+    async def _take_snapshot(self) -> None:
+        index = self._section.applied_index
+        log = self._section.replica.log
+        state = encode_state(self._section.state)
+        head = SnapshotHead(
+            index, log.term_at(index), log.members_at(index), len(state)
+        )
+        await self._stored.snapshots.write(head, state)
+        self._stored.journal.drop_up_to(index)
+        logger.info("snapshot taken", index=index, bytes=len(state))
+        self._submit(Compacted(LogIndex(index - KEPT_ENTRIES)))
--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/election.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/election.py
@@ -2,7 +2,7 @@
 
 from cranberryfield.control.consensus.actions import Action, SaveVote, SendTo
 from cranberryfield.control.consensus.replica import Progress, Replica, ReplicaRole
-from cranberryfield.core.ids import LogIndex, NodeId, Term
+from cranberryfield.core.ids import LogIndex, ReplicaId, Term
 from cranberryfield.core.messages.consensus import VoteReply, VoteRequest
 
 __all__ = [
@@ -23,7 +23,7 @@
 
 
 def become_follower(
-    replica: Replica, term: Term, leader: NodeId | None, now: float
+    replica: Replica, term: Term, leader: ReplicaId | None, now: float
 ) -> list[Action]:
     """Enter `term` (or stay in it) as a follower.
 
@@ -33,7 +33,7 @@
         Changed in place.
     term : Term
         Not lower than the replica's.
-    leader : NodeId or None
+    leader : ReplicaId or None
         The term's leader, if known.
     now : float
         Monotonic time in seconds.
@@ -70,12 +70,15 @@
     Returns
     -------
     list of Action
-        The requests; for a group of one, the election itself.
+        The requests; for a group of one, the election itself; nothing for a
+        replica that is no voter.
     """
+    reset_election_deadline(replica, now)
+    if not replica.is_voter:
+        return []
     replica.role = ReplicaRole.PRE_CANDIDATE
     replica.leader = None
-    replica.votes = {replica.node}
-    reset_election_deadline(replica, now)
+    replica.votes = {replica.id}
     if len(replica.votes) >= replica.quorum:
         return _start_election(replica, now)
     return _ask_for_votes(replica, Term(replica.term + 1), pre_vote=True)
@@ -84,10 +87,10 @@
 def _start_election(replica: Replica, now: float) -> list[Action]:
     replica.role = ReplicaRole.CANDIDATE
     replica.term = Term(replica.term + 1)
-    replica.voted_for = replica.node
-    replica.votes = {replica.node}
+    replica.voted_for = replica.id
+    replica.votes = {replica.id}
     reset_election_deadline(replica, now)
-    actions: list[Action] = [SaveVote(replica.term, replica.node)]
+    actions: list[Action] = [SaveVote(replica.term, replica.id)]
     if len(replica.votes) >= replica.quorum:
         _become_leader(replica, now)
         return actions
@@ -96,14 +99,15 @@
 
 def _ask_for_votes(replica: Replica, term: Term, pre_vote: bool) -> list[Action]:
     request = VoteRequest(term, replica.log.last_index, replica.log.last_term, pre_vote)
-    return [SendTo(node, request) for node in replica.others]
+    return [SendTo(one, request) for one in replica.others]
 
 
 def _become_leader(replica: Replica, now: float) -> None:
     replica.role = ReplicaRole.LEADER
-    replica.leader = replica.node
+    replica.leader = replica.id
+    replica.leader_since = now
     next_index = LogIndex(replica.log.last_index + 1)
-    replica.progress = {node: Progress(next_index) for node in replica.others}
+    replica.progress = {one: Progress(next_index) for one in replica.peers}
     replica.round_started = {}
     replica.deadline = now
 
@@ -114,7 +118,7 @@
 
 
 def on_vote_request(
-    replica: Replica, sender: NodeId, request: VoteRequest, now: float
+    replica: Replica, sender: ReplicaId, request: VoteRequest, now: float
 ) -> list[Action]:
     """Grant or deny a vote or pre-vote.
 
@@ -122,7 +126,7 @@
     ----------
     replica : Replica
         Changed in place; never by a pre-vote.
-    sender : NodeId
+    sender : ReplicaId
         Who asks.
     request : VoteRequest
         What is asked.
@@ -139,11 +143,14 @@
     A replica that has heard its leader within the shortest election time
     denies both kinds, so that one that was cut off cannot depose a leader that
     the others follow, and so that a leader's lease holds.
+
+    The asked replica does not look at its own list of voters, which may be
+    older than the candidate's; the candidate counts only its voters' votes.
     """
     follows_leader = replica.role is ReplicaRole.LEADER or (
         now - replica.heard_leader_at < replica.timing.election_min_s
     )
-    if sender not in replica.voters or follows_leader:
+    if follows_leader:
         return [SendTo(sender, VoteReply(replica.term, False, request.pre_vote))]
     if request.pre_vote:
         granted = request.term > replica.term and _log_is_current(replica, request)
@@ -166,7 +173,7 @@
 
 
 def on_vote_reply(
-    replica: Replica, sender: NodeId, reply: VoteReply, now: float
+    replica: Replica, sender: ReplicaId, reply: VoteReply, now: float
 ) -> list[Action]:
     """Count a vote or pre-vote.
 
@@ -174,7 +181,7 @@
     ----------
     replica : Replica
         Changed in place.
-    sender : NodeId
+    sender : ReplicaId
         Who answered.
     reply : VoteReply
         The answer.
@@ -194,7 +201,7 @@
     expected_term = replica.term + 1 if reply.pre_vote else replica.term
     if replica.role is not expected_role or reply.term != expected_term:
         return []
-    if not reply.granted:
+    if not reply.granted or sender not in replica.voters:
         return []
     replica.votes.add(sender)
     if len(replica.votes) < replica.quorum:
--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/events.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/events.py
@@ -2,10 +2,20 @@
 
 from dataclasses import dataclass
 
-from cranberryfield.core.ids import NodeId
-from cranberryfield.core.messages.base import Message
+from cranberryfield.core.ids import LogIndex, ReplicaId
+from cranberryfield.core.messages.consensus import Members, ReplicaMessage
 
-__all__ = ["Event", "Proposed", "Received", "Ticked"]
+__all__ = [
+    "Compacted",
+    "Event",
+    "Formed",
+    "GroupReplaced",
+    "MembersProposed",
+    "Proposed",
+    "Received",
+    "RoundWanted",
+    "Ticked",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,8 +27,8 @@
 class Received:
     """A message came from another replica."""
 
-    sender: NodeId
-    message: Message
+    sender: ReplicaId
+    message: ReplicaMessage
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,4 +38,44 @@
     commands: tuple[bytes, ...]
 
 
-Event = Ticked | Received | Proposed
+@dataclass(frozen=True, slots=True)
+class MembersProposed:
+    """The group is to change; without effect if that would be unsafe."""
+
+    members: Members
+
+
+@dataclass(frozen=True, slots=True)
+class Formed:
+    """Every replica that the configuration lists has agreed to begin."""
+
+    members: Members
+
+
+@dataclass(frozen=True, slots=True)
+class GroupReplaced:
+    """An operator has declared the majority of the group lost for good."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoundWanted:
+    """A read waits for a heartbeat round that begins now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Compacted:
+    """A snapshot is synced; entries up to `index` are not needed any more."""
+
+    index: LogIndex
+
+
+Event = (
+    Ticked
+    | Received
+    | Proposed
+    | MembersProposed
+    | Formed
+    | GroupReplaced
+    | RoundWanted
+    | Compacted
+)
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/following.py
@@ -0,0 +1,177 @@
+"""Replication as follower: taking entries and snapshots from the leader."""
+
+from cranberryfield.control.consensus.actions import (
+    Action,
+    InstallSnapshot,
+    SaveEntries,
+    SendTo,
+)
+from cranberryfield.control.consensus.election import (
+    become_follower,
+    reset_election_deadline,
+)
+from cranberryfield.control.consensus.replica import IncomingSnapshot, Replica
+from cranberryfield.control.consensus.replication import commit_up_to
+from cranberryfield.core.errors import ErrorKind, InternalError
+from cranberryfield.core.ids import LogIndex, ReplicaId
+from cranberryfield.core.messages.consensus import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotReply,
+    SnapshotRequest,
+)
+
+__all__ = ["on_append_request", "on_snapshot_request"]
+
+
+def on_append_request(
+    replica: Replica, sender: ReplicaId, request: AppendRequest, now: float
+) -> list[Action]:
+    """Take entries from the leader, or say from where it should send them.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    sender : ReplicaId
+        The leader of the request's term.
+    request : AppendRequest
+        The entries.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of Action
+        Writes, the reply, and what is newly committed.
+    """
+    if request.term < replica.term:
+        return [
+            SendTo(
+                sender,
+                AppendReply(replica.term, False, LogIndex(0), request.round_number),
+            )
+        ]
+    actions = _hear_leader(replica, sender, request, now)
+    log = replica.log
+    if (
+        request.previous_index >= log.base_index
+        and log.term_at(request.previous_index) != request.previous_term
+    ):
+        retry_from = _retry_index(replica, request)
+        reply = AppendReply(replica.term, False, retry_from, request.round_number)
+        return [*actions, SendTo(sender, reply)]
+    fresh = _without_known(replica, request.entries)
+    if fresh:
+        log.append(fresh)
+        actions.append(SaveEntries(fresh))
+    matched = LogIndex(request.previous_index + len(request.entries))
+    reply = AppendReply(replica.term, True, matched, request.round_number)
+    actions.append(SendTo(sender, reply))
+    return actions + commit_up_to(replica, min(request.commit, matched))
+
+
+def _hear_leader(
+    replica: Replica,
+    sender: ReplicaId,
+    request: AppendRequest | SnapshotRequest,
+    now: float,
+) -> list[Action]:
+    actions = become_follower(replica, request.term, sender, now)
+    replica.heard_leader_at = now
+    reset_election_deadline(replica, now)
+    return actions
+
+
+def _retry_index(replica: Replica, request: AppendRequest) -> LogIndex:
+    """Return the first index of the term that conflicts, or of what is missing."""
+    log = replica.log
+    index = request.previous_index
+    term = log.term_at(index)
+    if term is None:
+        return LogIndex(log.last_index + 1)
+    while index - 1 > replica.commit_index and log.term_at(LogIndex(index - 1)) == term:
+        index -= 1
+    return index
+
+
+def _without_known(
+    replica: Replica, entries: tuple[LogEntry, ...]
+) -> tuple[LogEntry, ...]:
+    for place, entry in enumerate(entries):
+        if entry.index <= replica.log.base_index:
+            continue
+        if replica.log.term_at(entry.index) == entry.term:
+            continue
+        if entry.index <= replica.commit_index:
+            raise InternalError(
+                ErrorKind.INTERNAL,
+                f"the leader's log differs from the committed entry {entry.index}",
+            )
+        return entries[place:]
+    return ()
+
+
+def on_snapshot_request(
+    replica: Replica, sender: ReplicaId, request: SnapshotRequest, now: float
+) -> list[Action]:
+    """Take one chunk of a snapshot; install the snapshot once it is whole.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    sender : ReplicaId
+        The leader of the request's term.
+    request : SnapshotRequest
+        The chunk.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of Action
+        The write, if the snapshot is whole, and the reply.
+    """
+    if request.term < replica.term:
+        reply = SnapshotReply(replica.term, LogIndex(0), 0, False, request.round_number)
+        return [SendTo(sender, reply)]
+    actions = _hear_leader(replica, sender, request, now)
+    if request.last_index <= replica.commit_index:
+        replica.incoming = None
+        return [*actions, _snapshot_reply(replica, sender, request, request.size, True)]
+    incoming = replica.incoming
+    if incoming is None or incoming.last_index != request.last_index:
+        incoming = replica.incoming = IncomingSnapshot(request.last_index)
+    if request.offset == len(incoming.data):
+        incoming.data += request.data
+    if len(incoming.data) < request.size:
+        held = len(incoming.data)
+        return [*actions, _snapshot_reply(replica, sender, request, held, False)]
+    replica.incoming = None
+    replica.commit_index = request.last_index
+    replica.log.reset(request.last_index, request.last_term, request.members)
+    return [
+        *actions,
+        InstallSnapshot(
+            request.last_index,
+            request.last_term,
+            request.members,
+            bytes(incoming.data),
+        ),
+        _snapshot_reply(replica, sender, request, request.size, True),
+    ]
+
+
+def _snapshot_reply(
+    replica: Replica,
+    sender: ReplicaId,
+    request: SnapshotRequest,
+    held: int,
+    complete: bool,
+) -> SendTo:
+    reply = SnapshotReply(
+        replica.term, request.last_index, held, complete, request.round_number
+    )
+    return SendTo(sender, reply)
--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/replica.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/replica.py
@@ -1,13 +1,14 @@
-"""State of one replica and of its log."""
+"""State of one replica."""
 
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
 
-from cranberryfield.core.ids import LogIndex, NodeId, Term
-from cranberryfield.core.messages.consensus import LogEntry
+from cranberryfield.control.consensus.log import ReplicaLog
+from cranberryfield.core.ids import LogIndex, NodeId, ReplicaId, Term
+from cranberryfield.core.messages.consensus import Members, node_of
 
-__all__ = ["Progress", "Replica", "ReplicaLog", "ReplicaRole", "Timing"]
+__all__ = ["IncomingSnapshot", "Progress", "Replica", "ReplicaRole", "Timing"]
 
 
 class ReplicaRole(Enum):
@@ -29,79 +30,17 @@
         Between the leader's heartbeats.
     election_min_s, election_max_s : float
         Bounds of the random time without a leader after which a follower
-        stands for election.
+        stands for election. A leader that no majority has acknowledged for
+        the longer of the two steps down.
+    lease_ratio : float
+        Part of `election_min_s` for which a leader's lease holds; the rest
+        covers clocks that run at different rates.
     """
 
     heartbeat_s: float = 0.15
     election_min_s: float = 0.6
     election_max_s: float = 1.2
-
-
-class ReplicaLog:
-    """Entries in memory, from just after the last snapshot.
-
-    Parameters
-    ----------
-    base_index, base_term : int
-        Last entry that the snapshot covers; 0 without one.
-    entries : list of LogEntry
-        What follows, without gaps.
-    """
-
-    def __init__(
-        self,
-        base_index: LogIndex = LogIndex(0),
-        base_term: Term = Term(0),
-        entries: list[LogEntry] | None = None,
-    ):
-        self._base_index = base_index
-        self._base_term = base_term
-        self._entries = entries if entries is not None else []
-
-    @property
-    def base_index(self) -> LogIndex:
-        """Last index that the snapshot covers."""
-        return self._base_index
-
-    @property
-    def base_term(self) -> Term:
-        """Term of the last entry that the snapshot covers."""
-        return self._base_term
-
-    @property
-    def last_index(self) -> LogIndex:
-        """Index of the last entry."""
-        return LogIndex(self._base_index + len(self._entries))
-
-    @property
-    def last_term(self) -> Term:
-        """Term of the last entry."""
-        return self._entries[-1].term if self._entries else self._base_term
-
-    def term_at(self, index: LogIndex) -> Term | None:
-        """Return the term of the entry at `index`, or None if it is not held."""
-        if index == self._base_index:
-            return self._base_term
-        if not self._base_index < index <= self.last_index:
-            return None
-        return self._entries[index - self._base_index - 1].term
-
-    def slice(
-        self, first: LogIndex, last: LogIndex, limit: int | None = None
-    ) -> tuple[LogEntry, ...]:
-        """Return the entries from `first` to `last`, at most `limit`."""
-        start = first - self._base_index - 1
-        stop = last - self._base_index
-        if limit is not None:
-            stop = min(stop, start + limit)
-        return tuple(self._entries[start:stop])
-
-    def append(self, entries: tuple[LogEntry, ...]) -> None:
-        """Add entries, replacing those from the first one's index on."""
-        if not entries:
-            return
-        del self._entries[entries[0].index - self._base_index - 1 :]
-        self._entries.extend(entries)
+    lease_ratio: float = 0.9
 
 
 @dataclass(slots=True)
@@ -115,12 +54,24 @@
     match_index : LogIndex
         Last entry known to be stored there.
     acknowledged_round : int
-        Last heartbeat that it answered.
+        Last heartbeat that it answered; -1 for none.
+    snapshot_index, snapshot_offset
+        Which snapshot it is receiving, and the bytes that it has.
     """
 
     next_index: LogIndex
     match_index: LogIndex = LogIndex(0)
-    acknowledged_round: int = 0
+    acknowledged_round: int = -1
+    snapshot_index: LogIndex = LogIndex(0)
+    snapshot_offset: int = 0
+
+
+@dataclass(slots=True)
+class IncomingSnapshot:
+    """A snapshot that is being received."""
+
+    last_index: LogIndex
+    data: bytearray = field(default_factory=bytearray)
 
 
 @dataclass(slots=True)
@@ -129,10 +80,8 @@
 
     Attributes
     ----------
-    node : NodeId
+    id : ReplicaId
         This replica.
-    voters : tuple of NodeId
-        All replicas that vote.
     rng : random.Random
         Seeded generator of election times.
     timing : Timing
@@ -140,48 +89,84 @@
     term, voted_for
         What must be synced before any answer that depends on it.
     log : ReplicaLog
-        The entries.
+        The entries, and with them the members of the group.
     commit_index : LogIndex
         Last entry known to be on a majority.
     role : ReplicaRole
         What this replica is in its term.
-    leader : NodeId or None
+    leader : ReplicaId or None
         The term's leader, if known.
     deadline : float
         Monotonic time in seconds of the next election or heartbeat.
     heard_leader_at : float
         When the leader was last heard.
-    votes : set of NodeId
+    leader_since : float
+        For a leader, when it became one.
+    votes : set of ReplicaId
         Replicas that granted the vote asked for.
     progress : dict
-        For a leader, what it knows of each other voter.
+        For a leader, what it knows of each other member.
     round_number, round_started
         The last heartbeat and the times at which recent ones began.
+    incoming : IncomingSnapshot or None
+        A snapshot that is being received.
     """
 
-    node: NodeId
-    voters: tuple[NodeId, ...]
+    id: ReplicaId
     rng: Random
     timing: Timing = field(default_factory=Timing)
     term: Term = Term(0)
-    voted_for: NodeId | None = None
+    voted_for: ReplicaId | None = None
     log: ReplicaLog = field(default_factory=ReplicaLog)
     commit_index: LogIndex = LogIndex(0)
     role: ReplicaRole = ReplicaRole.FOLLOWER
-    leader: NodeId | None = None
+    leader: ReplicaId | None = None
     deadline: float = 0.0
     heard_leader_at: float = float("-inf")
-    votes: set[NodeId] = field(default_factory=set)
-    progress: dict[NodeId, Progress] = field(default_factory=dict)
+    leader_since: float = float("-inf")
+    votes: set[ReplicaId] = field(default_factory=set)
+    progress: dict[ReplicaId, Progress] = field(default_factory=dict)
     round_number: int = 0
     round_started: dict[int, float] = field(default_factory=dict)
+    incoming: IncomingSnapshot | None = None
+
+    @property
+    def members(self) -> Members:
+        """The group as of the last entry of the log."""
+        return self.log.members
+
+    @property
+    def voters(self) -> tuple[ReplicaId, ...]:
+        """All replicas that vote."""
+        return self.log.members.voters
 
     @property
-    def others(self) -> tuple[NodeId, ...]:
+    def is_voter(self) -> bool:
+        """Whether this replica votes."""
+        return self.id in self.voters
+
+    @property
+    def others(self) -> tuple[ReplicaId, ...]:
         """All voters but this one."""
-        return tuple(node for node in self.voters if node != self.node)
+        return tuple(one for one in self.voters if one != self.id)
+
+    @property
+    def peers(self) -> tuple[ReplicaId, ...]:
+        """All members but this one, voting or not."""
+        members = self.voters + self.members.learners
+        return tuple(one for one in members if one != self.id)
 
     @property
     def quorum(self) -> int:
         """Smallest number of voters that is a majority."""
         return len(self.voters) // 2 + 1
+
+    @property
+    def voter_nodes(self) -> tuple[NodeId, ...]:
+        """Nodes of all voters."""
+        return tuple(node_of(one) for one in self.voters)
+
+    @property
+    def leader_node(self) -> NodeId | None:
+        """Node of the term's leader, if known."""
+        return node_of(self.leader) if self.leader is not None else None
--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/replication.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/replication.py
@@ -1,39 +1,45 @@
-"""Replication: appending, heartbeats, acknowledgement and commit."""
+"""Replication as leader: appending, heartbeats, acknowledgement and commit."""
 
 from cranberryfield.control.consensus.actions import (
     Action,
     ApplyEntries,
     SaveEntries,
+    SendSnapshot,
     SendTo,
 )
-from cranberryfield.control.consensus.election import (
-    become_follower,
-    reset_election_deadline,
-)
-from cranberryfield.control.consensus.replica import Replica, ReplicaRole
-from cranberryfield.core.ids import LogIndex, NodeId
+from cranberryfield.control.consensus.election import become_follower
+from cranberryfield.control.consensus.replica import Progress, Replica, ReplicaRole
+from cranberryfield.core.ids import LogIndex, ReplicaId
 from cranberryfield.core.messages.consensus import (
     AppendReply,
     AppendRequest,
     LogEntry,
+    Members,
+    SnapshotReply,
 )
 
 __all__ = [
     "append_commands",
+    "commit_up_to",
     "leader_lease_until",
+    "majority_round",
     "on_append_reply",
-    "on_append_request",
+    "on_snapshot_reply",
     "send_heartbeats",
 ]
 
 MAX_ENTRIES_PER_MESSAGE = 512
-KEPT_ROUNDS = 64
+MAX_BYTES_PER_MESSAGE = 1 << 20
+KEPT_ROUNDS = 256
+NO_ROUND = -1
 
 
 def append_commands(
-    replica: Replica, commands: tuple[bytes, ...], now: float
+    replica: Replica,
+    commands: tuple[bytes, ...],
+    members: Members | None = None,
 ) -> list[Action]:
-    """Append commands as leader and send them to all others.
+    """Append commands as leader and send them to all other members.
 
     Parameters
     ----------
@@ -41,8 +47,8 @@
         A leader; changed in place.
     commands : tuple of bytes
         Encoded commands.
-    now : float
-        Monotonic time in seconds.
+    members : Members, optional
+        The group from the first of these entries on.
 
     Returns
     -------
@@ -51,17 +57,35 @@
     """
     first = replica.log.last_index + 1
     entries = tuple(
-        LogEntry(LogIndex(first + offset), replica.term, command)
+        LogEntry(
+            LogIndex(first + offset),
+            replica.term,
+            command,
+            members if offset == 0 else None,
+        )
         for offset, command in enumerate(commands)
     )
     replica.log.append(entries)
+    if members is not None:
+        _follow_members(replica)
     actions: list[Action] = [SaveEntries(entries)]
-    actions += [_append_request_to(replica, node) for node in replica.others]
+    actions += [
+        _next_request_to(replica, one)
+        for one in replica.peers
+        if replica.progress[one].next_index > replica.log.base_index
+    ]
     return actions + _advance_commit(replica)
 
 
+def _follow_members(replica: Replica) -> None:
+    next_index = LogIndex(replica.log.last_index + 1)
+    replica.progress = {
+        one: replica.progress.get(one) or Progress(next_index) for one in replica.peers
+    }
+
+
 def send_heartbeats(replica: Replica, now: float) -> list[Action]:
-    """Begin a heartbeat round.
+    """Begin a heartbeat round, or step down without a quorum.
 
     Parameters
     ----------
@@ -73,31 +97,43 @@
     Returns
     -------
     list of Action
-        One message to each other voter.
+        One message to each other member; none from a leader that no majority
+        has acknowledged for the longest election time, which steps down.
     """
+    acknowledged_at = max(_quorum_acknowledged_at(replica), replica.leader_since)
+    if now - acknowledged_at > replica.timing.election_max_s:
+        return become_follower(replica, replica.term, None, now)
     replica.round_number += 1
     replica.round_started[replica.round_number] = now
     replica.round_started.pop(replica.round_number - KEPT_ROUNDS, None)
     replica.deadline = now + replica.timing.heartbeat_s
     for progress in replica.progress.values():
-        progress.next_index = LogIndex(
-            max(progress.match_index + 1, replica.log.base_index + 1)
-            if progress.match_index
-            else progress.next_index
-        )
-    return [_append_request_to(replica, node) for node in replica.others]
+        if progress.match_index:
+            progress.next_index = LogIndex(progress.match_index + 1)
+    return [_next_request_to(replica, one) for one in replica.peers]
 
 
-def _append_request_to(replica: Replica, node: NodeId) -> SendTo:
-    progress = replica.progress[node]
+def _next_request_to(replica: Replica, receiver: ReplicaId) -> Action:
+    progress = replica.progress[receiver]
+    if progress.next_index <= replica.log.base_index:
+        return SendSnapshot(
+            receiver,
+            replica.term,
+            progress.snapshot_index,
+            progress.snapshot_offset,
+            replica.round_number,
+        )
     previous = LogIndex(progress.next_index - 1)
     entries = replica.log.slice(
-        progress.next_index, replica.log.last_index, MAX_ENTRIES_PER_MESSAGE
+        progress.next_index,
+        replica.log.last_index,
+        MAX_ENTRIES_PER_MESSAGE,
+        MAX_BYTES_PER_MESSAGE,
     )
     if entries:
         progress.next_index = LogIndex(entries[-1].index + 1)
     return SendTo(
-        node,
+        receiver,
         AppendRequest(
             replica.term,
             previous,
@@ -109,75 +145,69 @@
     )
 
 
-def on_append_request(
-    replica: Replica, sender: NodeId, request: AppendRequest, now: float
+def _progress_of(
+    replica: Replica, sender: ReplicaId, reply: AppendReply | SnapshotReply
+) -> Progress | None:
+    if replica.role is not ReplicaRole.LEADER or reply.term < replica.term:
+        return None
+    progress = replica.progress.get(sender)
+    if progress is not None:
+        progress.acknowledged_round = max(
+            progress.acknowledged_round, reply.round_number
+        )
+    return progress
+
+
+def on_append_reply(
+    replica: Replica, sender: ReplicaId, reply: AppendReply, now: float
 ) -> list[Action]:
-    """Take entries from the leader, or say from where it should send them.
+    """Note what another replica has stored and commit what a majority has.
 
     Parameters
     ----------
     replica : Replica
         Changed in place.
-    sender : NodeId
-        The leader of the request's term.
-    request : AppendRequest
-        The entries.
+    sender : ReplicaId
+        Who answered.
+    reply : AppendReply
+        The answer.
     now : float
         Monotonic time in seconds.
 
     Returns
     -------
     list of Action
-        Writes, the reply, and what is newly committed.
+        More entries for the sender, or what is newly committed.
     """
-    if request.term < replica.term:
-        return [SendTo(sender, AppendReply(replica.term, False, LogIndex(0), 0))]
-    actions = become_follower(replica, request.term, sender, now)
-    replica.heard_leader_at = now
-    reset_election_deadline(replica, now)
-    log = replica.log
-    if (
-        request.previous_index >= log.base_index
-        and log.term_at(request.previous_index) != request.previous_term
-    ):
-        retry_from = LogIndex(
-            max(log.base_index + 1, min(request.previous_index, log.last_index + 1))
-        )
-        reply = AppendReply(replica.term, False, retry_from, request.round_number)
-        return [*actions, SendTo(sender, reply)]
-    fresh = _without_known(replica, request.entries)
-    if fresh:
-        log.append(fresh)
-        actions.append(SaveEntries(fresh))
-    matched = LogIndex(request.previous_index + len(request.entries))
-    reply = AppendReply(replica.term, True, matched, request.round_number)
-    actions.append(SendTo(sender, reply))
-    return actions + _commit_up_to(replica, min(request.commit, matched))
-
-
-def _without_known(
-    replica: Replica, entries: tuple[LogEntry, ...]
-) -> tuple[LogEntry, ...]:
-    for place, entry in enumerate(entries):
-        if entry.index <= replica.log.base_index:
-            continue
-        if replica.log.term_at(entry.index) != entry.term:
-            return entries[place:]
-    return ()
+    if reply.term > replica.term:
+        return become_follower(replica, reply.term, None, now)
+    progress = _progress_of(replica, sender, reply)
+    if progress is None:
+        return []
+    if not reply.success:
+        progress.next_index = LogIndex(max(progress.match_index + 1, reply.match_index))
+        progress.next_index = min(progress.next_index, replica.log.last_index + 1)
+        return [_next_request_to(replica, sender)]
+    progress.match_index = max(progress.match_index, reply.match_index)
+    progress.next_index = max(progress.next_index, LogIndex(progress.match_index + 1))
+    actions = _advance_commit(replica)
+    if sender in replica.progress and progress.next_index <= replica.log.last_index:
+        actions.append(_next_request_to(replica, sender))
+    return actions
 
 
-def on_append_reply(
-    replica: Replica, sender: NodeId, reply: AppendReply, now: float
+def on_snapshot_reply(
+    replica: Replica, sender: ReplicaId, reply: SnapshotReply, now: float
 ) -> list[Action]:
-    """Note what another replica has stored and commit what a majority has.
+    """Send the next chunk of a snapshot, or what follows it.
 
     Parameters
     ----------
     replica : Replica
         Changed in place.
-    sender : NodeId
+    sender : ReplicaId
         Who answered.
-    reply : AppendReply
+    reply : SnapshotReply
         The answer.
     now : float
         Monotonic time in seconds.
@@ -185,38 +215,58 @@
     Returns
     -------
     list of Action
-        More entries for the sender, or what is newly committed.
+        The next message, and what is newly committed.
     """
     if reply.term > replica.term:
         return become_follower(replica, reply.term, None, now)
-    progress = replica.progress.get(sender)
-    if replica.role is not ReplicaRole.LEADER or progress is None:
-        return []
-    if reply.term < replica.term:
+    progress = _progress_of(replica, sender, reply)
+    if progress is None or progress.next_index > replica.log.base_index:
         return []
-    progress.acknowledged_round = max(progress.acknowledged_round, reply.round_number)
-    if not reply.success:
-        progress.next_index = LogIndex(max(1, reply.match_index))
-        return [_append_request_to(replica, sender)]
-    progress.match_index = max(progress.match_index, reply.match_index)
-    progress.next_index = max(progress.next_index, LogIndex(progress.match_index + 1))
+    progress.snapshot_index = reply.last_index
+    progress.snapshot_offset = reply.next_offset
+    if reply.complete:
+        progress.snapshot_offset = 0
+        progress.match_index = max(progress.match_index, reply.last_index)
+        progress.next_index = LogIndex(progress.match_index + 1)
     actions = _advance_commit(replica)
-    if progress.next_index <= replica.log.last_index:
-        actions.append(_append_request_to(replica, sender))
+    if sender in replica.progress:
+        actions.append(_next_request_to(replica, sender))
     return actions
 
 
+def _majority_of(replica: Replica, own: int, value_of) -> int:
+    values = [
+        own if voter == replica.id else value_of(replica.progress[voter])
+        for voter in replica.voters
+    ]
+    values.sort(reverse=True)
+    return values[replica.quorum - 1]
+
+
 def _advance_commit(replica: Replica) -> list[Action]:
-    matches = [progress.match_index for progress in replica.progress.values()]
-    matches.append(replica.log.last_index)
-    matches.sort(reverse=True)
-    majority_index = matches[replica.quorum - 1]
-    if replica.log.term_at(majority_index) != replica.term:
+    index = _majority_of(
+        replica, replica.log.last_index, lambda progress: progress.match_index
+    )
+    if replica.log.term_at(LogIndex(index)) != replica.term:
         return []
-    return _commit_up_to(replica, majority_index)
+    return commit_up_to(replica, LogIndex(index))
 
 
-def _commit_up_to(replica: Replica, index: LogIndex) -> list[Action]:
+def commit_up_to(replica: Replica, index: LogIndex) -> list[Action]:
+    """Commit the entries up to `index`.
+
+    Parameters
+    ----------
+    replica : Replica
+        Changed in place.
+    index : LogIndex
+        Known to be stored by a majority.
+
+    Returns
+    -------
+    list of Action
+        What is to be applied.
+    """
     if index <= replica.commit_index:
         return []
     entries = replica.log.slice(LogIndex(replica.commit_index + 1), index)
@@ -224,6 +274,30 @@
     return [ApplyEntries(entries)]
 
 
+def majority_round(replica: Replica) -> int:
+    """Return the last heartbeat round that a majority acknowledged.
+
+    Parameters
+    ----------
+    replica : Replica
+        A leader.
+
+    Returns
+    -------
+    int
+        The round, or -1 if there is none yet.
+    """
+    if not replica.voters:
+        return NO_ROUND
+    return _majority_of(
+        replica, replica.round_number, lambda progress: progress.acknowledged_round
+    )
+
+
+def _quorum_acknowledged_at(replica: Replica) -> float:
+    return replica.round_started.get(majority_round(replica), float("-inf"))
+
+
 def leader_lease_until(replica: Replica) -> float:
     """Return until when no other replica can be leader.
 
@@ -241,12 +315,10 @@
     -----
     Followers grant no vote within the shortest election time after a
     heartbeat, so the lease runs from the start of the last round that a
-    majority acknowledged.
+    majority acknowledged, for a little less than that time.
     """
-    if not replica.others:
-        return float("inf")
-    rounds = [progress.acknowledged_round for progress in replica.progress.values()]
-    rounds.sort(reverse=True)
-    majority_round = rounds[replica.quorum - 2]
-    started = replica.round_started.get(majority_round, float("-inf"))
-    return started + replica.timing.election_min_s
+    if replica.role is not ReplicaRole.LEADER:
+        return float("-inf")
+    timing = replica.timing
+    lease_s = timing.election_min_s * timing.lease_ratio
+    return _quorum_acknowledged_at(replica) + lease_s
--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -3,15 +3,22 @@
 import msgspec
 
 from cranberryfield.control.claims import ClaimTable, apply_claim_command
-from cranberryfield.control.settings import SettingsState, apply_change
+from cranberryfield.control.settings import (
+    SettingsState,
+    adopt_tree,
+    apply_change,
+)
 from cranberryfield.core.errors import ErrorKind
+from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.commands import (
+    AdoptSettings,
     ChangeSettings,
     CloseClaim,
     Noop,
     OpenClaim,
     RecordDispatch,
+    RecordHosts,
     Refused,
 )
 
@@ -19,10 +26,21 @@
 
 
 class ControlState(msgspec.Struct, array_like=True):
-    """All that the log's entries add up to."""
+    """All that the log's entries add up to.
+
+    Attributes
+    ----------
+    settings : SettingsState
+        The settings tree and its history.
+    claims : ClaimTable
+        Non-idempotent requests.
+    hosts : dict
+        Entry hosts that must have every settings change, as keys.
+    """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
     claims: ClaimTable = msgspec.field(default_factory=ClaimTable)
+    hosts: dict[NodeId, bool] = msgspec.field(default_factory=dict)
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
@@ -45,6 +63,13 @@
             return apply_change(state.settings, command)
         case OpenClaim() | RecordDispatch() | CloseClaim():
             return apply_claim_command(state.claims, command)
+        case AdoptSettings():
+            return adopt_tree(state.settings, command)
+        case RecordHosts(added, removed):
+            state.hosts.update(dict.fromkeys(added, True))
+            for node in removed:
+                state.hosts.pop(node, None)
+            return command
         case Noop():
             return command
     return Refused(ErrorKind.PROTOCOL.value, "no command of the log")
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/operations.py
@@ -0,0 +1,201 @@
+"""Answers operators: history, who has what, and changes of the group."""
+
+import anyio
+
+from cranberryfield.control.consensus import GroupReplaced, MembersProposed
+from cranberryfield.control.consensus.membership import (
+    members_problem,
+    with_joiner,
+    without_node,
+)
+from cranberryfield.control.followers import Followers
+from cranberryfield.control.joining import Joining
+from cranberryfield.control.settings import difference, history
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.consensus import Members, node_of
+from cranberryfield.core.messages.control import (
+    ChangeControl,
+    ControlMembers,
+    DifferenceView,
+    ForgetHost,
+    HistoryView,
+    HoldersView,
+    ReadDifference,
+    ReadHistory,
+    ReadHolders,
+    ReadMembers,
+    ReplaceControl,
+)
+
+__all__ = ["Operations"]
+
+POLL_S = 0.02
+CHANGE_TIMEOUT_S = 10.0
+#: Time without a leader before a group may be replaced, in seconds.
+LEADERLESS_S = 3.0
+MAX_HISTORY = 500
+
+
+class Operations:
+    """Handlers of what operators ask of the control group.
+
+    Parameters
+    ----------
+    section : ControlSection
+        This replica and the state it applied, for reading.
+    joining : Joining
+        Knows the replicas that ask to join.
+    followers : Followers
+        Knows what the entry hosts have in force.
+    mesh : Mesh
+        Links to other processes.
+    submit : callable
+        Hands an event to the replica.
+    wait_current : callable
+        Waits until the applied state has all that was acknowledged before.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        section,
+        joining: Joining,
+        followers: Followers,
+        mesh: Mesh,
+        submit,
+        wait_current,
+        clock: Clock,
+    ):
+        self._section = section
+        self._joining = joining
+        self._followers = followers
+        self._submit = submit
+        self._wait_current = wait_current
+        self._clock = clock
+        mesh.handle(ReadHistory, self._on_read_history)
+        mesh.handle(ReadDifference, self._on_read_difference)
+        mesh.handle(ReadHolders, self._on_read_holders)
+        mesh.handle(ForgetHost, self._on_forget_host)
+        mesh.handle(ReadMembers, self._on_read_members)
+        mesh.handle(ChangeControl, self._on_change_control)
+        mesh.handle(ReplaceControl, self._on_replace_control)
+
+    async def _on_read_history(
+        self, sender: NodeId, message: ReadHistory
+    ) -> HistoryView:
+        await self._wait_current()
+        limit = min(message.limit, MAX_HISTORY)
+        found = history(self._section.state.settings, message.level, limit)
+        return HistoryView(tuple(found))
+
+    async def _on_read_difference(
+        self, sender: NodeId, message: ReadDifference
+    ) -> DifferenceView:
+        await self._wait_current()
+        settings = self._section.state.settings
+        return DifferenceView(tuple(difference(settings, message.first, message.last)))
+
+    async def _on_read_holders(
+        self, sender: NodeId, message: ReadHolders
+    ) -> HoldersView:
+        await self._wait_current()
+        return self._followers.holders(message.revision)
+
+    async def _on_forget_host(self, sender: NodeId, message: ForgetHost) -> HoldersView:
+        await self._wait_current()
+        await self._followers.record((), (message.node,))
+        return self._followers.holders(self._section.state.settings.tree.revision)
+
+    def _on_read_members(self, sender: NodeId, message: ReadMembers) -> ControlMembers:
+        return self._members_view()
+
+    def _members_view(self) -> ControlMembers:
+        replica = self._section.replica
+        return ControlMembers(
+            replica.voter_nodes,
+            tuple(node_of(one) for one in replica.members.learners),
+            replica.leader_node,
+            replica.members.generation,
+            replica.term,
+        )
+
+    async def _on_change_control(
+        self, sender: NodeId, message: ChangeControl
+    ) -> ControlMembers:
+        if (message.add is None) == (message.remove is None):
+            raise ControlError(
+                ErrorKind.BAD_REQUEST, "name one host, either to add or to remove"
+            )
+        await self._wait_current()
+        self._refuse_unsafe_change(message)
+        with anyio.move_on_after(CHANGE_TIMEOUT_S):
+            while not self._is_done(message):
+                self._propose_change(message)
+                await anyio.sleep(POLL_S)
+            return self._members_view()
+        raise ControlError(
+            ErrorKind.NO_QUORUM,
+            "the change of the group was not committed in time; it may still be",
+        )
+
+    def _refuse_unsafe_change(self, message: ChangeControl) -> None:
+        nodes = self._section.replica.voter_nodes
+        known = (None, *nodes, *self._joining.joiners)
+        if message.add not in known:
+            raise ControlError(
+                ErrorKind.UNKNOWN_PATH,
+                f"{message.add} does not ask to join; start it first, with an "
+                "empty data folder",
+            )
+        if message.remove is not None and nodes == (message.remove,):
+            raise ControlError(
+                ErrorKind.BAD_REQUEST, "the last control host cannot be removed"
+            )
+
+    def _is_done(self, message: ChangeControl) -> bool:
+        replica = self._section.replica
+        if replica.log.members_index > replica.commit_index:
+            return False
+        if message.add is not None:
+            return message.add in replica.voter_nodes
+        members = replica.voters + replica.members.learners
+        return message.remove not in map(node_of, members)
+
+    def _propose_change(self, message: ChangeControl) -> None:
+        members = self._next_members(message)
+        if members_problem(self._section.replica, members) is None:
+            self._submit(MembersProposed(members))
+
+    def _next_members(self, message: ChangeControl) -> Members:
+        members = self._section.replica.members
+        if message.remove is not None:
+            return without_node(members, message.remove)
+        joiner = self._joining.joiners[message.add]
+        if joiner.replica in members.voters + members.learners:
+            return members
+        return with_joiner(members, joiner)
+
+    async def _on_replace_control(
+        self, sender: NodeId, message: ReplaceControl
+    ) -> ControlMembers:
+        replica = self._section.replica
+        if message.node != node_of(replica.id):
+            raise ControlError(ErrorKind.BAD_REQUEST, f"this is {node_of(replica.id)}")
+        has_leader = (
+            replica.leader is not None
+            or self._clock() - replica.heard_leader_at < LEADERLESS_S
+        )
+        if has_leader or not replica.voters:
+            raise ControlError(
+                ErrorKind.BAD_REQUEST,
+                "the group has a leader, or had one moments ago; nothing to replace",
+            )
+        generation = replica.members.generation
+        self._submit(GroupReplaced())
+        while replica.members.generation == generation or replica.leader is None:
+            await anyio.sleep(POLL_S)
+        return self._members_view()
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -8,48 +8,61 @@
 import anyio
 import structlog
 
+from cranberryfield.control.compaction import Compactor
 from cranberryfield.control.consensus import (
     Action,
     ApplyEntries,
+    Event,
+    InstallSnapshot,
+    MembersProposed,
     Proposed,
     Received,
     Replica,
     ReplicaRole,
+    RoundWanted,
     SaveEntries,
+    SaveMembers,
     SaveVote,
+    SendSnapshot,
     SendTo,
     Ticked,
     step,
 )
-from cranberryfield.control.consensus.replica import ReplicaLog
+from cranberryfield.control.consensus.membership import next_members
+from cranberryfield.control.followers import Followers
+from cranberryfield.control.joining import Joining
+from cranberryfield.control.loading import (
+    StoredReplica,
+    decode_state,
+    load_replica,
+)
 from cranberryfield.control.machine import ControlState, apply_command
-from cranberryfield.control.storage import DataFolder, Journal
+from cranberryfield.control.operations import Operations
+from cranberryfield.control.proposals import ProposalQueue
+from cranberryfield.control.reads import ReadQueue
+from cranberryfield.control.storage import SnapshotHead
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import DaemonConfig
-from cranberryfield.core.ids import LogIndex, NodeId, Term
+from cranberryfield.core.ids import LogIndex, NodeId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.codec import decode_message
 from cranberryfield.core.messages.commands import ProposalRedirected, Propose
 from cranberryfield.core.messages.consensus import (
-    AppendReply,
-    AppendRequest,
     LogEntry,
-    VoteReply,
-    VoteRequest,
+    ReplicaEnvelope,
+    SnapshotRequest,
+    node_of,
 )
 from cranberryfield.core.messages.settings import (
     FollowSettings,
-    SettingsDelta,
     SettingsSnapshot,
 )
-from cranberryfield.core.settings.follow import SettingsSection, take_snapshot
+from cranberryfield.core.settings.follow import SettingsSection
 
 __all__ = ["ControlRuntime", "ControlSection"]
 
-MAX_COMMANDS_PER_BATCH = 1024
-
 logger = structlog.get_logger(__name__)
 
 
@@ -62,14 +75,6 @@
     applied_index: LogIndex = LogIndex(0)
 
 
-@dataclass(slots=True)
-class _Proposal:
-    command: bytes
-    done: anyio.Event
-    term: Term = Term(0)
-    result: Message | None = None
-
-
 class ControlRuntime:
     """The control role of one process.
 
@@ -77,10 +82,10 @@
     ----------
     section : ControlSection
         The replica, owned by this runtime.
-    folder : DataFolder
-        The locked data folder.
-    journal : Journal
-        The open log file.
+    stored : StoredReplica
+        The data folder's open files.
+    listed : tuple of NodeId
+        The control hosts that the configuration names.
     mesh : Mesh
         Links to other processes.
     board : Blackboard
@@ -92,27 +97,37 @@
     def __init__(
         self,
         section: ControlSection,
-        folder: DataFolder,
-        journal: Journal,
+        stored: StoredReplica,
+        listed: tuple[NodeId, ...],
         mesh: Mesh,
         board: Blackboard,
         clock: Clock,
     ):
         self._section = section
-        self._folder = folder
-        self._journal = journal
+        self._stored = stored
         self._mesh = mesh
-        self._board = board
         self._clock = clock
-        self._received: deque[Received] = deque()
-        self._proposals: deque[_Proposal] = deque()
-        self._in_flight: dict[LogIndex, _Proposal] = {}
-        self._followers: set[NodeId] = set()
+        self._events: deque[Event] = deque()
+        self._proposals = ProposalQueue()
+        self._reads = ReadQueue(section.replica, self._wake_up)
         self._wake = anyio.Event()
-        for kind in (VoteRequest, VoteReply, AppendRequest, AppendReply):
-            mesh.handle(kind, self._on_consensus_message)
+        self._joining = Joining(section.replica, listed, mesh, self.submit, clock)
+        self._compactor = Compactor(section, stored, self.submit)
+        self._followers = Followers(
+            section, board.read(SettingsSection), mesh, self.propose, clock
+        )
+        self._operations = Operations(
+            section,
+            self._joining,
+            self._followers,
+            mesh,
+            self.submit,
+            self.wait_current,
+            clock,
+        )
+        self._followers.publish(section.state.settings.tree)
+        mesh.handle(ReplicaEnvelope, self._on_envelope)
         mesh.handle(Propose, self._on_propose)
-        mesh.handle(FollowSettings, self._on_follow_settings)
 
     @classmethod
     def from_config(
@@ -149,140 +164,190 @@
             If the folder cannot be used.
         """
         path = Path(config.data_folder)
-        folder = DataFolder.open(path, config.group, config.node_id)
-        journal, loaded = Journal.open(path)
-        now = clock()
-        replica = Replica(
-            node=config.node_id,
-            voters=tuple(NodeId(member.node) for member in config.control),
-            rng=rng,
-            term=loaded.term,
-            voted_for=loaded.voted_for,
-            log=ReplicaLog(entries=loaded.entries),
-            heard_leader_at=now,
-            deadline=now + rng.uniform(0.6, 1.2),
-        )
-        section = board.add(ControlSection(replica, ControlState()))
-        return cls(section, folder, journal, mesh, board, clock)
+        stored = load_replica(path, config.group, config.node_id, rng, clock())
+        applied = stored.snapshots.head.last_index
+        section = board.add(ControlSection(stored.replica, stored.state, applied))
+        listed = tuple(NodeId(member.node) for member in config.control)
+        return cls(section, stored, listed, mesh, board, clock)
 
     async def run(self) -> None:
         """Step the replica until cancelled."""
         try:
-            while True:
-                await self._wait_for_work()
-                actions = self._step_all()
-                self._write(actions)
-                self._perform(actions)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._joining.run)
+                tasks.start_soon(self._compactor.run)
+                tasks.start_soon(self._followers.run)
+                while True:
+                    await self._wait_for_work()
+                    actions = self._step_all()
+                    await self._write(actions)
+                    self._perform(actions)
+                    self._reads.release()
         finally:
-            self._journal.close()
-            self._folder.close()
+            self._stored.close()
+
+    def submit(self, event: Event) -> None:
+        """Let an event happen to the replica soon."""
+        self._events.append(event)
+        self._wake_up()
+
+    def _wake_up(self) -> None:
+        self._wake.set()
+
+    def on_follow(self, sender: NodeId, message: FollowSettings) -> SettingsSnapshot:
+        """Answer an entry role that follows the settings; see `Followers`."""
+        return self._followers.on_follow(sender, message)
+
+    async def wait_current(self) -> None:
+        """Return once the applied state has all that was acknowledged before.
+
+        Raises
+        ------
+        ControlError
+            Of kind ``no_quorum`` if this replica does not lead.
+        """
+        await self._reads.wait()
+
+    async def propose(self, command: bytes) -> Message:
+        """Put a command through the log.
+
+        Parameters
+        ----------
+        command : bytes
+            An encoded command.
+
+        Returns
+        -------
+        Message
+            The result, or a `ProposalRedirected`.
+        """
+        replica = self._section.replica
+        if replica.role is not ReplicaRole.LEADER:
+            return ProposalRedirected(replica.leader_node)
+        return await self._proposals.put(command, self._wake_up)
 
     async def _wait_for_work(self) -> None:
-        if self._received or self._proposals:
+        if self._events or not self._proposals.is_empty:
             await anyio.sleep(0)
             return
         self._wake = anyio.Event()
-        wait_s = max(0.0, self._section.replica.deadline - self._clock())
+        wait_s = max(0.0, self._next_deadline() - self._clock())
         with anyio.move_on_after(wait_s):
             await self._wake.wait()
 
+    def _next_deadline(self) -> float:
+        deadline = self._section.replica.deadline
+        for_reads = self._reads.next_deadline()
+        return deadline if for_reads is None else min(deadline, for_reads)
+
     def _step_all(self) -> list[Action]:
         replica = self._section.replica
         now = self._clock()
         actions = []
-        while self._received:
-            actions += step(replica, self._received.popleft(), now)
+        while self._events:
+            actions += step(replica, self._events.popleft(), now)
+        for_reads = self._reads.next_deadline()
+        if for_reads is not None and for_reads <= now:
+            actions += step(replica, RoundWanted(), now)
         actions += step(replica, Ticked(), now)
-        actions += self._append_proposals(now)
-        if replica.role is not ReplicaRole.LEADER:
-            self._redirect_waiting()
+        if replica.role is ReplicaRole.LEADER:
+            actions += self._append_proposals(now)
+            actions += self._change_members(now)
+        else:
+            self._proposals.redirect_all(replica.leader_node)
         return actions
 
     def _append_proposals(self, now: float) -> list[Action]:
-        replica = self._section.replica
-        if replica.role is not ReplicaRole.LEADER or not self._proposals:
+        if self._proposals.is_empty:
             return []
-        count = min(len(self._proposals), MAX_COMMANDS_PER_BATCH)
-        batch = [self._proposals.popleft() for _ in range(count)]
-        first = replica.log.last_index + 1
-        for offset, proposal in enumerate(batch):
-            proposal.term = replica.term
-            self._in_flight[LogIndex(first + offset)] = proposal
-        commands = tuple(proposal.command for proposal in batch)
+        replica = self._section.replica
+        first = LogIndex(replica.log.last_index + 1)
+        commands = self._proposals.take_batch(first, replica.term)
         return step(replica, Proposed(commands), now)
 
-    def _redirect_waiting(self) -> None:
-        waiting = [*self._proposals, *self._in_flight.values()]
-        self._proposals.clear()
-        self._in_flight.clear()
-        for proposal in waiting:
-            proposal.result = ProposalRedirected(self._section.replica.leader)
-            proposal.done.set()
+    def _change_members(self, now: float) -> list[Action]:
+        replica = self._section.replica
+        if replica.log.members_index > replica.commit_index:
+            return []
+        members = next_members(replica, self._joining.joiners, now)
+        if members is None:
+            return []
+        logger.info("group changes", voters=members.voters, learners=members.learners)
+        return step(replica, MembersProposed(members), now)
 
-    def _write(self, actions: list[Action]) -> None:
+    async def _write(self, actions: list[Action]) -> None:
+        journal = self._stored.journal
         for action in actions:
             match action:
                 case SaveVote(term, voted_for):
-                    self._journal.save_vote(term, voted_for)
+                    journal.save_vote(term, voted_for)
+                case SaveMembers(members):
+                    journal.save_members(members)
                 case SaveEntries(entries):
-                    self._journal.save_entries(entries)
-        self._journal.sync()
+                    journal.save_entries(entries)
+                case InstallSnapshot():
+                    await self._store_snapshot(action)
+        journal.sync()
+
+    async def _store_snapshot(self, action: InstallSnapshot) -> None:
+        head = SnapshotHead(
+            action.last_index, action.last_term, action.members, len(action.state)
+        )
+        await self._stored.snapshots.write(head, action.state)
+        self._stored.journal.save_reset(action.last_index)
 
     def _perform(self, actions: list[Action]) -> None:
         for action in actions:
             match action:
-                case SendTo(node, message):
-                    self._mesh.send(node, message)
+                case SendTo(receiver, message):
+                    self._send(receiver, message)
+                case SendSnapshot():
+                    self._send_snapshot(action)
                 case ApplyEntries(entries):
                     self._apply(entries)
+                case InstallSnapshot(last_index, _, _, state):
+                    self._section.state = decode_state(state)
+                    self._section.applied_index = last_index
+                    self._followers.publish(self._section.state.settings.tree)
+
+    def _send(self, receiver, message) -> None:
+        envelope = ReplicaEnvelope(self._section.replica.id, receiver, message)
+        self._mesh.send(node_of(receiver), envelope)
+
+    def _send_snapshot(self, action: SendSnapshot) -> None:
+        store = self._stored.snapshots
+        same = action.last_index == store.head.last_index
+        offset = action.offset if same else 0
+        head = store.head
+        request = SnapshotRequest(
+            action.term,
+            head.last_index,
+            head.last_term,
+            head.members,
+            offset,
+            head.size,
+            store.read_chunk(offset),
+            action.round_number,
+        )
+        self._send(action.receiver, request)
 
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         section = self._section
-        before = section.state.settings.tree
         for entry in entries:
             result = apply_command(section.state, decode_message(entry.command))
             section.applied_index = entry.index
-            proposal = self._in_flight.pop(entry.index, None)
-            if proposal is not None:
-                same = proposal.term == entry.term
-                proposal.result = result if same else ProposalRedirected(None)
-                proposal.done.set()
-        after = section.state.settings.tree
-        if after.revision != before.revision:
-            self._publish_settings(before, after)
-
-    def _publish_settings(self, before, after) -> None:
-        take_snapshot(self._board.read(SettingsSection), after, self._clock())
-        changed = {
-            name: level
-            for name, level in after.levels.items()
-            if before.levels.get(name) != level
-        }
-        removed = tuple(name for name in before.levels if name not in after.levels)
-        delta = SettingsDelta(before.revision, after.revision, changed, removed)
-        for node in list(self._followers):
-            if not self._mesh.send(node, delta):
-                self._followers.discard(node)
-
-    def _on_consensus_message(self, sender: NodeId, message: Message) -> None:
-        self._received.append(Received(sender, message))
-        self._wake.set()
+            self._proposals.finish(entry.index, entry.term, result)
+        self._followers.publish(section.state.settings.tree)
+
+    def _on_envelope(self, sender: NodeId, envelope: ReplicaEnvelope) -> None:
+        # What is meant for another data folder of this node is not for this one.
+        if envelope.receiver != self._section.replica.id:
+            return
+        if node_of(envelope.sender) != sender:
+            return
+        self.submit(Received(envelope.sender, envelope.message))
 
     async def _on_propose(self, sender: NodeId, message: Propose) -> Message:
-        replica = self._section.replica
-        if replica.role is not ReplicaRole.LEADER:
-            return ProposalRedirected(replica.leader)
-        proposal = _Proposal(message.command, anyio.Event())
-        self._proposals.append(proposal)
-        self._wake.set()
-        await proposal.done.wait()
-        return proposal.result
-
-    def _on_follow_settings(
-        self, sender: NodeId, message: FollowSettings
-    ) -> SettingsSnapshot:
-        self._followers.add(sender)
-        tree = self._section.state.settings.tree
-        if tree.revision <= message.revision:
-            return SettingsSnapshot(tree.revision, {})
-        return SettingsSnapshot(tree.revision, tree.levels)
+        command = decode_message(message.command)
+        await self._followers.wait_writable(command)
+        return await self.propose(message.command)
--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/__init__.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/__init__.py
@@ -2,9 +2,9 @@
 
 from cranberryfield.control.settings.history import difference, history
 from cranberryfield.control.settings.machine import (
-    SettingsChange,
     SettingsState,
+    adopt_tree,
     apply_change,
 )
 
-__all__ = ["SettingsChange", "SettingsState", "apply_change", "difference", "history"]
+__all__ = ["SettingsState", "adopt_tree", "apply_change", "difference", "history"]
--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/history.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/history.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from cranberryfield.control.settings.machine import SettingsChange, SettingsState
+from cranberryfield.control.settings.machine import SettingsState
 from cranberryfield.core.errors import ControlError, ErrorKind
 from cranberryfield.core.ids import Revision
 from cranberryfield.core.messages.commands import LevelEdit
-from cranberryfield.core.messages.settings import SettingDifference
+from cranberryfield.core.messages.settings import SettingDifference, SettingsChange
 
 __all__ = ["difference", "history"]
 
--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
@@ -5,11 +5,13 @@
 from cranberryfield.core.errors import ControlError, ErrorKind
 from cranberryfield.core.ids import ChangeId, Revision
 from cranberryfield.core.messages.commands import (
+    AdoptSettings,
     ChangeSettings,
     LevelEdit,
     Refused,
     SettingsAccepted,
 )
+from cranberryfield.core.messages.settings import SettingsChange
 from cranberryfield.core.settings import (
     LevelState,
     SettingsTree,
@@ -19,35 +21,11 @@
     parse_level,
 )
 
-__all__ = ["SettingsChange", "SettingsState", "apply_change"]
+__all__ = ["SettingsState", "adopt_tree", "apply_change"]
 
 KEPT_CHANGES = 4_000
 
 
-class SettingsChange(msgspec.Struct, array_like=True):
-    """One accepted change, for the history.
-
-    Attributes
-    ----------
-    revision : Revision
-        Revision of the tree after it.
-    change_id : ChangeId
-        The operator's name for it.
-    author : str
-        Who asked.
-    edits : tuple of LevelEdit
-        What it did.
-    before : dict
-        By level, the values that it replaced or removed.
-    """
-
-    revision: Revision
-    change_id: ChangeId
-    author: str
-    edits: tuple[LevelEdit, ...]
-    before: dict[str, dict[str, SettingValue]] = msgspec.field(default_factory=dict)
-
-
 class SettingsState(msgspec.Struct, array_like=True):
     """The tree and the accepted changes that led to it.
 
@@ -109,6 +87,29 @@
     return SettingsAccepted(revision)
 
 
+def adopt_tree(
+    state: SettingsState, command: AdoptSettings
+) -> SettingsAccepted | Refused:
+    """Take over a newer tree that the nodes have and a replaced group lost.
+
+    Parameters
+    ----------
+    state : SettingsState
+        Changed in place.
+    command : AdoptSettings
+        The tree.
+
+    Returns
+    -------
+    SettingsAccepted or Refused
+        The revision after it.
+    """
+    if command.revision <= state.tree.revision:
+        return Refused(ErrorKind.STALE_REVISION.value, "the group's tree is newer")
+    state.tree = SettingsTree(command.revision, command.levels)
+    return SettingsAccepted(command.revision)
+
+
 def _with_winner(
     state: SettingsState, error: ControlError, change: ChangeSettings
 ) -> str:
--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/__init__.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/__init__.py
@@ -1,6 +1,7 @@
-"""The data folder: identity, lock and the synced log file."""
+"""The data folder: identity, lock, segments of the log, and the snapshot."""
 
 from cranberryfield.control.storage.folder import DataFolder
 from cranberryfield.control.storage.journal import Journal, LoadedLog
+from cranberryfield.control.storage.snapshots import SnapshotHead, SnapshotStore
 
-__all__ = ["DataFolder", "Journal", "LoadedLog"]
+__all__ = ["DataFolder", "Journal", "LoadedLog", "SnapshotHead", "SnapshotStore"]
--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/folder.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/folder.py
@@ -1,18 +1,22 @@
 """The data folder's identity and its lock."""
 
 import fcntl
-import os
+import secrets
 from pathlib import Path
 
 import cbor2
 
+from cranberryfield.control.storage.files import write_synced
+from cranberryfield.control.storage.segments import create_log
 from cranberryfield.core.errors import ErrorKind, StorageError
-from cranberryfield.core.ids import NodeId
+from cranberryfield.core.ids import NodeId, ReplicaId
+from cranberryfield.core.messages.consensus import SEPARATOR
 
-__all__ = ["DataFolder", "sync_folder"]
+__all__ = ["DataFolder"]
 
 IDENTITY_FILE = "identity"
 LOCK_FILE = "lock"
+RANDOM_BYTES = 4
 
 
 class DataFolder:
@@ -24,17 +28,25 @@
         The folder.
     lock : file object
         Open and locked.
+    replica : ReplicaId
+        The replica whose state the folder holds.
     """
 
-    def __init__(self, path: Path, lock):
+    def __init__(self, path: Path, lock, replica: ReplicaId):
         self._path = path
         self._lock = lock
+        self._replica = replica
 
     @property
     def path(self) -> Path:
         """The folder."""
         return self._path
 
+    @property
+    def replica(self) -> ReplicaId:
+        """The replica whose state the folder holds."""
+        return self._replica
+
     @classmethod
     def open(cls, path: Path, group: str, node: NodeId) -> "DataFolder":
         """Lock the folder and check, or write, its identity.
@@ -51,13 +63,16 @@
         Returns
         -------
         DataFolder
-            The locked folder.
+            The locked folder. A new one gets a replica id of its own, so what
+            another folder of the same node has acknowledged or voted is never
+            taken for its own.
 
         Raises
         ------
         StorageError
-            Of kind ``data_in_use`` if another process holds the folder, or
-            ``foreign_data`` if it belongs to another node or group.
+            Of kind ``data_in_use`` if another process holds the folder,
+            ``foreign_data`` if it belongs to another node or group, or
+            ``corrupt_data`` if it holds a log but no identity.
         """
         path.mkdir(parents=True, exist_ok=True)
         lock = open(path / LOCK_FILE, "ab")  # noqa: SIM115 - held until close
@@ -69,55 +84,36 @@
                 ErrorKind.DATA_IN_USE, f"{path}: another process holds the folder"
             ) from error
         try:
-            _check_identity(path, group, node)
+            replica = _read_identity(path, group, node)
         except StorageError:
             lock.close()
             raise
-        return cls(path, lock)
+        return cls(path, lock, replica)
 
     def close(self) -> None:
         """Release the lock."""
         self._lock.close()
 
 
-def _check_identity(path: Path, group: str, node: NodeId) -> None:
+def _read_identity(path: Path, group: str, node: NodeId) -> ReplicaId:
     file = path / IDENTITY_FILE
     if not file.exists():
-        _write_synced(file, cbor2.dumps([group, node]))
-        return
+        # The identity comes last: a folder that has one must have a log.
+        create_log(path)
+        replica = ReplicaId(f"{node}{SEPARATOR}{secrets.token_hex(RANDOM_BYTES)}")
+        write_synced(file, cbor2.dumps([group, replica]))
+        return replica
     try:
-        found = cbor2.loads(file.read_bytes())
-    except (cbor2.CBORError, ValueError) as error:
+        found_group, replica = cbor2.loads(file.read_bytes())
+        found_node = replica.partition(SEPARATOR)[0]
+    except (cbor2.CBORError, ValueError, TypeError, AttributeError) as error:
         raise StorageError(
             ErrorKind.CORRUPT_DATA, f"{file}: the identity cannot be read"
         ) from error
-    if found != [group, node]:
+    if (found_group, found_node) != (group, node):
         raise StorageError(
             ErrorKind.FOREIGN_DATA,
-            f"{path}: belongs to {found}, not to group {group!r}, node {node!r}",
+            f"{path}: belongs to group {found_group!r}, node {found_node!r}, "
+            f"not to group {group!r}, node {node!r}",
         )
-
-
-def _write_synced(file: Path, data: bytes) -> None:
-    temporary = file.with_suffix(".new")
-    with open(temporary, "wb") as stream:
-        stream.write(data)
-        stream.flush()
-        os.fsync(stream.fileno())
-    os.replace(temporary, file)
-    sync_folder(file.parent)
-
-
-def sync_folder(path: Path) -> None:
-    """Sync a folder, so that a new name in it lasts.
-
-    Parameters
-    ----------
-    path : pathlib.Path
-        The folder.
-    """
-    descriptor = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+    return replica
--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/journal.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/journal.py
@@ -1,4 +1,4 @@
-"""The log file: votes and entries, synced before they are acknowledged."""
+"""The log on disk: votes and entries, synced before they are acknowledged."""
 
 import os
 from dataclasses import dataclass, field
@@ -6,70 +6,115 @@
 
 import cbor2
 import msgspec
-import structlog
 
-from cranberryfield.control.storage.folder import sync_folder
-from cranberryfield.control.storage.records import encode_record, scan_records
+from cranberryfield.control.storage.records import encode_record
+from cranberryfield.control.storage.segments import (
+    Manifest,
+    open_segment,
+    read_segments,
+    remove_unlisted,
+    segment_path,
+)
 from cranberryfield.core.errors import ErrorKind, StorageError
-from cranberryfield.core.ids import LogIndex, NodeId, Term
-from cranberryfield.core.messages.consensus import LogEntry
+from cranberryfield.core.ids import LogIndex, ReplicaId, Term
+from cranberryfield.core.messages.consensus import LogEntry, Members
 
 __all__ = ["Journal", "LoadedLog"]
 
-LOG_FILE = "log"
-
-logger = structlog.get_logger(__name__)
+SEGMENT_BYTES = 4 << 20
 
 
 class _VoteRecord(msgspec.Struct, array_like=True, tag="v"):
     term: Term
-    voted_for: NodeId | None
+    voted_for: ReplicaId | None
+
+
+class _MembersRecord(msgspec.Struct, array_like=True, tag="m"):
+    members: Members
 
 
 class _EntryRecord(msgspec.Struct, array_like=True, tag="e"):
+    entry: LogEntry
+
+
+class _ResetRecord(msgspec.Struct, array_like=True, tag="r"):
+    """A snapshot up to `index` replaced all entries before this record."""
+
     index: LogIndex
-    term: Term
-    command: bytes
+
+
+_Record = _VoteRecord | _MembersRecord | _EntryRecord | _ResetRecord
 
 
 @dataclass(slots=True)
 class LoadedLog:
-    """What the file held at the start.
+    """What the log held at the start.
 
     Attributes
     ----------
     term, voted_for
         The last vote.
+    members : Members
+        The members with which the group began, if still on disk.
     entries : list of LogEntry
-        The log.
+        The entries, without gaps; the first may have any index.
     """
 
     term: Term = Term(0)
-    voted_for: NodeId | None = None
+    voted_for: ReplicaId | None = None
+    members: Members = Members()  # noqa: RUF009 - immutable
     entries: list[LogEntry] = field(default_factory=list)
 
 
 class Journal:
-    """Appends records to the log file.
+    """Appends records to the last segment and begins a new one when it is full.
 
     Parameters
     ----------
+    folder : pathlib.Path
+        The data folder.
+    manifest : Manifest
+        The segments.
     stream : file object
-        Open for appending, unbuffered.
+        The last segment, open for appending, unbuffered.
+    last_indexes : dict
+        For each segment, the highest index of an entry in it.
+    vote : tuple
+        The last term and vote.
+    segment_bytes : int
+        Size in bytes at which a segment is full.
     """
 
-    def __init__(self, stream):
+    def __init__(
+        self,
+        folder: Path,
+        manifest: Manifest,
+        stream,
+        last_indexes: dict[int, int],
+        vote: _VoteRecord,
+        segment_bytes: int,
+    ):
+        self._folder = folder
+        self._manifest = manifest
         self._stream = stream
+        self._last_indexes = last_indexes
+        self._vote = vote
+        self._segment_bytes = segment_bytes
+        self._size = stream.seek(0, os.SEEK_END)
         self._waiting: list[bytes] = []
 
     @classmethod
-    def open(cls, folder: Path) -> tuple["Journal", LoadedLog]:
-        """Open the log file and read what it holds.
+    def open(
+        cls, folder: Path, segment_bytes: int = SEGMENT_BYTES
+    ) -> tuple["Journal", LoadedLog]:
+        """Open the log and read what it holds.
 
         Parameters
         ----------
         folder : pathlib.Path
             The data folder.
+        segment_bytes : int
+            Size in bytes at which a segment is full.
 
         Returns
         -------
@@ -81,30 +126,40 @@
         Raises
         ------
         StorageError
-            Of kind ``corrupt_data`` if a damaged record is followed by a valid
-            one, so that cutting would lose what was synced.
+            Of kind ``corrupt_data`` if anything synced is damaged or missing.
         """
-        file = folder / LOG_FILE
-        data = file.read_bytes() if file.exists() else b""
-        scanned = scan_records(data)
-        stream = open(file, "ab", buffering=0)  # noqa: SIM115 - held until close
-        if scanned.damage is not None:
-            if not scanned.damage.is_tail:
-                stream.close()
-                raise StorageError(
-                    ErrorKind.CORRUPT_DATA,
-                    f"{file}: damaged at byte {scanned.damage.offset}, "
-                    "with valid records after it",
-                )
-            logger.warning("torn tail cut", file=str(file), at=scanned.damage.offset)
-            stream.truncate(scanned.damage.offset)
-            os.fsync(stream.fileno())
-        sync_folder(folder)
-        return cls(stream), _replay(scanned.payloads)
-
-    def save_vote(self, term: Term, voted_for: NodeId | None) -> None:
+        manifest = Manifest.load(folder)
+        if manifest is None:
+            raise StorageError(ErrorKind.CORRUPT_DATA, f"{folder}: holds no log")
+        remove_unlisted(folder, manifest)
+        segments = read_segments(folder, manifest)
+        loaded = LoadedLog()
+        last_indexes = {}
+        for number, payloads in enumerate(segments, manifest.first):
+            last_indexes[number] = _replay(payloads, loaded)
+        stream = open_segment(folder, manifest.last)
+        vote = _VoteRecord(loaded.term, loaded.voted_for)
+        journal = cls(folder, manifest, stream, last_indexes, vote, segment_bytes)
+        return journal, loaded
+
+    @property
+    def segments(self) -> int:
+        """Number of segments on disk."""
+        return self._manifest.last - self._manifest.first + 1
+
+    def save_vote(self, term: Term, voted_for: ReplicaId | None) -> None:
         """Add a vote to what the next `sync` writes."""
-        self._add(_VoteRecord(term, voted_for))
+        self._vote = _VoteRecord(term, voted_for)
+        self._add(self._vote)
+
+    def save_members(self, members: Members) -> None:
+        """Add the first members to what the next `sync` writes."""
+        self._add(_MembersRecord(members))
+
+    def save_reset(self, index: LogIndex) -> None:
+        """Add to what `sync` writes that a snapshot replaced all entries."""
+        self._add(_ResetRecord(index))
+        self._note_index(index)
 
     def save_entries(self, entries: tuple[LogEntry, ...]) -> None:
         """Add entries to what the next `sync` writes.
@@ -115,7 +170,12 @@
             Replace those that the log holds from the first one's index on.
         """
         for entry in entries:
-            self._add(_EntryRecord(entry.index, entry.term, entry.command))
+            self._add(_EntryRecord(entry))
+        self._note_index(entries[-1].index)
+
+    def _note_index(self, index: LogIndex) -> None:
+        number = self._manifest.last
+        self._last_indexes[number] = max(self._last_indexes[number], index)
 
     def _add(self, record: msgspec.Struct) -> None:
         plain = msgspec.to_builtins(record, builtin_types=(bytes,))
@@ -131,24 +191,82 @@
         while written < len(data):
             written += self._stream.write(data[written:])
         os.fdatasync(self._stream.fileno())
+        self._size += len(data)
+        if self._size >= self._segment_bytes:
+            self._begin_segment()
+
+    def _begin_segment(self) -> None:
+        number = self._manifest.last + 1
+        stream = open_segment(self._folder, number)
+        Manifest(self._manifest.first, number).save(self._folder)
+        self._stream.close()
+        self._manifest = Manifest(self._manifest.first, number)
+        self._stream = stream
+        self._size = 0
+        self._last_indexes[number] = 0
+        # Earlier segments may be dropped, so each begins with the last vote.
+        self._add(self._vote)
+        self.sync()
+
+    def drop_up_to(self, index: LogIndex) -> None:
+        """Remove the first segments that hold no entry after `index`.
+
+        Parameters
+        ----------
+        index : LogIndex
+            Covered by a snapshot that is synced.
+        """
+        first = self._manifest.first
+        while first < self._manifest.last and self._last_indexes[first] <= index:
+            first += 1
+        if first == self._manifest.first:
+            return
+        dropped = range(self._manifest.first, first)
+        self._manifest = Manifest(first, self._manifest.last)
+        self._manifest.save(self._folder)
+        for number in dropped:
+            segment_path(self._folder, number).unlink()
+            del self._last_indexes[number]
 
     def close(self) -> None:
-        """Close the file."""
+        """Close the last segment."""
         self._stream.close()
 
 
-def _replay(payloads: list[bytes]) -> LoadedLog:
-    loaded = LoadedLog()
+def _replay(payloads: list[bytes], loaded: LoadedLog) -> int:
+    """Apply one segment's records; return its highest index."""
+    last_index = 0
     for payload in payloads:
-        record = msgspec.convert(
-            cbor2.loads(payload),
-            _VoteRecord | _EntryRecord,
-            builtin_types=(bytes,),
+        match _decode(payload):
+            case _VoteRecord(term, voted_for):
+                loaded.term = term
+                loaded.voted_for = voted_for
+            case _MembersRecord(members):
+                loaded.members = members
+            case _ResetRecord(index):
+                loaded.entries.clear()
+                last_index = max(last_index, index)
+            case _EntryRecord(entry):
+                _replay_entry(entry, loaded.entries)
+                last_index = max(last_index, entry.index)
+    return last_index
+
+
+def _decode(payload: bytes) -> msgspec.Struct:
+    try:
+        return msgspec.convert(cbor2.loads(payload), _Record, builtin_types=(bytes,))
+    except (cbor2.CBORError, msgspec.ValidationError) as error:
+        raise StorageError(
+            ErrorKind.CORRUPT_DATA, f"a record of the log cannot be read: {error}"
+        ) from error
+
+
+def _replay_entry(entry: LogEntry, entries: list[LogEntry]) -> None:
+    if entries and entry.index <= entries[-1].index:
+        del entries[max(0, entry.index - entries[0].index) :]
+    if entries and entry.index != entries[-1].index + 1:
+        raise StorageError(
+            ErrorKind.CORRUPT_DATA,
+            f"the log has no entry between {entries[-1].index} and {entry.index}",
         )
-        if isinstance(record, _VoteRecord):
-            loaded.term = record.term
-            loaded.voted_for = record.voted_for
-            continue
-        del loaded.entries[record.index - 1 :]
-        loaded.entries.append(LogEntry(record.index, record.term, record.command))
-    return loaded
+    entries.append(entry)
--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/records.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/records.py
@@ -8,10 +8,17 @@
 from dataclasses import dataclass
 from zlib import crc32
 
-__all__ = ["Damage", "ScannedRecords", "encode_record", "scan_records"]
+__all__ = [
+    "RECORD_HEAD_BYTES",
+    "Damage",
+    "ScannedRecords",
+    "encode_record",
+    "scan_records",
+]
 
 _BODY = struct.Struct("<II")
 _HEADER = struct.Struct("<III")
+RECORD_HEAD_BYTES = _HEADER.size
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/snapshots.py
@@ -0,0 +1,170 @@
+"""The stored snapshot: the applied state up to one entry of the log."""
+
+import os
+from pathlib import Path
+
+import anyio
+import cbor2
+import msgspec
+
+from cranberryfield.control.storage.files import sync_folder
+from cranberryfield.control.storage.records import (
+    RECORD_HEAD_BYTES,
+    encode_record,
+    scan_records,
+)
+from cranberryfield.core.errors import ErrorKind, StorageError
+from cranberryfield.core.ids import LogIndex, Term
+from cranberryfield.core.messages.consensus import Members
+
+__all__ = ["SnapshotHead", "SnapshotStore"]
+
+SNAPSHOT_FILE = "snapshot"
+CHUNK_BYTES = 256 * 1024
+
+
+class SnapshotHead(msgspec.Struct, frozen=True, array_like=True):
+    """What a snapshot covers.
+
+    Attributes
+    ----------
+    last_index, last_term
+        Last entry that it covers.
+    members : Members
+        The group as of that entry.
+    size : int
+        Size of the encoded state in bytes.
+    """
+
+    last_index: LogIndex = LogIndex(0)
+    last_term: Term = Term(0)
+    members: Members = Members()
+    size: int = 0
+
+
+class SnapshotStore:
+    """Writes and reads the one snapshot of a data folder.
+
+    A snapshot is written to a temporary file in chunks, each synced before
+    the loop goes on, and renamed once it is whole.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        The data folder.
+    head : SnapshotHead
+        What the stored snapshot covers.
+    """
+
+    def __init__(self, folder: Path, head: SnapshotHead):
+        self._folder = folder
+        self._head = head
+        self._lock = anyio.Lock()
+
+    @property
+    def head(self) -> SnapshotHead:
+        """What the stored snapshot covers; index 0 without one."""
+        return self._head
+
+    @classmethod
+    def open(cls, folder: Path) -> tuple["SnapshotStore", bytes]:
+        """Read the stored snapshot.
+
+        Parameters
+        ----------
+        folder : pathlib.Path
+            The data folder.
+
+        Returns
+        -------
+        store : SnapshotStore
+            The store.
+        state : bytes
+            The encoded state; empty without a snapshot.
+
+        Raises
+        ------
+        StorageError
+            Of kind ``corrupt_data`` if the snapshot is damaged.
+        """
+        for leftover in folder.glob(f"{SNAPSHOT_FILE}.*"):
+            leftover.unlink()
+        file = folder / SNAPSHOT_FILE
+        if not file.exists():
+            return cls(folder, SnapshotHead()), b""
+        head, chunks = _read(file)
+        return cls(folder, head), b"".join(chunks)
+
+    async def write(self, head: SnapshotHead, state: bytes) -> None:
+        """Store a snapshot, unless a newer one is stored.
+
+        Parameters
+        ----------
+        head : SnapshotHead
+            What it covers.
+        state : bytes
+            The encoded state.
+        """
+        async with self._lock:
+            if head.last_index <= self._head.last_index:
+                return
+            temporary = self._folder / f"{SNAPSHOT_FILE}.new"
+            with open(temporary, "wb", buffering=0) as stream:
+                stream.write(_encode_head(head))
+                for offset in range(0, len(state), CHUNK_BYTES):
+                    chunk = state[offset : offset + CHUNK_BYTES]
+                    stream.write(encode_record(chunk))
+                    os.fdatasync(stream.fileno())
+                    await anyio.sleep(0)
+                os.fsync(stream.fileno())
+            os.replace(temporary, self._folder / SNAPSHOT_FILE)
+            sync_folder(self._folder)
+            self._head = head
+
+    def read_chunk(self, offset: int) -> bytes:
+        """Return the chunk that begins at `offset` bytes of the state.
+
+        Parameters
+        ----------
+        offset : int
+            A multiple of the chunk's size, as counted by the receiver.
+
+        Returns
+        -------
+        bytes
+            The chunk; empty at the end.
+
+        Raises
+        ------
+        StorageError
+            Of kind ``corrupt_data`` if the chunk is damaged.
+        """
+        number, rest = divmod(offset, CHUNK_BYTES)
+        if rest or offset >= self._head.size:
+            return b""
+        first = len(_encode_head(self._head))
+        with open(self._folder / SNAPSHOT_FILE, "rb") as stream:
+            stream.seek(first + number * (RECORD_HEAD_BYTES + CHUNK_BYTES))
+            record = stream.read(RECORD_HEAD_BYTES + CHUNK_BYTES)
+        size = min(CHUNK_BYTES, self._head.size - offset)
+        scanned = scan_records(record[: RECORD_HEAD_BYTES + size])
+        if scanned.damage is not None or not scanned.payloads:
+            raise StorageError(
+                ErrorKind.CORRUPT_DATA, f"{SNAPSHOT_FILE}: damaged at {offset}"
+            )
+        return scanned.payloads[0]
+
+
+def _encode_head(head: SnapshotHead) -> bytes:
+    return encode_record(cbor2.dumps(msgspec.to_builtins(head)))
+
+
+def _read(file: Path) -> tuple[SnapshotHead, list[bytes]]:
+    scanned = scan_records(file.read_bytes())
+    if scanned.damage is not None or not scanned.payloads:
+        raise StorageError(ErrorKind.CORRUPT_DATA, f"{file}: damaged")
+    head_payload, *chunks = scanned.payloads
+    head = msgspec.convert(cbor2.loads(head_payload), SnapshotHead)
+    if sum(map(len, chunks)) != head.size:
+        raise StorageError(ErrorKind.CORRUPT_DATA, f"{file}: incomplete")
+    return head, chunks
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/tests/test_storage.py
@@ -0,0 +1,237 @@
+import os
+import shutil
+from random import Random
+
+import anyio
+import pytest
+
+from cranberryfield.control.loading import encode_state, load_replica
+from cranberryfield.control.machine import ControlState
+from cranberryfield.control.storage import (
+    DataFolder,
+    Journal,
+    SnapshotHead,
+    SnapshotStore,
+)
+from cranberryfield.control.storage.snapshots import CHUNK_BYTES
+from cranberryfield.core.errors import ErrorKind, StorageError
+from cranberryfield.core.messages.consensus import LogEntry, Members
+
+FIRST_SEGMENT = "log-00000001"
+
+
+def entry(index, term=1, size=10):
+    return LogEntry(index, term, bytes([index % 256]) * size)
+
+
+def new_folder(path):
+    DataFolder.open(path, "group", "c1").close()
+    return path
+
+
+def write(path, steps, segment_bytes=1 << 20):
+    """Let `steps` act on an open journal, with a sync after each."""
+    journal, _ = Journal.open(path, segment_bytes)
+    for step in steps:
+        step(journal)
+        journal.sync()
+    journal.close()
+
+
+def read(path, segment_bytes=1 << 20):
+    journal, loaded = Journal.open(path, segment_bytes)
+    journal.close()
+    return loaded
+
+
+STEPS = [
+    lambda journal: journal.save_members(Members(("a", "b", "c"))),
+    lambda journal: journal.save_vote(1, "a"),
+    lambda journal: journal.save_entries((entry(1), entry(2))),
+    lambda journal: journal.save_vote(2, None),
+    lambda journal: journal.save_entries((entry(2, term=2),)),
+    lambda journal: journal.save_reset(7),
+    lambda journal: journal.save_entries((entry(8, term=3),)),
+]
+
+
+def test_a_kill_at_every_byte_leaves_what_was_synced(tmp_path):
+    path = new_folder(tmp_path / "data")
+    file = path / FIRST_SEGMENT
+    sizes, states = [0], [read(path)]
+    for step in STEPS:
+        write(path, [step])
+        sizes.append(file.stat().st_size)
+        states.append(read(path))
+    whole = file.read_bytes()
+    for size in range(len(whole) + 1):
+        file.write_bytes(whole[:size])
+        synced = max(place for place, end in enumerate(sizes) if end <= size)
+        loaded = read(path)
+        # Of two entries in one write the first may be there without the second.
+        more = loaded.entries[: len(states[synced].entries)]
+        assert (loaded.term, loaded.voted_for, more) == (
+            states[synced].term,
+            states[synced].voted_for,
+            states[synced].entries,
+        )
+        write(path, [lambda journal: journal.save_vote(9, "c")])
+        assert read(path).voted_for == "c"
+
+
+def flip_middle(path):
+    data = bytearray((path / FIRST_SEGMENT).read_bytes())
+    data[30] ^= 1
+    (path / FIRST_SEGMENT).write_bytes(data)
+
+
+def cut_first_segment(path):
+    os.truncate(path / FIRST_SEGMENT, 100)
+
+
+def flip_manifest(path):
+    data = bytearray((path / "manifest").read_bytes())
+    data[-1] ^= 1
+    (path / "manifest").write_bytes(data)
+
+
+def flip_snapshot(path):
+    async def take():
+        store, _ = SnapshotStore.open(path)
+        await store.write(SnapshotHead(3, 1, Members(("a",)), 5), b"state")
+
+    anyio.run(take)
+    data = bytearray((path / "snapshot").read_bytes())
+    data[-1] ^= 1
+    (path / "snapshot").write_bytes(data)
+
+
+def lose_snapshot_and_segment(path):
+    (path / FIRST_SEGMENT).unlink()
+    shutil.copy(path / "log-00000002", path / FIRST_SEGMENT)
+
+
+DAMAGE = [
+    ("corrupt middle", flip_middle),
+    ("first of two segments cut", cut_first_segment),
+    ("segment missing", lambda path: (path / FIRST_SEGMENT).unlink()),
+    ("entries missing", lose_snapshot_and_segment),
+    ("manifest corrupt", flip_manifest),
+    ("manifest missing", lambda path: (path / "manifest").unlink()),
+    ("identity missing", lambda path: (path / "identity").unlink()),
+    ("identity corrupt", lambda path: (path / "identity").write_bytes(b"\x01")),
+    ("snapshot corrupt", flip_snapshot),
+]
+
+
+@pytest.mark.parametrize(
+    "damage", [row[1] for row in DAMAGE], ids=[r[0] for r in DAMAGE]
+)
+def test_damage_is_told_and_nothing_is_changed(tmp_path, damage):
+    path = new_folder(tmp_path / "data")
+    entries = [entry(index, size=100) for index in range(1, 9)]
+    steps = [lambda journal, one=one: journal.save_entries((one,)) for one in entries]
+    write(path, steps, segment_bytes=500)
+    damage(path)
+    before = {file.name: file.read_bytes() for file in path.iterdir()}
+    with pytest.raises(StorageError) as caught:
+        load_replica(path, "group", "c1", Random(1), 0.0)
+    assert (caught.value.kind, caught.value.answer.exit_code) == (
+        ErrorKind.CORRUPT_DATA,
+        11,
+    )
+    assert {file.name: file.read_bytes() for file in path.iterdir()} == before
+
+
+@pytest.mark.parametrize(
+    ("group", "node", "kind"),
+    [
+        ("other", "c1", ErrorKind.FOREIGN_DATA),
+        ("group", "c2", ErrorKind.FOREIGN_DATA),
+        ("group", "c1", ErrorKind.DATA_IN_USE),
+    ],
+)
+def test_folder_of_another_is_refused(tmp_path, group, node, kind):
+    held = DataFolder.open(tmp_path, "group", "c1")
+    if kind is ErrorKind.FOREIGN_DATA:
+        held.close()
+    with pytest.raises(StorageError) as caught:
+        DataFolder.open(tmp_path, group, node)
+    assert (caught.value.kind, caught.value.answer.exit_code) == (kind, 10)
+
+
+def test_every_new_folder_is_another_replica(tmp_path):
+    ids = {DataFolder.open(tmp_path / name, "g", "c1").replica for name in "ab"}
+    assert len(ids) == 2
+    assert DataFolder.open(tmp_path / "c", "g", "c1").replica.startswith("c1~")
+
+
+def test_segments_are_dropped_and_the_vote_stays(tmp_path):
+    path = new_folder(tmp_path)
+    journal, _ = Journal.open(path, 500)
+    journal.save_vote(4, "c2~1")
+    for index in range(1, 30):
+        journal.save_entries((entry(index, 4, 100),))
+        journal.sync()
+    before = journal.segments
+    journal.drop_up_to(20)
+    assert journal.segments < before / 2
+    journal.close()
+    loaded = read(path)
+    assert (loaded.term, loaded.voted_for) == (4, "c2~1")
+    assert loaded.entries[0].index <= 21
+    assert loaded.entries[-1].index == 29
+
+
+def take_snapshot(path, index, term, state=b""):
+    async def take():
+        store, _ = SnapshotStore.open(path)
+        head = SnapshotHead(index, term, Members(("c1~1",)), len(state))
+        await store.write(head, state)
+        return store
+
+    return anyio.run(take)
+
+
+@pytest.mark.parametrize(
+    ("index", "term", "reset", "kept"),
+    [
+        (3, 1, False, [4, 5]),  # taken here
+        (3, 2, False, []),  # installed; the entries conflict with it
+        (9, 2, False, []),  # installed; it is ahead of the entries
+        (9, 2, True, [10]),  # installed, and one entry since
+    ],
+)
+def test_snapshot_and_log_fit_after_a_crash(tmp_path, index, term, reset, kept):
+    path = new_folder(tmp_path)
+    write(path, [lambda journal: journal.save_entries(tuple(map(entry, range(1, 6))))])
+    take_snapshot(path, index, term, encode_state(ControlState()))
+    if reset:
+        after = [
+            lambda journal: journal.save_reset(index),
+            lambda journal: journal.save_entries((entry(index + 1, 2),)),
+        ]
+        write(path, after)
+    for _ in range(2):
+        stored = load_replica(path, "group", "c1", Random(1), 0.0)
+        log = stored.replica.log
+        stored.close()
+        assert (log.base_index, log.base_term) == (index, term)
+        assert stored.replica.commit_index == index
+        found = log.slice(index + 1, log.last_index)
+        assert [one.index for one in found] == kept
+
+
+def test_snapshot_is_read_back_in_chunks(tmp_path):
+    state = Random(1).randbytes(2 * CHUNK_BYTES + 1000)
+    store = take_snapshot(new_folder(tmp_path), 3, 1, state)
+    offsets = range(0, len(state), CHUNK_BYTES)
+    assert b"".join(store.read_chunk(offset) for offset in offsets) == state
+    assert store.read_chunk(len(state)) == b""
+    assert SnapshotStore.open(tmp_path)[1] == state
+
+
+def test_a_half_written_snapshot_is_ignored(tmp_path):
+    take_snapshot(new_folder(tmp_path), 3, 1, b"state")
+    (tmp_path / "snapshot.new").write_bytes(b"half")
+    assert SnapshotStore.open(tmp_path)[1] == b"state"
--- a/packages/cranberryfield-core/src/cranberryfield/core/ids.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/ids.py
@@ -8,6 +8,7 @@
     "Incarnation",
     "LogIndex",
     "NodeId",
+    "ReplicaId",
     "RequestKey",
     "Revision",
     "RunId",
@@ -19,6 +20,8 @@
 
 #: One process of cranberryfield.
 NodeId = NewType("NodeId", str)
+#: One data folder of a control host: its node and a random part, ``NODE~HEX``.
+ReplicaId = NewType("ReplicaId", str)
 #: One upstream: an engine runner or a plain service process.
 UpstreamId = NewType("UpstreamId", str)
 #: A data centre (an availability zone).
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
@@ -13,8 +13,10 @@
 )
 from cranberryfield.core.messages.base import Message, NestedRecord
 from cranberryfield.core.settings.schema import SettingValue
+from cranberryfield.core.settings.tree import LevelState
 
 __all__ = [
+    "AdoptSettings",
     "ChangeSettings",
     "ClaimState",
     "ClaimView",
@@ -25,6 +27,7 @@
     "ProposalRedirected",
     "Propose",
     "RecordDispatch",
+    "RecordHosts",
     "Refused",
     "SettingsAccepted",
 ]
@@ -80,6 +83,34 @@
     revision: Revision
 
 
+class AdoptSettings(Message):
+    """Takes over a tree that the nodes have and a replaced group lost.
+
+    Attributes
+    ----------
+    revision : Revision
+        Revision of the tree; without effect unless higher than the group's.
+    levels : dict
+        The whole tree.
+    """
+
+    revision: Revision
+    levels: dict[str, LevelState]
+
+
+class RecordHosts(Message):
+    """Notes which entry hosts must have every settings change.
+
+    Attributes
+    ----------
+    added, removed : tuple of NodeId
+        Hosts that began to follow, and hosts that are gone for good.
+    """
+
+    added: tuple[NodeId, ...]
+    removed: tuple[NodeId, ...] = ()
+
+
 class ClaimState(Enum):
     """States of a non-idempotent request's claim."""
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
@@ -147,10 +147,10 @@
         return ControlView(
             replica.role.value,
             replica.term,
-            replica.leader,
+            replica.leader_node,
             replica.commit_index,
             replica.log.last_index,
-            replica.voters,
+            replica.voter_nodes,
         )
 
     async def _upstreams(self, http: HttpRequest) -> Response:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -93,7 +93,7 @@
                 tasks,
                 monotonic_clock,
                 rng,
-                follows_settings=control is None,
+                local_settings=control.on_follow if control is not None else None,
             )
             tasks.start_soon(entry.run)
         if control is not None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -12,7 +12,7 @@
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
-from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
@@ -22,7 +22,7 @@
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.routing import DispatchSection, make_chooser
-from cranberryfield.entry.settings import SettingsFollower
+from cranberryfield.entry.settings import LocalControl, SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
@@ -40,8 +40,10 @@
         The records of requests.
     api : CallerApi
         Endpoints for callers and upstreams.
-    follower : SettingsFollower or None
-        Follows settings; None where the control role does so.
+    follower : SettingsFollower
+        Follows settings.
+    clock : Clock
+        Monotonic time.
     dispatcher : Dispatcher
         Connections to upstreams.
     """
@@ -50,13 +52,15 @@
         self,
         settings: SettingsSection,
         records: RecordsSection,
-        follower: SettingsFollower | None,
+        follower: SettingsFollower,
         dispatcher: Dispatcher,
+        clock: Clock,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
+        self._clock = clock
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -71,7 +75,7 @@
         tasks: TaskGroup,
         clock: Clock,
         rng: Random,
-        follows_settings: bool,
+        local_settings: LocalControl | None,
     ) -> "EntryRuntime":
         """Build the role.
 
@@ -93,8 +97,9 @@
             Monotonic time.
         rng : random.Random
             Seeded generator.
-        follows_settings : bool
-            Whether settings come over the mesh.
+        local_settings : callable or None
+            Asks this process's own control role for settings; None without
+            that role.
 
         Returns
         -------
@@ -107,10 +112,10 @@
         dispatched = board.add(DispatchSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
-        follower = None
-        if follows_settings:
-            follower = SettingsFollower(settings, mesh, control, clock)
-        runtime = cls(settings, records, follower, dispatcher)
+        follower = SettingsFollower(
+            settings, mesh, config.node_id, control, local_settings, clock, rng
+        )
+        runtime = cls(settings, records, follower, dispatcher, clock)
         runner = RequestRunner(
             config.node_id,
             make_chooser(board, config.zone, clock, rng),
@@ -137,7 +142,7 @@
 
     def is_ready(self) -> bool:
         """Say whether new requests are taken."""
-        return not self._stopping and self._settings.confirmed_at is not None
+        return not self._stopping and may_serve(self._settings, self._clock())
 
     def begin_stop(self) -> None:
         """Take no new requests from now on."""
@@ -153,8 +158,6 @@
 
     async def run(self) -> None:
         """Follow settings until cancelled."""
-        if self._follower is None:
-            await anyio.sleep_forever()
         await self._follower.run()
 
     async def close(self) -> None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/settings/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/settings/__init__.py
@@ -1,5 +1,5 @@
-"""Follows the settings that the control group commits."""
+"""Following the settings that the control hosts have committed."""
 
-from cranberryfield.entry.settings.follower import SettingsFollower
+from cranberryfield.entry.settings.follower import LocalControl, SettingsFollower
 
-__all__ = ["SettingsFollower"]
+__all__ = ["LocalControl", "SettingsFollower"]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/settings/follower.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/settings/follower.py
@@ -1,75 +1,205 @@
-"""Asks control hosts for settings and takes in only newer ones."""
+"""Keeps the settings of an entry host at the highest committed revision."""
+
+from collections.abc import Callable
+from random import Random
 
 import anyio
 
 from cranberryfield.core.clock import Clock
+from cranberryfield.core.config import Role
 from cranberryfield.core.errors import CranberryfieldError
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.settings import (
+    AskPeerSettings,
     FollowSettings,
+    SettingsAck,
     SettingsDelta,
     SettingsSnapshot,
 )
-from cranberryfield.core.settings import SettingsTree
+from cranberryfield.core.settings import LevelState, SettingsTree
 from cranberryfield.core.settings.follow import (
     SettingsSection,
-    take_delta,
-    take_snapshot,
+    confirm,
+    take_changes,
 )
+from cranberryfield.core.settings.slices import SliceSource, next_slice
+
+__all__ = ["LocalControl", "SettingsFollower"]
 
-__all__ = ["SettingsFollower"]
+#: Asks the control role of the same process.
+LocalControl = Callable[[NodeId, FollowSettings], SettingsSnapshot]
 
 CONFIRM_INTERVAL_S = 1.0
-REQUEST_TIMEOUT_S = 1.0
+UNCONFIRMED_INTERVAL_S = 0.2
+REQUEST_TIMEOUT_S = 0.5
+#: Time without a confirmation after which peers are asked, in seconds.
+ASK_PEERS_AFTER_S = 1.5
+#: Peers asked at a time, once control is out of reach.
+PEERS_PER_ROUND = 16
+#: Time for which a peer's answer counts as reaching it, in seconds.
+REACHED_S = 3.0
+MS_PER_S = 1000
 
 
 class SettingsFollower:
-    """Keeps the settings section at the highest committed revision.
+    """Follows the leader of the control group, or peers without it.
 
     Parameters
     ----------
     section : SettingsSection
-        Owned by this follower.
+        The settings in force.
     mesh : Mesh
-        Links to the control hosts.
+        Links to other processes.
+    node : NodeId
+        This process.
     control : tuple of NodeId
         The control hosts.
+    local : callable or None
+        Asks this process's own control role; None without that role.
     clock : Clock
         Monotonic time.
+    rng : random.Random
+        Chooses the peers to ask.
     """
 
     def __init__(
         self,
         section: SettingsSection,
         mesh: Mesh,
+        node: NodeId,
         control: tuple[NodeId, ...],
+        local: LocalControl | None,
         clock: Clock,
+        rng: Random,
     ):
         self._section = section
         self._mesh = mesh
+        self._node = node
         self._control = control
+        self._local = local
         self._clock = clock
+        self._rng = rng
+        self._leader: NodeId | None = None
+        self._peers: set[NodeId] = set()
+        self._reached_at: dict[NodeId, float] = {}
+        self._slices = SliceSource()
         mesh.handle(SettingsDelta, self._on_delta)
+        mesh.handle(AskPeerSettings, self._on_ask)
+        mesh.watch_links(self._on_link)
 
     async def run(self) -> None:
-        """Ask every control host again and again, until cancelled."""
+        """Ask for settings again and again, until cancelled."""
+        while True:
+            confirmed = await self._ask_control()
+            if self._unconfirmed_s() > ASK_PEERS_AFTER_S:
+                await self._ask_peers()
+            await anyio.sleep(
+                CONFIRM_INTERVAL_S if confirmed else UNCONFIRMED_INTERVAL_S
+            )
+
+    def _unconfirmed_s(self) -> float:
+        confirmed_at = self._section.confirmed_at
+        return float("inf") if confirmed_at is None else self._clock() - confirmed_at
+
+    async def _ask_control(self) -> bool:
+        """Ask the leader, or look for it; return whether it confirmed."""
+        asked: set[NodeId] = set()
+        hint = self._leader
         while True:
-            for node in self._control:
-                if self._mesh.is_linked(node):
-                    await self._follow(node)
-            await anyio.sleep(CONFIRM_INTERVAL_S)
+            waiting = [node for node in (hint, *self._control) if node is not None]
+            left = [node for node in waiting if node not in asked]
+            if not left:
+                return False
+            node = left[0]
+            asked.add(node)
+            sent_at = self._clock()
+            reply = await self._fetch(node, FollowSettings)
+            if reply is None:
+                continue
+            if reply.age_ms is not None:
+                self._leader = node
+                confirm(self._section, reply.revision, sent_at)
+                return True
+            hint = reply.leader
 
-    async def _follow(self, node: NodeId) -> None:
-        request = FollowSettings(self._section.tree.revision)
+    async def _fetch(self, node: NodeId, kind) -> SettingsSnapshot | None:
+        """Take all that a node has newer; return its last answer."""
+        levels: dict[str, LevelState] = {}
+        request = kind(self._section.tree.revision)
+        while True:
+            reply = await self._request(node, request)
+            if reply is None or reply.generation < self._section.generation:
+                return None
+            if request.slice_of not in (0, reply.revision):
+                levels.clear()
+            levels.update(reply.levels)
+            if reply.next_after is None:
+                break
+            request = kind(request.revision, reply.revision, reply.next_after)
+        self._section.generation = reply.generation
+        if reply.age_ms is not None:
+            self._section.hosts = max(reply.hosts, 1)
+        tree = SettingsTree(reply.revision, levels)
+        take_changes(self._section, reply.base, tree, reply.removed)
+        return reply
+
+    async def _request(self, node: NodeId, request) -> SettingsSnapshot | None:
+        if node == self._node:
+            return self._local(node, request) if self._local is not None else None
+        if not self._mesh.is_linked(node):
+            return None
         try:
-            reply = await self._mesh.request(node, request, REQUEST_TIMEOUT_S)
+            return await self._mesh.request(node, request, REQUEST_TIMEOUT_S)
         except CranberryfieldError:
+            return None
+
+    async def _ask_peers(self) -> None:
+        peers = sorted(node for node in self._peers if self._mesh.is_linked(node))
+        chosen = self._rng.sample(peers, min(PEERS_PER_ROUND, len(peers)))
+        async with anyio.create_task_group() as tasks:
+            for node in chosen:
+                tasks.start_soon(self._ask_peer, node)
+        now = self._clock()
+        self._section.reached_peers = sum(
+            now - at <= REACHED_S for at in self._reached_at.values()
+        )
+
+    async def _ask_peer(self, node: NodeId) -> None:
+        sent_at = self._clock()
+        reply = await self._fetch(node, AskPeerSettings)
+        if reply is None:
             return
-        if isinstance(reply, SettingsSnapshot):
-            tree = SettingsTree(reply.revision, reply.levels)
-            take_snapshot(self._section, tree, self._clock())
+        self._reached_at[node] = sent_at
+        if reply.age_ms is not None:
+            at = sent_at - reply.age_ms / MS_PER_S
+            confirm(self._section, reply.revision, at)
+
+    def _on_link(self, peer: Hello, is_open: bool) -> None:
+        if is_open and Role.ENTRY.value in peer.roles and peer.node != self._node:
+            self._peers.add(peer.node)
+
+    def _on_ask(self, sender: NodeId, message: AskPeerSettings) -> SettingsSnapshot:
+        tree = self._section.tree
+        part = next_slice(self._slices, tree, message, None)
+        age_ms = None
+        if self._section.confirmed_at is not None:
+            age_ms = int((self._clock() - self._section.confirmed_at) * MS_PER_S) + 1
+        is_current = part.next_after is None and part.revision == tree.revision
+        return SettingsSnapshot(
+            part.revision,
+            part.levels,
+            part.base,
+            part.removed,
+            part.next_after,
+            age_ms if is_current else None,
+            self._leader,
+            self._section.generation,
+            self._section.hosts,
+        )
 
     def _on_delta(self, sender: NodeId, delta: SettingsDelta) -> None:
         changes = SettingsTree(delta.revision, delta.levels)
-        take_delta(self._section, delta.base, changes, delta.removed, self._clock())
+        if take_changes(self._section, delta.base, changes, delta.removed):
+            self._mesh.send(sender, SettingsAck(self._section.tree.revision))
