--- a/packages/cranberryfield-control/src/cranberryfield/control/followers.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/followers.py
@@ -111,7 +111,7 @@
         self._published = SettingsTree()
         self._slices = SliceSource()
         self._ahead: NodeId | None = None
-        mesh.handle(FollowSettings, self.on_follow)
+        mesh.handle(FollowSettings, self._on_follow)
         mesh.handle(SettingsAck, self._on_ack)
 
     def publish(self, tree: SettingsTree) -> None:
@@ -132,7 +132,7 @@
             if before.revision and self._is_heard(node):
                 self._mesh.send(node, delta)
 
-    def on_follow(self, sender: NodeId, message: FollowSettings) -> SettingsSnapshot:
+    def _on_follow(self, sender: NodeId, message: FollowSettings) -> SettingsSnapshot:
         """Answer a host with what it lacks, and say how current that is."""
         state = self._section.state
         replica = self._section.replica
--- a/packages/cranberryfield-control/src/cranberryfield/control/operations.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/operations.py
@@ -2,7 +2,11 @@
 
 import anyio
 
-from cranberryfield.control.consensus import GroupReplaced, MembersProposed
+from cranberryfield.control.consensus import (
+    GroupReplaced,
+    MembersProposed,
+    ReplicaRole,
+)
 from cranberryfield.control.consensus.membership import (
     members_problem,
     with_joiner,
@@ -15,6 +19,8 @@
 from cranberryfield.core.errors import ControlError, ErrorKind
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.commands import ProposalRedirected
 from cranberryfield.core.messages.consensus import Members, node_of
 from cranberryfield.core.messages.control import (
     ChangeControl,
@@ -76,37 +82,39 @@
         self._submit = submit
         self._wait_current = wait_current
         self._clock = clock
-        mesh.handle(ReadHistory, self._on_read_history)
-        mesh.handle(ReadDifference, self._on_read_difference)
-        mesh.handle(ReadHolders, self._on_read_holders)
-        mesh.handle(ForgetHost, self._on_forget_host)
+        mesh.handle(ReadHistory, self._as_leader(self._on_read_history))
+        mesh.handle(ReadDifference, self._as_leader(self._on_read_difference))
+        mesh.handle(ReadHolders, self._as_leader(self._on_read_holders))
+        mesh.handle(ForgetHost, self._as_leader(self._on_forget_host))
+        mesh.handle(ChangeControl, self._as_leader(self._on_change_control))
         mesh.handle(ReadMembers, self._on_read_members)
-        mesh.handle(ChangeControl, self._on_change_control)
         mesh.handle(ReplaceControl, self._on_replace_control)
 
-    async def _on_read_history(
-        self, sender: NodeId, message: ReadHistory
-    ) -> HistoryView:
-        await self._wait_current()
+    def _as_leader(self, answer):
+        """Return a handler that answers as leader, with current state only."""
+
+        async def handle(sender: NodeId, message: Message) -> Message:
+            replica = self._section.replica
+            if replica.role is not ReplicaRole.LEADER:
+                return ProposalRedirected(replica.leader_node)
+            await self._wait_current()
+            return await answer(message)
+
+        return handle
+
+    async def _on_read_history(self, message: ReadHistory) -> HistoryView:
         limit = min(message.limit, MAX_HISTORY)
         found = history(self._section.state.settings, message.level, limit)
         return HistoryView(tuple(found))
 
-    async def _on_read_difference(
-        self, sender: NodeId, message: ReadDifference
-    ) -> DifferenceView:
-        await self._wait_current()
+    async def _on_read_difference(self, message: ReadDifference) -> DifferenceView:
         settings = self._section.state.settings
         return DifferenceView(tuple(difference(settings, message.first, message.last)))
 
-    async def _on_read_holders(
-        self, sender: NodeId, message: ReadHolders
-    ) -> HoldersView:
-        await self._wait_current()
+    async def _on_read_holders(self, message: ReadHolders) -> HoldersView:
         return self._followers.holders(message.revision)
 
-    async def _on_forget_host(self, sender: NodeId, message: ForgetHost) -> HoldersView:
-        await self._wait_current()
+    async def _on_forget_host(self, message: ForgetHost) -> HoldersView:
         await self._followers.record((), (message.node,))
         return self._followers.holders(self._section.state.settings.tree.revision)
 
@@ -123,14 +131,11 @@
             replica.term,
         )
 
-    async def _on_change_control(
-        self, sender: NodeId, message: ChangeControl
-    ) -> ControlMembers:
+    async def _on_change_control(self, message: ChangeControl) -> ControlMembers:
         if (message.add is None) == (message.remove is None):
             raise ControlError(
                 ErrorKind.BAD_REQUEST, "name one host, either to add or to remove"
             )
-        await self._wait_current()
         self._refuse_unsafe_change(message)
         with anyio.move_on_after(CHANGE_TIMEOUT_S):
             while not self._is_done(message):
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -55,10 +55,6 @@
     SnapshotRequest,
     node_of,
 )
-from cranberryfield.core.messages.settings import (
-    FollowSettings,
-    SettingsSnapshot,
-)
 from cranberryfield.core.settings.follow import SettingsSection
 
 __all__ = ["ControlRuntime", "ControlSection"]
@@ -194,10 +190,6 @@
     def _wake_up(self) -> None:
         self._wake.set()
 
-    def on_follow(self, sender: NodeId, message: FollowSettings) -> SettingsSnapshot:
-        """Answer an entry role that follows the settings; see `Followers`."""
-        return self._followers.on_follow(sender, message)
-
     async def wait_current(self) -> None:
         """Return once the applied state has all that was acknowledged before.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -88,8 +88,8 @@
         self._link_watchers.append(watcher)
 
     def is_linked(self, node: NodeId) -> bool:
-        """Say whether there is an open link to `node`."""
-        return bool(self._links.get(node))
+        """Say whether there is an open link to `node`, or it is this process."""
+        return node == self._hello.node or bool(self._links.get(node))
 
     def send(self, node: NodeId, message: Message) -> bool:
         """Queue a one-way message.
@@ -112,12 +112,28 @@
     async def request(
         self, node: NodeId, message: Message, timeout_s: float
     ) -> Message:
-        """Send a request to `node` and return its reply; see `Link.request`."""
+        """Send a request to `node` and return its reply; see `Link.request`.
+
+        A request to this process itself is handled without a link.
+        """
+        if node == self._hello.node:
+            return await self._handle_own(message, timeout_s)
         links = self._links.get(node)
         if not links:
             raise UnavailableError(ErrorKind.NOT_READY, f"no link to {node}")
         return await links[-1].request(message, timeout_s)
 
+    async def _handle_own(self, message: Message, timeout_s: float) -> Message:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise UnavailableError(ErrorKind.NOT_READY, "no handler here")
+        reply = handler(self._hello.node, message)
+        if not isinstance(reply, Awaitable):
+            return reply
+        with anyio.move_on_after(timeout_s):
+            return await reply
+        raise UnavailableError(ErrorKind.NOT_READY, "no reply in time")
+
     async def listen(self, address: str, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Accept links until cancelled.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/proposals/proposer.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/proposals/proposer.py
@@ -4,7 +4,7 @@
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import (
-    CranberryfieldError,
+    ControlError,
     ErrorKind,
     UnavailableError,
     error_of_kind,
@@ -23,6 +23,8 @@
 
 ATTEMPT_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.05
+#: When to come back without a leader: an election takes less, in seconds.
+RETRY_AFTER_S = 2.0
 
 
 class Proposer:
@@ -69,24 +71,57 @@
         CranberryfieldError
             Of the kind with which the command was refused.
         """
+        return await self.ask(Propose(encode_message(command)), timeout_s)
+
+    async def ask(self, request: Message, timeout_s: float) -> Message:
+        """Send a request to the leader and return its answer.
+
+        The request is resent until an answer comes, so it must be idempotent.
+
+        Parameters
+        ----------
+        request : Message
+            A request that the leader of the control group answers.
+        timeout_s : float
+            Longest wait in seconds.
+
+        Returns
+        -------
+        Message
+            The answer.
+
+        Raises
+        ------
+        UnavailableError
+            Of kind ``no_quorum`` if no leader answered in time.
+        CranberryfieldError
+            Of the kind with which the request was refused.
+        """
         deadline = self._clock() + timeout_s
-        request = Propose(encode_message(command))
+        problem = "no leader of the control group answered in time"
         while (remaining_s := deadline - self._clock()) > 0:
-            reply = await self._try_leader(request, min(ATTEMPT_TIMEOUT_S, remaining_s))
+            attempt_s = min(ATTEMPT_TIMEOUT_S, remaining_s)
+            try:
+                reply = await self._ask_leader(request, attempt_s)
+            except ControlError as error:
+                if error.kind is not ErrorKind.NO_QUORUM:
+                    raise
+                problem = error.detail
+                reply = None
             if isinstance(reply, Refused):
                 raise error_of_kind(ErrorKind(reply.kind), reply.detail)
             if reply is not None:
                 return reply
             await anyio.sleep(RETRY_PAUSE_S)
         raise UnavailableError(
-            ErrorKind.NO_QUORUM, "no leader of the control group answered in time"
+            ErrorKind.NO_QUORUM, problem, retry_after_s=RETRY_AFTER_S
         )
 
-    async def _try_leader(self, request: Propose, timeout_s: float) -> Message | None:
+    async def _ask_leader(self, request: Message, timeout_s: float) -> Message | None:
         try:
             reply = await self._mesh.request(self._leader, request, timeout_s)
-        except CranberryfieldError as error:
-            if error.kind not in (ErrorKind.NOT_READY, ErrorKind.NO_QUORUM):
+        except UnavailableError as error:
+            if error.kind is not ErrorKind.NOT_READY:
                 raise
             self._leader = self._after(self._leader)
             return None
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -93,7 +93,6 @@
                 tasks,
                 monotonic_clock,
                 rng,
-                local_settings=control.on_follow if control is not None else None,
             )
             tasks.start_soon(entry.run)
         if control is not None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -22,7 +22,7 @@
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.routing import DispatchSection, make_chooser
-from cranberryfield.entry.settings import LocalControl, SettingsFollower
+from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
@@ -75,7 +75,6 @@
         tasks: TaskGroup,
         clock: Clock,
         rng: Random,
-        local_settings: LocalControl | None,
     ) -> "EntryRuntime":
         """Build the role.
 
@@ -97,9 +96,6 @@
             Monotonic time.
         rng : random.Random
             Seeded generator.
-        local_settings : callable or None
-            Asks this process's own control role for settings; None without
-            that role.
 
         Returns
         -------
@@ -112,9 +108,7 @@
         dispatched = board.add(DispatchSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
-        follower = SettingsFollower(
-            settings, mesh, config.node_id, control, local_settings, clock, rng
-        )
+        follower = SettingsFollower(settings, mesh, config.node_id, control, clock, rng)
         runtime = cls(settings, records, follower, dispatcher, clock)
         runner = RequestRunner(
             config.node_id,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/settings/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/settings/__init__.py
@@ -1,5 +1,5 @@
 """Following the settings that the control hosts have committed."""
 
-from cranberryfield.entry.settings.follower import LocalControl, SettingsFollower
+from cranberryfield.entry.settings.follower import SettingsFollower
 
-__all__ = ["LocalControl", "SettingsFollower"]
+__all__ = ["SettingsFollower"]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/settings/follower.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/settings/follower.py
@@ -1,6 +1,5 @@
 """Keeps the settings of an entry host at the highest committed revision."""
 
-from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -26,10 +25,7 @@
 )
 from cranberryfield.core.settings.slices import SliceSource, next_slice
 
-__all__ = ["LocalControl", "SettingsFollower"]
-
-#: Asks the control role of the same process.
-LocalControl = Callable[[NodeId, FollowSettings], SettingsSnapshot]
+__all__ = ["SettingsFollower"]
 
 CONFIRM_INTERVAL_S = 1.0
 UNCONFIRMED_INTERVAL_S = 0.2
@@ -56,8 +52,6 @@
         This process.
     control : tuple of NodeId
         The control hosts.
-    local : callable or None
-        Asks this process's own control role; None without that role.
     clock : Clock
         Monotonic time.
     rng : random.Random
@@ -70,7 +64,6 @@
         mesh: Mesh,
         node: NodeId,
         control: tuple[NodeId, ...],
-        local: LocalControl | None,
         clock: Clock,
         rng: Random,
     ):
@@ -78,7 +71,6 @@
         self._mesh = mesh
         self._node = node
         self._control = control
-        self._local = local
         self._clock = clock
         self._rng = rng
         self._leader: NodeId | None = None
@@ -146,8 +138,6 @@
         return reply
 
     async def _request(self, node: NodeId, request) -> SettingsSnapshot | None:
-        if node == self._node:
-            return self._local(node, request) if self._local is not None else None
         if not self._mesh.is_linked(node):
             return None
         try:
--- /dev/null
+++ b/standins/control_client.py
@@ -0,0 +1,104 @@
+"""A client of the control group over the mesh, for tests and measurements."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import anyio
+from anyio.from_thread import BlockingPortal, start_blocking_portal
+
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.core.ids import DataCentre, Incarnation, NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.proposals import Proposer
+from standins.group import MESH_KEY, Group
+
+__all__ = ["ControlClient", "make_mesh", "running_client"]
+
+TIMEOUT_S = 15.0
+LINK_POLL_S = 0.01
+
+
+def make_mesh(node: str) -> Mesh:
+    """Return a mesh that dials and does not listen."""
+    hello = Hello(
+        NodeId(node),
+        "loopback",
+        Incarnation(1),
+        DataCentre("bench"),
+        ("client",),
+        "127.0.0.1:1",
+        "127.0.0.1:1",
+    )
+    return Mesh(hello, MESH_KEY)
+
+
+@dataclass(slots=True)
+class ControlClient:
+    """Asks the control hosts of a group.
+
+    Attributes
+    ----------
+    portal : anyio.from_thread.BlockingPortal
+        Reaches the client's event loop.
+    mesh : Mesh
+        Links to the control hosts.
+    proposer : Proposer
+        Finds the leader.
+    """
+
+    portal: BlockingPortal
+    mesh: Mesh
+    proposer: Proposer
+
+    def propose(self, command: Message, timeout_s: float = TIMEOUT_S) -> Message:
+        """Put a command through the log."""
+        return self.portal.call(self.proposer.propose, command, timeout_s)
+
+    def ask(self, request: Message, timeout_s: float = TIMEOUT_S) -> Message:
+        """Ask the leader."""
+        return self.portal.call(self.proposer.ask, request, timeout_s)
+
+    def ask_node(self, node: str, request: Message) -> Message:
+        """Ask one control host."""
+        return self.portal.call(self._ask_linked, NodeId(node), request)
+
+    async def _ask_linked(self, node: NodeId, request: Message) -> Message:
+        with anyio.fail_after(TIMEOUT_S):
+            while not self.mesh.is_linked(node):
+                await anyio.sleep(LINK_POLL_S)
+        return await self.mesh.request(node, request, TIMEOUT_S)
+
+
+@contextmanager
+def running_client(group: Group) -> Iterator[ControlClient]:
+    """Run a client in a thread.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+
+    Yields
+    ------
+    ControlClient
+        Dialling the control hosts.
+    """
+    control = {
+        NodeId(node): host.mesh
+        for node, host in group.hosts.items()
+        if "control" in host.plan.roles
+    }
+    with start_blocking_portal() as portal:
+        mesh = make_mesh("control-client")
+        proposer = Proposer(mesh, tuple(control), monotonic_clock)
+        dials = [
+            portal.start_task_soon(mesh.dial, address) for address in control.values()
+        ]
+        try:
+            yield ControlClient(portal, mesh, proposer)
+        finally:
+            for dial in dials:
+                dial.cancel()
