--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -16,8 +16,9 @@
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import UpstreamsSection
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.membership.gossip import TableGossip
+from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
@@ -46,6 +47,10 @@
         Monotonic time.
     dispatcher : Dispatcher
         Connections to upstreams.
+    gossip : TableGossip
+        Keeps the tables of entry hosts and upstreams.
+    leases : LeaseKeeper
+        Renews the leases of upstreams.
     """
 
     def __init__(
@@ -55,12 +60,16 @@
         follower: SettingsFollower,
         dispatcher: Dispatcher,
         clock: Clock,
+        gossip: TableGossip,
+        leases: LeaseKeeper,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
         self._clock = clock
+        self._gossip = gossip
+        self._leases = leases
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -115,7 +124,12 @@
         follower = SettingsFollower(
             settings, mesh, config.node_id, control, local_settings, clock, rng
         )
-        runtime = cls(settings, records, follower, dispatcher, clock)
+        peers = board.add(PeersSection(config.node_id))
+        gossip = TableGossip(
+            peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
+        )
+        leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
+        runtime = cls(settings, records, follower, dispatcher, clock, gossip, leases)
         runner = RequestRunner(
             config.node_id,
             make_chooser(board, config.zone, clock, rng),
@@ -128,9 +142,8 @@
         )
         runtime.api = CallerApi(
             settings,
-            upstreams,
             records,
-            MembershipGossip(upstreams, mesh, clock),
+            leases,
             runner,
             metrics,
             config.upstream_keys,
@@ -157,9 +170,13 @@
             await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings until cancelled."""
-        await self._follower.run()
+        """Follow settings and membership until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._follower.run)
 
     async def close(self) -> None:
-        """Close connections to upstreams."""
+        """Tell the other entry hosts and close connections to upstreams."""
+        self._gossip.say_goodbye()
         await self._dispatcher.close()
