--- a/packages/cranberryfield-control/src/cranberryfield/control/claims/__init__.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/claims/__init__.py
@@ -1,9 +1,7 @@
 """Claims: each non-idempotent request runs at most once."""
 
-from cranberryfield.control.claims.machine import (
-    Claim,
-    ClaimTable,
-    apply_claim_command,
-)
+from cranberryfield.control.claims.clock import LogClock
+from cranberryfield.control.claims.machine import apply_claim_command
+from cranberryfield.control.claims.table import Claim, ClaimTable
 
-__all__ = ["Claim", "ClaimTable", "apply_claim_command"]
+__all__ = ["Claim", "ClaimTable", "LogClock", "apply_claim_command"]
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/claims/clock.py
@@ -0,0 +1,57 @@
+"""The log's clock: time that all replicas agree on."""
+
+from cranberryfield.core.ids import Term
+from cranberryfield.core.messages.claims import AdvanceClock
+
+__all__ = ["LogClock"]
+
+MS_PER_S = 1000
+
+
+class LogClock:
+    """Measures, on the leader, how far the log's clock is to be moved.
+
+    Notes
+    -----
+    Each leader counts from its own election, so the intervals of successive
+    leaders never overlap and the log's clock never runs faster than time. It
+    stands still while there is no leader.
+
+    Examples
+    --------
+    >>> clock = LogClock()
+    >>> clock.advance(Term(1), 10.0) is None
+    True
+    >>> clock.advance(Term(1), 10.25).elapsed_ms
+    250
+    >>> clock.advance(Term(2), 99.0) is None
+    True
+    """
+
+    def __init__(self):
+        self._term: Term | None = None
+        self._stamped_at = 0.0
+
+    def advance(self, term: Term, now: float) -> AdvanceClock | None:
+        """Return the command that goes before the next batch.
+
+        Parameters
+        ----------
+        term : Term
+            Term of which this replica is the leader.
+        now : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        AdvanceClock or None
+            None if less than a millisecond has passed.
+        """
+        if term != self._term:
+            self._term = term
+            self._stamped_at = now
+        elapsed_ms = int((now - self._stamped_at) * MS_PER_S)
+        if elapsed_ms < 1:
+            return None
+        self._stamped_at += elapsed_ms / MS_PER_S
+        return AdvanceClock(elapsed_ms)
--- a/packages/cranberryfield-control/src/cranberryfield/control/claims/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/claims/machine.py
@@ -1,165 +1,214 @@
 """Applies claim commands to the table of claims."""
 
-import msgspec
-
-from cranberryfield.core.errors import ErrorKind
-from cranberryfield.core.ids import (
-    Incarnation,
-    NodeId,
-    RequestKey,
-    UpstreamId,
-    WorkspaceId,
+from cranberryfield.control.claims.expired import has_room, is_expired
+from cranberryfield.control.claims.table import (
+    Claim,
+    ClaimTable,
+    Holder,
+    settle_claim,
+    sweep,
 )
-from cranberryfield.core.messages.commands import (
+from cranberryfield.core.errors import ErrorKind
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.messages.claims import (
+    AdvanceClock,
     ClaimState,
     ClaimView,
     CloseClaim,
+    FindClaim,
+    HolderRenewed,
     OpenClaim,
     RecordDispatch,
-    Refused,
+    RenewHolder,
 )
+from cranberryfield.core.messages.commands import Refused
+from cranberryfield.core.settings import EffectiveSettings
 
-__all__ = ["Claim", "ClaimTable", "apply_claim_command"]
-
-MAX_CLAIMS = 100_000
+__all__ = ["ClaimCommand", "apply_claim_command"]
 
-#: States from which a new attempt may start, since nothing has run.
-_NOT_RUN = (ClaimState.CLAIMED, ClaimState.RELEASED)
-
-
-class Claim(msgspec.Struct, array_like=True):
-    """One non-idempotent request.
-
-    Attributes
-    ----------
-    digest : bytes
-        Digest of the body.
-    state : ClaimState
-        Where the request stands.
-    attempt : int
-        Counts the claimers; a command of an older attempt has no effect.
-    node : NodeId
-        The claimer.
-    token : str
-        The claimer's token for this attempt.
-    upstream, incarnation
-        Where it was dispatched.
-    status, content_type, answer
-        The kept answer, once ANSWERED.
-    """
-
-    digest: bytes
-    state: ClaimState
-    attempt: int
-    node: NodeId
-    token: str
-    upstream: UpstreamId | None = None
-    incarnation: Incarnation | None = None
-    status: int = 0
-    content_type: str = ""
-    answer: bytes = b""
-
-
-class ClaimTable(msgspec.Struct, array_like=True):
-    """All claims, by workspace and key."""
+ClaimCommand = (
+    AdvanceClock | CloseClaim | FindClaim | OpenClaim | RecordDispatch | RenewHolder
+)
 
-    claims: dict[WorkspaceId, dict[RequestKey, Claim]] = msgspec.field(
-        default_factory=dict
-    )
-    count: int = 0
+#: Which ends may be recorded in which states. A late answer counts even after
+#: the outcome was given out as unknown.
+_MAY_CLOSE = {
+    ClaimState.ANSWERED: (ClaimState.DISPATCHED, ClaimState.UNKNOWN),
+    ClaimState.UNKNOWN: (ClaimState.CLAIMED, ClaimState.DISPATCHED),
+    ClaimState.RELEASED: (ClaimState.CLAIMED, ClaimState.DISPATCHED),
+}
 
 
 def apply_claim_command(
-    table: ClaimTable, command: OpenClaim | RecordDispatch | CloseClaim
-) -> ClaimView | Refused:
+    table: ClaimTable, command: ClaimCommand, settings: EffectiveSettings
+) -> ClaimView | HolderRenewed | AdvanceClock | Refused:
     """Apply one committed command.
 
     Parameters
     ----------
     table : ClaimTable
         Changed in place.
-    command : OpenClaim, RecordDispatch or CloseClaim
+    command : ClaimCommand
         The command; a resend has no further effect.
+    settings : EffectiveSettings
+        Those of the system level, for the bounds.
 
     Returns
     -------
-    ClaimView or Refused
+    ClaimView, HolderRenewed, AdvanceClock or Refused
         The claim after the command.
     """
-    if isinstance(command, OpenClaim):
-        return _open(table, command)
-    claim = table.claims.get(command.workspace, {}).get(command.key)
+    match command:
+        case AdvanceClock(elapsed_ms):
+            table.now_ms += max(0, elapsed_ms)
+            return command
+        case RenewHolder(node, session):
+            _renew(table, node, session, settings)
+            return HolderRenewed()
+        case OpenClaim():
+            return _open(table, command, settings)
+    claim = settle_claim(table, command.workspace, command.key)
     if claim is None:
-        return Refused(ErrorKind.UNKNOWN_REQUEST.value, "there is no such claim")
+        return _refuse_unknown(table, command)
+    if isinstance(command, FindClaim):
+        return _view(table, claim, granted=False)
     if claim.attempt != command.attempt or claim.token != command.token:
-        return _view(claim, granted=False)
+        return _view(table, claim, granted=False)
     if isinstance(command, RecordDispatch):
-        return _record_dispatch(claim, command)
-    return _close(claim, command)
+        return _record_dispatch(table, claim, command)
+    return _close(table, claim, command, settings)
 
 
-def _open(table: ClaimTable, command: OpenClaim) -> ClaimView | Refused:
-    keys = table.claims.setdefault(command.workspace, {})
-    claim = keys.get(command.key)
+def _renew(
+    table: ClaimTable, node: NodeId, session: str, settings: EffectiveSettings
+) -> None:
+    lease_ends_ms = table.now_ms + settings.claim_holder_lease_ms
+    table.holders[node] = Holder(session, lease_ends_ms)
+
+
+def _refuse_unknown(table: ClaimTable, command: ClaimCommand) -> Refused:
+    if is_expired(table.expired, command.workspace, command.key):
+        return _refuse_expired()
+    return Refused(ErrorKind.UNKNOWN_REQUEST.value, "there is no such claim")
+
+
+def _refuse_expired() -> Refused:
+    return Refused(
+        ErrorKind.KEY_EXPIRED.value, "the outcome under this key is no longer kept"
+    )
+
+
+def _open(
+    table: ClaimTable, command: OpenClaim, settings: EffectiveSettings
+) -> ClaimView | Refused:
+    sweep(table)
+    _renew(table, command.node, command.session, settings)
+    claim = settle_claim(table, command.workspace, command.key)
     if claim is None:
-        if table.count >= MAX_CLAIMS:
-            return Refused(ErrorKind.RECORDS_FULL.value, "the table of claims is full")
-        claim = Claim(
-            command.digest, ClaimState.CLAIMED, 1, command.node, command.token
-        )
-        keys[command.key] = claim
-        table.count += 1
-        return _view(claim, granted=True)
-    same_body = claim.digest == command.digest
-    if not same_body:
-        return _view(claim, granted=False, same_body=False)
+        return _open_new(table, command, settings)
+    if claim.digest != command.digest:
+        return _view(table, claim, granted=False, same_body=False)
     if claim.token == command.token:
-        return _view(claim, granted=claim.state is ClaimState.CLAIMED)
-    free = claim.state is ClaimState.RELEASED
-    if claim.state in _NOT_RUN and (free or command.take_over):
-        claim.state = ClaimState.CLAIMED
-        claim.attempt += 1
-        claim.node = command.node
-        claim.token = command.token
-        return _view(claim, granted=True)
-    return _view(claim, granted=False)
-
-
-def _record_dispatch(claim: Claim, command: RecordDispatch) -> ClaimView:
-    same = (claim.upstream, claim.incarnation) == (
-        command.upstream,
-        command.incarnation,
+        return _view(table, claim, granted=claim.state is ClaimState.CLAIMED)
+    if claim.state is not ClaimState.RELEASED:
+        return _view(table, claim, granted=False)
+    claim.state = ClaimState.CLAIMED
+    claim.attempt += 1
+    claim.dispatch = 0
+    claim.node = command.node
+    claim.session = command.session
+    claim.token = command.token
+    claim.retention_ms = command.retention_ms
+    claim.expires_at_ms = table.now_ms + settings.claim_lease_ms
+    return _view(table, claim, granted=True)
+
+
+def _open_new(
+    table: ClaimTable, command: OpenClaim, settings: EffectiveSettings
+) -> ClaimView | Refused:
+    if is_expired(table.expired, command.workspace, command.key):
+        return _refuse_expired()
+    if table.count >= settings.claim_limit:
+        return Refused(ErrorKind.RECORDS_FULL.value, "the table of claims is full")
+    room = settings.expired_key_limit - table.count
+    if not has_room(table.expired, command.key, room):
+        return Refused(
+            ErrorKind.RECORDS_FULL.value,
+            "no more keys can be remembered; a UUID of version 7 needs no memory",
+        )
+    claim = Claim(
+        command.digest,
+        ClaimState.CLAIMED,
+        1,
+        command.node,
+        command.session,
+        command.token,
+        command.retention_ms,
+        table.now_ms + settings.claim_lease_ms,
     )
-    if claim.state is ClaimState.DISPATCHED and same:
-        return _view(claim, granted=True)
-    if claim.state is not ClaimState.CLAIMED:
-        return _view(claim, granted=False)
+    table.claims.setdefault(command.workspace, {})[command.key] = claim
+    table.count += 1
+    return _view(table, claim, granted=True)
+
+
+def _record_dispatch(
+    table: ClaimTable, claim: Claim, command: RecordDispatch
+) -> ClaimView:
+    if claim.state is ClaimState.DISPATCHED and claim.dispatch == command.dispatch:
+        same = (claim.upstream, claim.incarnation) == (
+            command.upstream,
+            command.incarnation,
+        )
+        return _view(table, claim, granted=same)
+    is_open = claim.state in (ClaimState.CLAIMED, ClaimState.DISPATCHED)
+    if not is_open or command.dispatch != claim.dispatch + 1:
+        return _view(table, claim, granted=False)
     claim.state = ClaimState.DISPATCHED
+    claim.dispatch = command.dispatch
     claim.upstream = command.upstream
     claim.incarnation = command.incarnation
-    return _view(claim, granted=True)
+    claim.expires_at_ms = table.now_ms + command.run_ms
+    return _view(table, claim, granted=True)
 
 
-def _close(claim: Claim, command: CloseClaim) -> ClaimView:
+def _close(
+    table: ClaimTable, claim: Claim, command: CloseClaim, settings: EffectiveSettings
+) -> ClaimView:
     if claim.state is command.state:
-        return _view(claim, granted=True)
-    if claim.state not in (ClaimState.CLAIMED, ClaimState.DISPATCHED):
-        return _view(claim, granted=False)
+        return _view(table, claim, granted=True)
+    if claim.state not in _MAY_CLOSE[command.state]:
+        return _view(table, claim, granted=False)
     claim.state = command.state
+    claim.expires_at_ms = table.now_ms + claim.retention_ms
+    if command.state is ClaimState.ANSWERED:
+        _keep_answer(table, claim, command, settings)
+    return _view(table, claim, granted=True)
+
+
+def _keep_answer(
+    table: ClaimTable, claim: Claim, command: CloseClaim, settings: EffectiveSettings
+) -> None:
     claim.status = command.status
     claim.content_type = command.content_type
-    claim.answer = command.answer
-    return _view(claim, granted=True)
+    claim.answer_digest = command.answer_digest
+    size = len(command.answer or b"")
+    if table.answer_bytes + size <= settings.claim_memory_bytes:
+        claim.answer = command.answer
+        table.answer_bytes += size
 
 
-def _view(claim: Claim, granted: bool, same_body: bool = True) -> ClaimView:
+def _view(
+    table: ClaimTable, claim: Claim, granted: bool, same_body: bool = True
+) -> ClaimView:
     return ClaimView(
         granted,
         claim.state,
         claim.attempt,
         claim.node,
         same_body,
+        max(0, claim.expires_at_ms - table.now_ms),
         claim.status,
         claim.content_type,
         claim.answer,
+        claim.answer_digest,
     )
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/claims/tests/test_machine.py
@@ -0,0 +1,307 @@
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies
+
+from cranberryfield.control.claims import ClaimTable, apply_claim_command
+from cranberryfield.control.claims.expired import ExpiredKeys, add_expired, is_expired
+from cranberryfield.core.messages.claims import (
+    AdvanceClock,
+    ClaimState,
+    ClaimView,
+    CloseClaim,
+    FindClaim,
+    OpenClaim,
+    RecordDispatch,
+    RenewHolder,
+)
+from cranberryfield.core.messages.commands import Refused
+from cranberryfield.core.settings import EffectiveSettings
+
+NAME = ("notary", "booking-7")
+BOUNDS = EffectiveSettings(claim_lease_ms=3000, claim_holder_lease_ms=6000)
+ANSWERED, UNKNOWN, RELEASED = (
+    ClaimState.ANSWERED,
+    ClaimState.UNKNOWN,
+    ClaimState.RELEASED,
+)
+
+
+def opening(token, node="entry-1", session="s1", digest=b"d", name=NAME):
+    return OpenClaim(*name, digest, node, session, token, 10_000)
+
+
+def dispatch(token, attempt=1, number=1, run_ms=20_000):
+    return RecordDispatch(*NAME, attempt, token, number, "app-1", 1, run_ms)
+
+
+def closing(token, state, attempt=1, answer=b"ok"):
+    return CloseClaim(*NAME, attempt, token, state, 200, "text/plain", answer, b"h")
+
+
+def wait(ms):
+    return AdvanceClock(ms)
+
+
+FIND = FindClaim(*NAME)
+RENEW = RenewHolder("entry-1", "s1")
+RESTART = RenewHolder("entry-1", "s2")
+OPEN = opening("a")
+OTHER = opening("b", "entry-2", "t1")
+
+# Commands, then what the last one gives: granted and state, or a refusal.
+HISTORIES = [
+    ("first claim", [OPEN], (True, "claimed")),
+    ("resent command", [OPEN, OPEN], (True, "claimed")),
+    ("second claimer waits", [OPEN, OTHER], (False, "claimed")),
+    ("other body", [OPEN, opening("b", digest=b"e")], (False, "claimed")),
+    ("claimer's lease over", [OPEN, wait(3000), OTHER], (True, "claimed")),
+    ("claimer restarted", [OPEN, RESTART, OTHER], (True, "claimed")),
+    (
+        "old attempt after a takeover",
+        [OPEN, wait(3000), OTHER, dispatch("a")],
+        (False, "claimed"),
+    ),
+    ("dispatch in the lease", [OPEN, wait(2999), dispatch("a")], (True, "dispatched")),
+    ("dispatch too late", [OPEN, wait(3000), dispatch("a")], (False, "released")),
+    ("resend while it runs", [OPEN, dispatch("a"), OTHER], (False, "dispatched")),
+    ("holder gone", [OPEN, dispatch("a"), wait(6000), OTHER], (False, "unknown")),
+    (
+        "holder renews",
+        [OPEN, dispatch("a"), wait(5000), RENEW, wait(5000), OTHER],
+        (False, "dispatched"),
+    ),
+    ("holder restarted", [OPEN, dispatch("a"), RESTART, FIND], (False, "unknown")),
+    (
+        "past the deadline",
+        [OPEN, dispatch("a", run_ms=4000), wait(4000), RENEW, FIND],
+        (False, "unknown"),
+    ),
+    (
+        "late answer",
+        [OPEN, dispatch("a"), wait(6000), OTHER, closing("a", ANSWERED)],
+        (True, "answered"),
+    ),
+    (
+        "late proof changes no final answer",
+        [OPEN, dispatch("a"), wait(6000), OTHER, closing("a", RELEASED)],
+        (False, "unknown"),
+    ),
+    ("answer without a run", [OPEN, closing("a", ANSWERED)], (False, "claimed")),
+    (
+        "refused there, sent elsewhere",
+        [OPEN, dispatch("a"), dispatch("a", number=2)],
+        (True, "dispatched"),
+    ),
+    (
+        "old dispatch resent late",
+        [OPEN, dispatch("a"), dispatch("a", number=2), dispatch("a")],
+        (False, "dispatched"),
+    ),
+    (
+        "released and claimed again",
+        [OPEN, dispatch("a"), closing("a", RELEASED), OTHER],
+        (True, "claimed"),
+    ),
+    (
+        "answered",
+        [OPEN, dispatch("a"), closing("a", ANSWERED), OTHER],
+        (False, "answered"),
+    ),
+    (
+        "past retention",
+        [OPEN, dispatch("a"), closing("a", ANSWERED), wait(10_000), OTHER],
+        "key_expired",
+    ),
+    (
+        "past retention, looked up",
+        [OPEN, dispatch("a"), closing("a", UNKNOWN), wait(10_000), FIND, FIND],
+        "key_expired",
+    ),
+    (
+        "released past retention",
+        [OPEN, closing("a", RELEASED), wait(10_000), FIND],
+        "unknown_request",
+    ),
+    ("unknown", [FIND], "unknown_request"),
+]  # fmt: skip
+
+
+def apply_all(commands, bounds=BOUNDS, table=None):
+    table = table or ClaimTable()
+    results = [apply_claim_command(table, one, bounds) for one in commands]
+    return table, results[-1]
+
+
+@pytest.mark.parametrize(
+    ("commands", "expected"),
+    [row[1:] for row in HISTORIES],
+    ids=[row[0] for row in HISTORIES],
+)
+def test_history(commands, expected):
+    table, result = apply_all(commands)
+    if isinstance(result, Refused):
+        assert result.kind == expected
+    else:
+        assert (result.granted, result.state.value) == expected
+    copy = msgspec.convert(msgspec.to_builtins(table), ClaimTable)
+    assert copy == table
+    assert table.count == sum(len(keys) for keys in table.claims.values())
+
+
+def test_kept_answer_is_given_to_every_resend():
+    commands = [OPEN, dispatch("a"), closing("a", ANSWERED), OTHER]
+    _, view = apply_all(commands)
+    assert (view.status, view.answer, view.answer_digest) == (200, b"ok", b"h")
+
+
+def test_answers_are_bounded_but_their_digests_are_kept():
+    bounds = msgspec.structs.replace(BOUNDS, claim_memory_bytes=1)
+    commands = [OPEN, dispatch("a"), closing("a", ANSWERED), FIND]
+    _, view = apply_all(commands, bounds)
+    assert (view.answer, view.answer_digest) == (None, b"h")
+
+
+@pytest.mark.parametrize("bound", ["claim_limit", "expired_key_limit"])
+def test_full_table_refuses_new_keys_only(bound):
+    bounds = msgspec.structs.replace(BOUNDS, **{bound: 1})
+    new = opening("b", name=("notary", "booking-8"))
+    _, refused = apply_all([OPEN, new], bounds)
+    assert refused.kind == "records_full"
+    _, view = apply_all([OPEN, new, OPEN], bounds)
+    assert view.granted
+
+
+def test_sweep_forgets_claims_that_nobody_asks_for():
+    commands = [OPEN, dispatch("a"), closing("a", ANSWERED), wait(15_000)]
+    other = opening("b", name=("notary", "booking-8"))
+    table, _ = apply_all([*commands, other])
+    assert (table.count, table.answer_bytes, table.expired.count) == (1, 0, 1)
+
+
+def test_keys_with_a_time_expire_below_a_watermark():
+    keys = ExpiredKeys()
+    older, known, newer = (
+        f"{ms >> 16:08x}-{ms & 0xFFFF:04x}-7000-8000-000000000000"
+        for ms in (1_000_000, 2_000_000, 3_000_000)
+    )
+    add_expired(keys, "notary", known)
+    expired = [is_expired(keys, "notary", key) for key in (older, known, newer)]
+    assert (expired, keys.count) == ([True, True, False], 0)
+    assert not is_expired(keys, "releve", older)
+
+
+@dataclass
+class Claimer:
+    """What one try at one host has sent and heard; it may end at any time."""
+
+    token: str
+    waits_for: object
+    attempt: int = 0
+    number: int = 0
+    has_run: bool = False
+
+
+class AnyOrder:
+    """Commands arrive in any order, any number of times, from any try."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.table = ClaimTable()
+        self.sent = []
+        self.claimers = []
+        self.runs = 0
+        self.has_expired = False
+
+    def step(self):
+        actions = [self.try_again, self.pass_time, self.renew, self.look_up]
+        actions += [self.give_up_waiting, self.deliver_last, self.deliver_any]
+        self.rng.choices(actions, [3, 2, 2, 1, 1, 10, 6])[0]()
+
+    def send(self, claimer, command):
+        claimer.waits_for = command
+        self.sent.append((claimer, command))
+
+    def try_again(self):
+        token = f"t{len(self.claimers)}"
+        claimer = Claimer(token, None)
+        self.claimers.append(claimer)
+        self.send(claimer, opening(token, self.rng.choice(["entry-1", "entry-2"])))
+
+    def pass_time(self):
+        self.apply(AdvanceClock(self.rng.choice([100, 100, 1000, 3000, 7000])))
+
+    def renew(self):
+        node = self.rng.choice(["entry-1", "entry-2"])
+        self.apply(RenewHolder(node, self.rng.choice(["s1", "s1", "s2"])))
+
+    def look_up(self):
+        view = self.apply(FIND)
+        if isinstance(view, ClaimView) and view.state is RELEASED:
+            assert self.runs == 0
+
+    def deliver_last(self):
+        if self.sent:
+            self.deliver(len(self.sent) - 1)
+
+    def deliver_any(self):
+        if self.sent:
+            self.deliver(self.rng.randrange(len(self.sent)))
+
+    def deliver(self, place):
+        claimer, command = self.sent[place]
+        result = self.apply(command)
+        if claimer.waits_for is command:
+            self.hear(claimer, command, result)
+
+    def give_up_waiting(self):
+        if not self.claimers:
+            return
+        claimer = self.rng.choice(self.claimers)
+        if isinstance(claimer.waits_for, RecordDispatch):
+            self.send(claimer, closing(claimer.token, RELEASED, claimer.attempt))
+        claimer.waits_for = None
+
+    def hear(self, claimer, command, result):
+        claimer.waits_for = None
+        if not isinstance(result, ClaimView) or not result.granted:
+            return
+        if isinstance(command, OpenClaim):
+            assert self.runs == 0
+            assert not self.has_expired
+            claimer.attempt = result.attempt
+        if isinstance(command, RecordDispatch) and not self.attempt_fails(claimer):
+            return
+        if not isinstance(command, CloseClaim):
+            claimer.number += 1
+            number, attempt = claimer.number, claimer.attempt
+            self.send(claimer, dispatch(claimer.token, attempt, number, 8000))
+
+    def attempt_fails(self, claimer):
+        """Run it, perhaps; say whether it is proved not run and tried again."""
+        outcome = self.rng.choices(["ran", "refused", "released", "died"], [3, 3, 2, 1])
+        match outcome[0]:
+            case "ran":
+                self.runs += 1
+                assert self.runs == 1
+                end = self.rng.choice([ANSWERED, UNKNOWN])
+                self.send(claimer, closing(claimer.token, end, claimer.attempt))
+            case "released":
+                self.send(claimer, closing(claimer.token, RELEASED, claimer.attempt))
+        return outcome[0] == "refused"
+
+    def apply(self, command):
+        result = apply_claim_command(self.table, command, BOUNDS)
+        if isinstance(result, Refused) and result.kind == "key_expired":
+            self.has_expired = True
+        return result
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(seed=strategies.integers(0, 2**32))
+def test_no_order_of_commands_runs_a_key_twice(seed):
+    order = AnyOrder(Random(seed))
+    for _ in range(80):
+        order.step()
--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -3,17 +3,12 @@
 import msgspec
 
 from cranberryfield.control.claims import ClaimTable, apply_claim_command
+from cranberryfield.control.claims.machine import ClaimCommand
 from cranberryfield.control.settings import SettingsState, apply_change
 from cranberryfield.core.errors import ErrorKind
 from cranberryfield.core.messages.base import Message
-from cranberryfield.core.messages.commands import (
-    ChangeSettings,
-    CloseClaim,
-    Noop,
-    OpenClaim,
-    RecordDispatch,
-    Refused,
-)
+from cranberryfield.core.messages.commands import ChangeSettings, Noop, Refused
+from cranberryfield.core.settings import effective_settings
 
 __all__ = ["ControlState", "apply_command"]
 
@@ -43,8 +38,9 @@
     match command:
         case ChangeSettings():
             return apply_change(state.settings, command)
-        case OpenClaim() | RecordDispatch() | CloseClaim():
-            return apply_claim_command(state.claims, command)
         case Noop():
             return command
+    if isinstance(command, ClaimCommand):
+        bounds = effective_settings(state.settings.tree, None, None)
+        return apply_claim_command(state.claims, command, bounds)
     return Refused(ErrorKind.PROTOCOL.value, "no command of the log")
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -8,6 +8,7 @@
 import anyio
 import structlog
 
+from cranberryfield.control.claims import LogClock
 from cranberryfield.control.consensus import (
     Action,
     ApplyEntries,
@@ -30,7 +31,7 @@
 from cranberryfield.core.ids import LogIndex, NodeId, Term
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.base import Message
-from cranberryfield.core.messages.codec import decode_message
+from cranberryfield.core.messages.codec import decode_message, encode_message
 from cranberryfield.core.messages.commands import ProposalRedirected, Propose
 from cranberryfield.core.messages.consensus import (
     AppendReply,
@@ -108,6 +109,7 @@
         self._proposals: deque[_Proposal] = deque()
         self._in_flight: dict[LogIndex, _Proposal] = {}
         self._followers: set[NodeId] = set()
+        self._log_clock = LogClock()
         self._wake = anyio.Event()
         for kind in (VoteRequest, VoteReply, AppendRequest, AppendReply):
             mesh.handle(kind, self._on_consensus_message)
@@ -204,11 +206,13 @@
             return []
         count = min(len(self._proposals), MAX_COMMANDS_PER_BATCH)
         batch = [self._proposals.popleft() for _ in range(count)]
-        first = replica.log.last_index + 1
+        stamp = self._log_clock.advance(replica.term, now)
+        stamps = (encode_message(stamp),) if stamp else ()
+        first = replica.log.last_index + 1 + len(stamps)
         for offset, proposal in enumerate(batch):
             proposal.term = replica.term
             self._in_flight[LogIndex(first + offset)] = proposal
-        commands = tuple(proposal.command for proposal in batch)
+        commands = (*stamps, *(proposal.command for proposal in batch))
         return step(replica, Proposed(commands), now)
 
     def _redirect_waiting(self) -> None:
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -9,6 +9,7 @@
 
 from cranberryfield.core.errors import ErrorKind, ProtocolError
 from cranberryfield.core.messages import (
+    claims,
     commands,
     consensus,
     links,
@@ -31,7 +32,7 @@
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 
-_MODULES = (commands, consensus, links, membership, settings)
+_MODULES = (claims, commands, consensus, links, membership, settings)
 _MESSAGE_TYPES = tuple(
     value
     for module in _MODULES
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
@@ -1,30 +1,15 @@
 """Commands of the replicated log and their results."""
 
-from enum import Enum
-
-from cranberryfield.core.ids import (
-    ChangeId,
-    Incarnation,
-    NodeId,
-    RequestKey,
-    Revision,
-    UpstreamId,
-    WorkspaceId,
-)
+from cranberryfield.core.ids import ChangeId, NodeId, Revision
 from cranberryfield.core.messages.base import Message, NestedRecord
 from cranberryfield.core.settings.schema import SettingValue
 
 __all__ = [
     "ChangeSettings",
-    "ClaimState",
-    "ClaimView",
-    "CloseClaim",
     "LevelEdit",
     "Noop",
-    "OpenClaim",
     "ProposalRedirected",
     "Propose",
-    "RecordDispatch",
     "Refused",
     "SettingsAccepted",
 ]
@@ -80,107 +65,6 @@
     revision: Revision
 
 
-class ClaimState(Enum):
-    """States of a non-idempotent request's claim."""
-
-    CLAIMED = "claimed"
-    DISPATCHED = "dispatched"
-    ANSWERED = "answered"
-    UNKNOWN = "unknown"
-    RELEASED = "released"
-
-
-class OpenClaim(Message):
-    """Claims the right to run a non-idempotent request once.
-
-    Attributes
-    ----------
-    workspace, key : str
-        Name of the request.
-    digest : bytes
-        Digest of the body.
-    node : NodeId
-        The claimer.
-    token : str
-        Unique to this try, so that a resent command is recognised.
-    take_over : bool
-        Whether a claim that has not been dispatched may be taken from its
-        holder.
-    """
-
-    workspace: WorkspaceId
-    key: RequestKey
-    digest: bytes
-    node: NodeId
-    token: str
-    take_over: bool = False
-
-
-class RecordDispatch(Message):
-    """Moves a claim to DISPATCHED; the run may start once this is committed."""
-
-    workspace: WorkspaceId
-    key: RequestKey
-    attempt: int
-    token: str
-    upstream: UpstreamId
-    incarnation: Incarnation
-
-
-class CloseClaim(Message):
-    """Records the end of an attempt.
-
-    Attributes
-    ----------
-    state : ClaimState
-        ANSWERED, UNKNOWN or RELEASED.
-    status : int
-        HTTP status of the answer.
-    content_type : str
-        Media type of the answer.
-    answer : bytes
-        The kept answer.
-    """
-
-    workspace: WorkspaceId
-    key: RequestKey
-    attempt: int
-    token: str
-    state: ClaimState
-    status: int = 0
-    content_type: str = ""
-    answer: bytes = b""
-
-
-class ClaimView(Message):
-    """Result of a claim command.
-
-    Attributes
-    ----------
-    granted : bool
-        Whether the command took effect for its sender.
-    state : ClaimState
-        The claim's state after the command.
-    attempt : int
-        The claim's attempt number.
-    node : NodeId
-        The claim's holder.
-    same_body : bool
-        Whether the sender's digest is the claim's.
-    status, content_type, answer
-        The kept answer, once ANSWERED.
-    """
-
-    granted: bool
-    state: ClaimState
-    attempt: int
-    node: NodeId
-    same_body: bool = True
-    status: int = 0
-    content_type: str = ""
-    answer: bytes = b""
-
-
 class Refused(Message):
     """Result of a command that changed nothing.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
@@ -63,6 +63,17 @@
         Memory for request records on one entry host, in bytes.
     claim_limit : int
         Claims kept in the replicated log's state.
+    claim_memory_bytes, kept_answer_bytes : int
+        Memory for answers in the replicated log's state, and the largest
+        answer that is kept there, in bytes.
+    expired_key_limit : int
+        Keys without a time of their own that are remembered after their
+        claims have expired.
+    claim_lease_ms : int
+        Time for a claimer to begin its run, in milliseconds.
+    claim_holder_lease_ms : int
+        A process that holds claims and has not renewed for this long is taken
+        for gone, in milliseconds.
     retry_budget : float
         Retries allowed per first attempt, as a ratio.
     silence_factor : float
@@ -89,6 +100,11 @@
     retention_ms: Milliseconds = 600_000
     record_memory_bytes: Bytes = 8 << 20
     claim_limit: Count = 100_000
+    claim_memory_bytes: Bytes = 16 << 20
+    kept_answer_bytes: Bytes = 16 << 10
+    expired_key_limit: Count = 1_000_000
+    claim_lease_ms: Milliseconds = 3_000
+    claim_holder_lease_ms: Milliseconds = 6_000
     retry_budget: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
     silence_factor: Annotated[float, msgspec.Meta(ge=2, le=1000)] = 8.0
     first_token_target_ms: Milliseconds = 340
@@ -117,6 +133,11 @@
     "priority_classes": _SYSTEM_ONLY,
     "record_memory_bytes": _SYSTEM_ONLY,
     "claim_limit": _SYSTEM_ONLY,
+    "claim_memory_bytes": _SYSTEM_ONLY,
+    "kept_answer_bytes": _SYSTEM_ONLY,
+    "expired_key_limit": _SYSTEM_ONLY,
+    "claim_lease_ms": _SYSTEM_ONLY,
+    "claim_holder_lease_ms": _SYSTEM_ONLY,
     "retry_budget": _SERVICE_WIDE,
     "silence_factor": _SERVICE_WIDE,
     "share": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
@@ -9,7 +9,12 @@
 from starlette.routing import Route
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.errors import CallerError, ErrorKind, UnavailableError
+from cranberryfield.core.errors import (
+    CallerError,
+    ErrorKind,
+    UnavailableError,
+    WasRun,
+)
 from cranberryfield.core.http import (
     decode_json,
     problem_response,
@@ -26,10 +31,16 @@
 )
 from cranberryfield.entry.callers.auth import workspace_of_key
 from cranberryfield.entry.callers.parse import (
+    KEY_HEADER,
     last_event_id,
     parse_completion,
     parse_service_call,
 )
+from cranberryfield.entry.callers.views import (
+    is_settled_here,
+    view_of_claim,
+    view_of_record,
+)
 from cranberryfield.entry.membership import (
     Announcement,
     Leave,
@@ -39,6 +50,7 @@
 )
 from cranberryfield.entry.membership.gossip import MembershipGossip
 from cranberryfield.entry.requests import RecordsSection, Request, RequestRecord
+from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 
@@ -50,17 +62,6 @@
 JSON = "application/json"
 
 
-class RequestView(msgspec.Struct):
-    """Body of ``GET /v1/requests/{key}``."""
-
-    key: str
-    service: str
-    state: str
-    events: int
-    kind: str | None = None
-    was_run: str | None = None
-
-
 class CallerApi:
     """Endpoints of the entry role.
 
@@ -76,6 +77,8 @@
         Passes announcements on.
     runner : RequestRunner
         Runs requests.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
     metrics : Metrics
         Counters and histograms.
     upstream_keys : tuple of str
@@ -95,6 +98,7 @@
         records: RecordsSection,
         gossip: MembershipGossip,
         runner: RequestRunner,
+        claims: ClaimKeeper,
         metrics: Metrics,
         upstream_keys: tuple[str, ...],
         is_ready: Callable[[], bool],
@@ -106,6 +110,7 @@
         self._records = records
         self._gossip = gossip
         self._runner = runner
+        self._claims = claims
         self._metrics = metrics
         self._upstream_keys = upstream_keys
         self._is_ready = is_ready
@@ -127,16 +132,20 @@
             Route("/upstreams/leave", self._leave, methods=["POST"]),
         ]
 
-    def _refuse_unless_ready(self) -> None:
+    def _refuse_unless_ready(self, http: HttpRequest) -> None:
         if not self._is_ready():
+            # Another host may have run a request that has a key.
+            has_key = KEY_HEADER in http.headers
             raise UnavailableError(
-                ErrorKind.NOT_READY, "this host takes no new requests"
+                ErrorKind.NOT_READY,
+                "this host takes no new requests",
+                was_run=WasRun.UNKNOWN if has_key else WasRun.NO,
             )
 
     async def _completion(self, http: HttpRequest) -> Response:
         tree = self._settings.tree
         workspace = workspace_of_key(http, tree)
-        self._refuse_unless_ready()
+        self._refuse_unless_ready(http)
         body = await read_body(http, MAX_ANY_BODY_BYTES)
         after = last_event_id(http)
         now = self._clock()
@@ -186,7 +195,7 @@
     async def _service_call(self, http: HttpRequest) -> Response:
         tree = self._settings.tree
         workspace = workspace_of_key(http, tree)
-        self._refuse_unless_ready()
+        self._refuse_unless_ready(http)
         body = await read_body(http, MAX_ANY_BODY_BYTES)
         request = parse_service_call(http, body, tree, workspace, self._clock())
         record = self._open(request)
@@ -202,17 +211,10 @@
         workspace = workspace_of_key(http, self._settings.tree)
         key = RequestKey(http.path_params["key"])
         record = self._records.records.get((workspace, key))
-        if record is None:
-            raise CallerError(ErrorKind.UNKNOWN_REQUEST, f"no request {key!r} is known")
-        error = record.error
-        view = RequestView(
-            key,
-            record.request.service,
-            record.state.value,
-            len(record.events),
-            error.kind.value if error else None,
-            error.was_run.value if error else None,
-        )
+        if record is not None and is_settled_here(record):
+            view = view_of_record(key, record)
+        else:
+            view = view_of_claim(key, await self._claims.find(workspace, key))
         return Response(msgspec.json.encode(view), media_type=JSON)
 
     async def _announce(self, http: HttpRequest) -> Response:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/parse.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/parse.py
@@ -18,6 +18,7 @@
 from cranberryfield.entry.requests.request import Request, body_digest
 
 __all__ = [
+    "KEY_HEADER",
     "CompletionBody",
     "last_event_id",
     "parse_completion",
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/views.py
@@ -0,0 +1,127 @@
+"""What ``GET /v1/requests/{key}`` shows of a request."""
+
+from base64 import b64encode
+
+import msgspec
+
+from cranberryfield.core.errors import CranberryfieldError, ErrorKind, WasRun
+from cranberryfield.core.ids import RequestKey
+from cranberryfield.core.messages.claims import ClaimState, ClaimView
+from cranberryfield.entry.requests.claims import refusal_of_claim
+from cranberryfield.entry.requests.records import Outcome, RequestRecord, RequestState
+
+__all__ = [
+    "OutcomeView",
+    "RequestView",
+    "is_settled_here",
+    "view_of_claim",
+    "view_of_record",
+]
+
+
+class OutcomeView(msgspec.Struct):
+    """A whole answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    content_type : str
+        Media type; an event stream's body holds its events, one a line.
+    body : str
+        The body, as text or as base64.
+    is_base64 : bool
+        Whether the body is no UTF-8.
+    """
+
+    status: int
+    content_type: str
+    body: str
+    is_base64: bool = False
+
+
+class RequestView(msgspec.Struct):
+    """Body of ``GET /v1/requests/{key}``."""
+
+    key: str
+    state: str
+    service: str | None = None
+    events: int | None = None
+    kind: str | None = None
+    was_run: str | None = None
+    outcome: OutcomeView | None = None
+
+
+def is_settled_here(record: RequestRecord) -> bool:
+    """Say whether a record tells all there is to know of its request."""
+    if record.request.idempotent:
+        return True
+    return record.state is not RequestState.FAILED
+
+
+def view_of_record(key: RequestKey, record: RequestRecord) -> RequestView:
+    """Show a record of this host."""
+    error = record.error
+    outcome = None
+    if record.state is RequestState.ANSWERED:
+        outcome = _outcome_view(record.as_outcome())
+    return RequestView(
+        key,
+        record.state.value,
+        record.request.service,
+        len(record.events),
+        error.kind.value if error else None,
+        error.was_run.value if error else None,
+        outcome,
+    )
+
+
+def view_of_claim(key: RequestKey, claim: ClaimView) -> RequestView:
+    """Show a claim, of a request that any host may have run.
+
+    Parameters
+    ----------
+    key : RequestKey
+        The key.
+    claim : ClaimView
+        Its claim.
+
+    Returns
+    -------
+    RequestView
+        Without the service, which a claim does not name.
+
+    Examples
+    --------
+    >>> view = ClaimView(False, ClaimState.RELEASED, 1, "entry-1")
+    >>> view_of_claim("k", view).was_run
+    'no'
+    """
+    match claim.state:
+        case ClaimState.CLAIMED | ClaimState.DISPATCHED:
+            return RequestView(key, RequestState.RUNNING.value)
+        case ClaimState.ANSWERED:
+            answered = RequestView(key, RequestState.ANSWERED.value)
+            if claim.answer is not None:
+                kept = Outcome(claim.status, claim.content_type, claim.answer)
+                answered.outcome = _outcome_view(kept)
+            return answered
+        case ClaimState.RELEASED:
+            return _failed_view(key, ErrorKind.UPSTREAM_FAILED, WasRun.NO)
+    error: CranberryfieldError = refusal_of_claim(claim)
+    return _failed_view(key, error.kind, error.was_run)
+
+
+def _failed_view(key: RequestKey, kind: ErrorKind, was_run: WasRun) -> RequestView:
+    return RequestView(
+        key, RequestState.FAILED.value, kind=kind.value, was_run=was_run.value
+    )
+
+
+def _outcome_view(outcome: Outcome) -> OutcomeView:
+    try:
+        text = outcome.body.decode()
+    except UnicodeDecodeError:
+        text = b64encode(outcome.body).decode()
+        return OutcomeView(outcome.status, outcome.content_type, text, True)
+    return OutcomeView(outcome.status, outcome.content_type, text)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/claims.py
@@ -0,0 +1,347 @@
+"""Claims of non-idempotent requests, as an entry host holds them."""
+
+from collections import deque
+from dataclasses import dataclass
+from uuid import uuid4
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import (
+    CallerError,
+    CranberryfieldError,
+    ErrorKind,
+    UnavailableError,
+    WasRun,
+    error_of_kind,
+)
+from cranberryfield.core.ids import NodeId, RequestKey, WorkspaceId
+from cranberryfield.core.messages.claims import (
+    ClaimState,
+    ClaimView,
+    CloseClaim,
+    FindClaim,
+    OpenClaim,
+    RecordDispatch,
+    RenewHolder,
+)
+from cranberryfield.core.proposals import Proposer
+from cranberryfield.entry.membership import KnownUpstream
+from cranberryfield.entry.requests.records import Outcome, answer_digest
+from cranberryfield.entry.requests.request import Request
+
+__all__ = ["ClaimKeeper", "HeldClaim"]
+
+CLAIM_TIMEOUT_S = 3.0
+FIND_TIMEOUT_S = 1.0
+RENEW_INTERVAL_S = 1.0
+#: Longest time from asking for a dispatch to its start, in seconds.
+START_BOUND_S = 2.0
+#: How much longer than its deadline a run is waited for, in milliseconds.
+RUN_GRACE_MS = 5_000
+MS_PER_S = 1000
+#: Refusals of a command that say the same each time.
+_FINAL = frozenset(
+    {ErrorKind.UNKNOWN_REQUEST, ErrorKind.KEY_EXPIRED, ErrorKind.RECORDS_FULL}
+)
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class HeldClaim:
+    """A claim that this process was granted.
+
+    Attributes
+    ----------
+    token : str
+        Unique to this grant.
+    attempt : int
+        The claim's attempt number.
+    dispatch : int
+        Dispatches asked for so far.
+    """
+
+    token: str
+    attempt: int
+    dispatch: int = 0
+
+
+class ClaimKeeper:
+    """Opens, renews and closes claims through the replicated log.
+
+    Parameters
+    ----------
+    node : NodeId
+        This process.
+    proposer : Proposer
+        Puts commands through the log.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, node: NodeId, proposer: Proposer, clock: Clock):
+        self._node = node
+        self._proposer = proposer
+        self._clock = clock
+        self._session = uuid4().hex
+        self._held = 0
+        self._unclosed: deque[tuple[float, CloseClaim]] = deque()
+
+    @property
+    def unclosed(self) -> int:
+        """Number of ends that the log has not taken yet."""
+        return len(self._unclosed)
+
+    async def open(self, request: Request) -> HeldClaim | ClaimView:
+        """Claim the right to run a request.
+
+        Parameters
+        ----------
+        request : Request
+            A non-idempotent request.
+
+        Returns
+        -------
+        HeldClaim or ClaimView
+            The claim if it was granted, which proves that nothing has run
+            under the key; otherwise the claim with the kept answer.
+
+        Raises
+        ------
+        CranberryfieldError
+            If there is neither; `was_run` speaks of all runs under the key.
+        """
+        token = uuid4().hex
+        command = OpenClaim(
+            request.workspace,
+            request.key,
+            request.digest,
+            self._node,
+            self._session,
+            token,
+            request.settings.retention_ms,
+        )
+        try:
+            view = await self._proposer.propose(command, CLAIM_TIMEOUT_S)
+        except CranberryfieldError as error:
+            raise _not_proved(error) from error
+        if view.granted:
+            self._held += 1
+            return HeldClaim(token, view.attempt)
+        if view.state is ClaimState.ANSWERED and view.same_body:
+            return view
+        raise refusal_of_claim(view)
+
+    async def record_dispatch(
+        self, request: Request, claim: HeldClaim, upstream: KnownUpstream
+    ) -> bool:
+        """Record where a run is about to start.
+
+        Parameters
+        ----------
+        request : Request
+            The request.
+        claim : HeldClaim
+            Its claim; an earlier dispatch under it must be proved not run.
+        upstream : KnownUpstream
+            Where the run is to start.
+
+        Returns
+        -------
+        bool
+            Whether the run may start now. False if so much time has passed
+            that it must not any more.
+
+        Raises
+        ------
+        UnavailableError
+            If the dispatch was not recorded. Then nothing may start.
+        """
+        asked_at = self._clock()
+        claim.dispatch += 1
+        remaining_ms = max(0, int((request.deadline - asked_at) * MS_PER_S))
+        command = RecordDispatch(
+            request.workspace,
+            request.key,
+            claim.attempt,
+            claim.token,
+            claim.dispatch,
+            upstream.record.upstream,
+            upstream.record.incarnation,
+            remaining_ms + RUN_GRACE_MS,
+        )
+        view = await self._proposer.propose(command, CLAIM_TIMEOUT_S)
+        if not view.granted:
+            raise UnavailableError(
+                ErrorKind.KEY_BUSY,
+                "another node took the request",
+                retry_after_s=1.0,
+            )
+        return self._clock() < min(request.deadline, asked_at + START_BOUND_S)
+
+    async def close(
+        self,
+        request: Request,
+        claim: HeldClaim,
+        state: ClaimState,
+        outcome: Outcome | None = None,
+    ) -> None:
+        """Record how an attempt ended, now or as soon as there is a quorum.
+
+        Parameters
+        ----------
+        request : Request
+            The request.
+        claim : HeldClaim
+            Its claim; no longer held afterwards.
+        state : ClaimState
+            ANSWERED, UNKNOWN or RELEASED.
+        outcome : Outcome, optional
+            The answer.
+        """
+        command = _close_command(request, claim, state, outcome)
+        keep_until = self._clock() + request.settings.retention_ms / MS_PER_S
+        if await self._is_taken(command):
+            self._held -= 1
+        else:
+            self._unclosed.append((keep_until, command))
+
+    async def find(self, workspace: WorkspaceId, key: RequestKey) -> ClaimView:
+        """Look a claim up.
+
+        Parameters
+        ----------
+        workspace, key : str
+            Name of the request.
+
+        Returns
+        -------
+        ClaimView
+            The claim.
+
+        Raises
+        ------
+        CranberryfieldError
+            Of kind ``unknown_request``, ``key_expired`` or ``no_quorum``.
+        """
+        return await self._proposer.propose(FindClaim(workspace, key), FIND_TIMEOUT_S)
+
+    async def checked_refusal(
+        self, request: Request, error: CranberryfieldError
+    ) -> CranberryfieldError:
+        """Make a refusal true that was given before the claim was known.
+
+        Parameters
+        ----------
+        request : Request
+            A non-idempotent request.
+        error : CranberryfieldError
+            Its refusal, which says that it was not run.
+
+        Returns
+        -------
+        CranberryfieldError
+            The same, but saying ``unknown`` unless the log shows that no
+            other host has run the request either.
+        """
+        if error.was_run is not WasRun.NO:
+            return error
+        try:
+            view = await self.find(request.workspace, request.key)
+        except CranberryfieldError as failure:
+            if failure.kind is ErrorKind.UNKNOWN_REQUEST:
+                return error
+            return _not_proved(error)
+        return error if view.state is ClaimState.RELEASED else _not_proved(error)
+
+    async def run(self) -> None:
+        """Renew this process's lease and resend ends until cancelled."""
+        while True:
+            await anyio.sleep(RENEW_INTERVAL_S)
+            if self._held:
+                await self._renew()
+            await self._close_again()
+
+    async def _renew(self) -> None:
+        command = RenewHolder(self._node, self._session)
+        try:
+            await self._proposer.propose(command, RENEW_INTERVAL_S)
+        except CranberryfieldError as error:
+            logger.warning("claim lease not renewed", error=error.detail)
+
+    async def _close_again(self) -> None:
+        for _ in range(len(self._unclosed)):
+            keep_until, command = self._unclosed[0]
+            if self._clock() < keep_until and not await self._is_taken(command):
+                return
+            self._unclosed.popleft()
+            self._held -= 1
+
+    async def _is_taken(self, command: CloseClaim) -> bool:
+        try:
+            await self._proposer.propose(command, CLAIM_TIMEOUT_S)
+        except CranberryfieldError as error:
+            logger.warning("claim not closed", key=command.key, error=error.detail)
+            return error.kind in _FINAL
+        return True
+
+
+def _close_command(
+    request: Request, claim: HeldClaim, state: ClaimState, outcome: Outcome | None
+) -> CloseClaim:
+    name = (request.workspace, request.key, claim.attempt, claim.token, state)
+    if outcome is None:
+        return CloseClaim(*name)
+    is_small = len(outcome.body) <= request.settings.kept_answer_bytes
+    return CloseClaim(
+        *name,
+        outcome.status,
+        outcome.content_type,
+        outcome.body if is_small else None,
+        answer_digest(outcome),
+    )
+
+
+def refusal_of_claim(view: ClaimView) -> CranberryfieldError:
+    """Return the refusal that follows from a claim without an answer.
+
+    Parameters
+    ----------
+    view : ClaimView
+        A claim that was not granted.
+
+    Returns
+    -------
+    CranberryfieldError
+        Of kind ``key_reused``, ``outcome_unknown`` or ``key_busy``.
+
+    Examples
+    --------
+    >>> view = ClaimView(False, ClaimState.UNKNOWN, 1, "entry-1")
+    >>> refusal_of_claim(view).kind.value
+    'outcome_unknown'
+    """
+    if not view.same_body:
+        return CallerError(ErrorKind.KEY_REUSED, "the key stands for another request")
+    if view.state is ClaimState.UNKNOWN:
+        return UnavailableError(
+            ErrorKind.OUTCOME_UNKNOWN, "an earlier attempt may have run"
+        )
+    return UnavailableError(
+        ErrorKind.KEY_BUSY,
+        f"the request is being run from {view.node}",
+        retry_after_s=1.0,
+    )
+
+
+def _not_proved(error: CranberryfieldError) -> CranberryfieldError:
+    if error.kind is ErrorKind.RECORDS_FULL or error.was_run is not WasRun.NO:
+        return error
+    return error_of_kind(
+        error.kind,
+        error.detail,
+        was_run=WasRun.UNKNOWN,
+        retry_after_s=error.retry_after_s,
+    )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/records.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/records.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from hashlib import blake2b
 
 import anyio
 
@@ -10,12 +11,20 @@
     CranberryfieldError,
     ErrorKind,
     UnavailableError,
+    WasRun,
 )
 from cranberryfield.core.ids import RequestKey, WorkspaceId
 from cranberryfield.entry.requests.request import Request
 
-__all__ = ["Outcome", "RecordsSection", "RequestRecord", "RequestState"]
+__all__ = [
+    "Outcome",
+    "RecordsSection",
+    "RequestRecord",
+    "RequestState",
+    "answer_digest",
+]
 
+ANSWER_DIGEST_BYTES = 16
 RECORD_OVERHEAD_BYTES = 512
 EVENT_STREAM = "text/event-stream"
 
@@ -37,6 +46,14 @@
     body: bytes
 
 
+def answer_digest(outcome: Outcome) -> bytes:
+    """Return the digest by which a kept answer is recognised, 16 bytes."""
+    hasher = blake2b(digest_size=ANSWER_DIGEST_BYTES)
+    hasher.update(f"{outcome.status} {outcome.content_type}\n".encode())
+    hasher.update(outcome.body)
+    return hasher.digest()
+
+
 class RequestRecord:
     """The answer to one request, as far as it is known.
 
@@ -121,7 +138,7 @@
         if outcome.content_type != EVENT_STREAM:
             self.finish(now, outcome)
             return
-        self._events = outcome.body.split(b"\n")
+        self._events = outcome.body.split(b"\n") if outcome.body else []
         self.finish(now)
 
     async def wait_change(self) -> None:
@@ -193,9 +210,13 @@
             raise UnavailableError(
                 ErrorKind.RECORDS_FULL,
                 "no memory for one more request record",
+                was_run=WasRun.UNKNOWN if request.has_caller_key else WasRun.NO,
                 retry_after_s=1.0,
             )
 
 
 def _may_run_again(record: RequestRecord) -> bool:
-    return record.state is RequestState.FAILED and record.error.answer.retry
+    if record.state is not RequestState.FAILED:
+        return False
+    # What stands under a non-idempotent key is for the log to say.
+    return record.error.answer.retry or not record.request.idempotent
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -1,34 +1,26 @@
 """Runs one accepted request to its end, over as many attempts as it takes."""
 
-from uuid import uuid4
-
+import anyio
 import structlog
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import (
-    CallerError,
     CranberryfieldError,
     ErrorKind,
     UnavailableError,
     WasRun,
     error_of_kind,
 )
-from cranberryfield.core.ids import NodeId, UpstreamId
-from cranberryfield.core.messages.commands import (
-    ClaimState,
-    ClaimView,
-    CloseClaim,
-    OpenClaim,
-    RecordDispatch,
-)
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.messages.claims import ClaimState, ClaimView
 from cranberryfield.core.metrics import Metrics
-from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings import ServiceKind
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.dispatch import Dispatcher
 from cranberryfield.entry.membership import (
     KnownUpstream,
 )
+from cranberryfield.entry.requests.claims import ClaimKeeper, HeldClaim
 from cranberryfield.entry.requests.lifecycle import (
     AttemptEnd,
     AttemptResult,
@@ -37,31 +29,18 @@
     after_attempt,
 )
 from cranberryfield.entry.requests.records import Outcome, RequestRecord, RequestState
-from cranberryfield.entry.requests.request import Request
 from cranberryfield.entry.routing import Chooser, DispatchSection
 
 __all__ = ["RequestRunner"]
 
-CLAIM_TIMEOUT_S = 3.0
-
 logger = structlog.get_logger(__name__)
 
 
-class _HeldClaim:
-    """A claim that this node holds."""
-
-    def __init__(self, token: str, attempt: int):
-        self.token = token
-        self.attempt = attempt
-
-
 class RequestRunner:
     """What all requests of this node share.
 
     Parameters
     ----------
-    node : NodeId
-        This process.
     choose : Chooser
         Chooses the upstream of each attempt.
     dispatched : DispatchSection
@@ -70,8 +49,8 @@
         Admits requests.
     dispatcher : Dispatcher
         Talks to upstreams.
-    proposer : Proposer
-        Puts claims through the replicated log.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
     metrics : Metrics
         Counters and histograms.
     clock : Clock
@@ -80,21 +59,19 @@
 
     def __init__(
         self,
-        node: NodeId,
         choose: Chooser,
         dispatched: DispatchSection,
         gate: AdmissionGate,
         dispatcher: Dispatcher,
-        proposer: Proposer,
+        claims: ClaimKeeper,
         metrics: Metrics,
         clock: Clock,
     ):
-        self._node = node
         self._choose = choose
         self._dispatched = dispatched
         self._gate = gate
         self._dispatcher = dispatcher
-        self._proposer = proposer
+        self._claims = claims
         self._metrics = metrics
         self._clock = clock
 
@@ -108,13 +85,18 @@
         """
         request = record.request
         started = self._clock()
+        admitted = False
         try:
             async with self._gate.enter(request):
+                admitted = True
                 if request.idempotent:
-                    await self._run_attempts(record, None)
+                    outcome = await self._run_attempts(record, None)
+                    record.finish(self._clock(), outcome)
                 else:
                     await self._run_claimed(record)
         except CranberryfieldError as error:
+            if not admitted and not request.idempotent:
+                error = await self._claims.checked_refusal(request, error)
             record.fail(self._clock(), error)
         except Exception:
             logger.exception("request failed", run=request.run)
@@ -133,49 +115,28 @@
 
     async def _run_claimed(self, record: RequestRecord) -> None:
         request = record.request
-        claim = await self._open_claim(record)
-        if claim is None:
+        claim = await self._claims.open(request)
+        if isinstance(claim, ClaimView):
+            record.restore(self._clock(), _kept_answer(claim))
             return
         try:
-            await self._run_attempts(record, claim)
+            outcome = await self._run_attempts(record, claim)
         except CranberryfieldError as error:
             unknown = error.was_run is not WasRun.NO
             state = ClaimState.UNKNOWN if unknown else ClaimState.RELEASED
-            await self._close_claim(request, claim, state, None)
+            await self._claims.close(request, claim, state)
             raise
-
-    async def _open_claim(self, record: RequestRecord) -> _HeldClaim | None:
-        request = record.request
-        token = uuid4().hex
-        view = await self._proposer.propose(
-            OpenClaim(
-                request.workspace, request.key, request.digest, self._node, token
-            ),
-            CLAIM_TIMEOUT_S,
-        )
-        if view.granted:
-            return _HeldClaim(token, view.attempt)
-        if not view.same_body:
-            raise CallerError(
-                ErrorKind.KEY_REUSED, "the key stands for another request"
-            )
-        if view.state is ClaimState.ANSWERED:
-            kept = Outcome(view.status, view.content_type, view.answer)
-            record.restore(self._clock(), kept)
-            return None
-        if view.state is ClaimState.UNKNOWN:
-            raise UnavailableError(
-                ErrorKind.OUTCOME_UNKNOWN, "an earlier attempt may have run"
-            )
-        raise UnavailableError(
-            ErrorKind.KEY_BUSY,
-            f"the request is being run from {view.node}",
-            retry_after_s=1.0,
-        )
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self._claims.close(request, claim, ClaimState.UNKNOWN)
+            raise
+        kept = outcome or record.as_outcome()
+        await self._claims.close(request, claim, ClaimState.ANSWERED, kept)
+        record.finish(self._clock(), outcome)
 
     async def _run_attempts(
-        self, record: RequestRecord, claim: _HeldClaim | None
-    ) -> None:
+        self, record: RequestRecord, claim: HeldClaim | None
+    ) -> Outcome | None:
         request = record.request
         tried: set[UpstreamId] = set()
         ran_before = False
@@ -183,9 +144,7 @@
         while True:
             upstream = self._choose(request, frozenset(tried), ran_before)
             tried.add(upstream.record.upstream)
-            if claim is not None:
-                await self._record_dispatch(request, claim, upstream)
-            end, outcome = await self._attempt(record, upstream)
+            end, outcome = await self._start_attempt(record, claim, upstream)
             attempts += 1
             ran_before = ran_before or end.result is AttemptResult.BROKEN
             step = after_attempt(
@@ -207,16 +166,18 @@
                     step.kind, step.detail, was_run=step.was_run, retry_after_s=1.0
                 )
             if isinstance(step, Finish):
-                if claim is not None:
-                    kept = outcome or record.as_outcome()
-                    await self._close_claim(request, claim, ClaimState.ANSWERED, kept)
-                record.finish(self._clock(), outcome)
-                return
-            if claim is not None:
-                await self._close_claim(request, claim, ClaimState.RELEASED, None)
-                claim = await self._open_claim(record)
-                if claim is None:
-                    return
+                return outcome
+
+    async def _start_attempt(
+        self, record: RequestRecord, claim: HeldClaim | None, upstream: KnownUpstream
+    ) -> tuple[AttemptEnd, Outcome | None]:
+        if claim is not None:
+            may_start = await self._claims.record_dispatch(
+                record.request, claim, upstream
+            )
+            if not may_start:
+                return AttemptEnd(AttemptResult.NOT_RUN, "too late to start"), None
+        return await self._attempt(record, upstream)
 
     async def _attempt(
         self, record: RequestRecord, upstream: KnownUpstream
@@ -233,47 +194,10 @@
             if not in_flight[name]:
                 del in_flight[name]
 
-    async def _record_dispatch(
-        self, request: Request, claim: _HeldClaim, upstream: KnownUpstream
-    ) -> None:
-        view = await self._proposer.propose(
-            RecordDispatch(
-                request.workspace,
-                request.key,
-                claim.attempt,
-                claim.token,
-                upstream.record.upstream,
-                upstream.record.incarnation,
-            ),
-            CLAIM_TIMEOUT_S,
-        )
-        if not isinstance(view, ClaimView) or not view.granted:
-            raise UnavailableError(
-                ErrorKind.KEY_BUSY, "another node took the request", retry_after_s=1.0
-            )
 
-    async def _close_claim(
-        self,
-        request: Request,
-        claim: _HeldClaim,
-        state: ClaimState,
-        outcome: Outcome | None,
-    ) -> None:
-        command = CloseClaim(
-            request.workspace, request.key, claim.attempt, claim.token, state
+def _kept_answer(view: ClaimView) -> Outcome:
+    if view.answer is None:
+        raise UnavailableError(
+            ErrorKind.ANSWER_TOO_LARGE, "the request has run; its answer is not kept"
         )
-        if outcome is not None:
-            command = CloseClaim(
-                request.workspace,
-                request.key,
-                claim.attempt,
-                claim.token,
-                state,
-                outcome.status,
-                outcome.content_type,
-                outcome.body,
-            )
-        try:
-            await self._proposer.propose(command, CLAIM_TIMEOUT_S)
-        except CranberryfieldError as error:
-            logger.warning("claim not closed", run=request.run, error=error.detail)
+    return Outcome(view.status, view.content_type, view.answer)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -19,6 +19,7 @@
 from cranberryfield.entry.membership import UpstreamsSection
 from cranberryfield.entry.membership.gossip import MembershipGossip
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.routing import DispatchSection, make_chooser
@@ -27,6 +28,8 @@
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Longest wait of a stop for the log to take the ends of claims, in seconds.
+CLOSE_WAIT_S = 10.0
 
 
 class EntryRuntime:
@@ -44,6 +47,8 @@
         Follows settings; None where the control role does so.
     dispatcher : Dispatcher
         Connections to upstreams.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
     """
 
     def __init__(
@@ -52,11 +57,13 @@
         records: RecordsSection,
         follower: SettingsFollower | None,
         dispatcher: Dispatcher,
+        claims: ClaimKeeper,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
+        self._claims = claims
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -110,14 +117,14 @@
         follower = None
         if follows_settings:
             follower = SettingsFollower(settings, mesh, control, clock)
-        runtime = cls(settings, records, follower, dispatcher)
+        claims = ClaimKeeper(config.node_id, proposer, clock)
+        runtime = cls(settings, records, follower, dispatcher, claims)
         runner = RequestRunner(
-            config.node_id,
             make_chooser(board, config.zone, clock, rng),
             dispatched,
             AdmissionGate(),
             dispatcher,
-            proposer,
+            claims,
             metrics,
             clock,
         )
@@ -127,6 +134,7 @@
             records,
             MembershipGossip(upstreams, mesh, clock),
             runner,
+            claims,
             metrics,
             config.upstream_keys,
             runtime.is_ready,
@@ -144,18 +152,22 @@
         self._stopping = True
 
     async def wait_drained(self) -> None:
-        """Wait until no request is running here."""
+        """Wait until no request is running here and no claim is left open."""
         while any(
             record.state is RequestState.RUNNING
             for record in self._records.records.values()
         ):
             await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(CLOSE_WAIT_S):
+            while self._claims.unclosed:
+                await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings until cancelled."""
-        if self._follower is None:
-            await anyio.sleep_forever()
-        await self._follower.run()
+        """Follow settings and renew claims until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._claims.run)
+            if self._follower is not None:
+                tasks.start_soon(self._follower.run)
 
     async def close(self) -> None:
         """Close connections to upstreams."""
