--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from cranberryfield.control.claims import ClaimTable, apply_claim_command
+from cranberryfield.control.claims.machine import ClaimCommand
 from cranberryfield.control.settings import (
     SettingsState,
     adopt_tree,
@@ -14,13 +15,11 @@
 from cranberryfield.core.messages.commands import (
     AdoptSettings,
     ChangeSettings,
-    CloseClaim,
     Noop,
-    OpenClaim,
-    RecordDispatch,
     RecordHosts,
     Refused,
 )
+from cranberryfield.core.settings import effective_settings
 
 __all__ = ["ControlState", "apply_command"]
 
@@ -61,8 +60,6 @@
     match command:
         case ChangeSettings():
             return apply_change(state.settings, command)
-        case OpenClaim() | RecordDispatch() | CloseClaim():
-            return apply_claim_command(state.claims, command)
         case AdoptSettings():
             return adopt_tree(state.settings, command)
         case RecordHosts(added, removed):
@@ -72,4 +69,7 @@
             return command
         case Noop():
             return command
+    if isinstance(command, ClaimCommand):
+        bounds = effective_settings(state.settings.tree, None, None)
+        return apply_claim_command(state.claims, command, bounds)
     return Refused(ErrorKind.PROTOCOL.value, "no command of the log")
