--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -1,5 +1,6 @@
 """Builds the entry role from its parts."""
 
+from functools import partial
 from random import Random
 
 import anyio
@@ -16,9 +17,12 @@
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import UpstreamsSection
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.membership.gossip import TableGossip
+from cranberryfield.entry.membership.leases import LeaseKeeper
+from cranberryfield.entry.membership.peers import other_live_peers
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.routing import DispatchSection, make_chooser
@@ -27,6 +31,8 @@
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Longest wait of a stop for the log to take the ends of claims, in seconds.
+CLOSE_WAIT_S = 10.0
 
 
 class EntryRuntime:
@@ -46,6 +52,12 @@
         Monotonic time.
     dispatcher : Dispatcher
         Connections to upstreams.
+    gossip : TableGossip
+        Keeps the tables of entry hosts and upstreams.
+    leases : LeaseKeeper
+        Renews the leases of upstreams.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
     """
 
     def __init__(
@@ -55,12 +67,18 @@
         follower: SettingsFollower,
         dispatcher: Dispatcher,
         clock: Clock,
+        gossip: TableGossip,
+        leases: LeaseKeeper,
+        claims: ClaimKeeper,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
         self._clock = clock
+        self._gossip = gossip
+        self._leases = leases
+        self._claims = claims
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -108,24 +126,39 @@
         dispatched = board.add(DispatchSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
-        follower = SettingsFollower(settings, mesh, config.node_id, control, clock, rng)
-        runtime = cls(settings, records, follower, dispatcher, clock)
-        runner = RequestRunner(
+        peers = board.add(PeersSection(config.node_id))
+        follower = SettingsFollower(
+            settings,
+            mesh,
             config.node_id,
+            control,
+            partial(other_live_peers, peers, clock),
+            clock,
+            rng,
+        )
+        gossip = TableGossip(
+            peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
+        )
+        leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
+        claims = ClaimKeeper(config.node_id, proposer, clock)
+        runtime = cls(
+            settings, records, follower, dispatcher, clock, gossip, leases, claims
+        )
+        runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
             dispatched,
             AdmissionGate(),
             dispatcher,
-            proposer,
+            claims,
             metrics,
             clock,
         )
         runtime.api = CallerApi(
             settings,
-            upstreams,
             records,
-            MembershipGossip(upstreams, mesh, clock),
+            leases,
             runner,
+            claims,
             metrics,
             config.upstream_keys,
             runtime.is_ready,
@@ -143,17 +176,26 @@
         self._stopping = True
 
     async def wait_drained(self) -> None:
-        """Wait until no request is running here."""
+        """Wait until no request is running here and no claim is left open."""
         while any(
             record.state is RequestState.RUNNING
             for record in self._records.records.values()
         ):
             await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(CLOSE_WAIT_S):
+            while self._claims.unclosed:
+                await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings until cancelled."""
-        await self._follower.run()
+        """Follow settings and membership and renew claims until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._claims.run)
 
     async def close(self) -> None:
-        """Close connections to upstreams."""
+        """Tell the other entry hosts and close connections to upstreams."""
+        self._gossip.say_goodbye()
+        await self._follower.leave()
         await self._dispatcher.close()
