--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module for each noun."""
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/settings.py
@@ -0,0 +1,242 @@
+"""``cranberryfield settings``."""
+
+from pathlib import Path
+from typing import Annotated
+from uuid import uuid4
+
+from cyclopts import App, Parameter
+
+from cranberryfield.client.assignments import read_assignments
+from cranberryfield.client.changes import ChangeReport, author_name, send_change
+from cranberryfield.client.connection import connected
+from cranberryfield.client.options import Target
+from cranberryfield.client.output import print_progress, print_rows, print_value
+from cranberryfield.client.settings_file import (
+    Difference,
+    change_of_levels,
+    compare_levels,
+    read_settings_file,
+)
+from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.operators.reference import SettingReference, list_settings
+from cranberryfield.core.operators.views import (
+    ChangeBody,
+    EditBody,
+    OriginView,
+    SettingsView,
+)
+from cranberryfield.core.settings import parse_level
+
+__all__ = ["app"]
+
+DEFAULT_WAIT_S = 30.0
+SETTINGS_PATH = "/operator/settings"
+
+Wait = Annotated[
+    bool, Parameter(negative=(), help="Return once every node has the change in force")
+]
+Timeout = Annotated[float, Parameter(help="Longest wait in seconds, with --wait")]
+Revision = Annotated[
+    int | None,
+    Parameter(help="Refuse unless the level has this revision; 0 if nothing is set"),
+]
+ChangeIdText = Annotated[
+    str | None, Parameter(help="Names the change; sent again, it has no second effect")
+]
+
+app = App(
+    name="settings",
+    help="Read and change the tree of settings.",
+    help_epilogue="""Examples:
+
+    cranberryfield settings get
+    cranberryfield settings get --workspace releve --service redacteur
+    cranberryfield settings set service/redacteur queue_limit=64 --wait
+    cranberryfield settings apply fleet.yaml --dry-run
+""",
+)
+
+
+@app.command(name="get")
+async def get_settings(
+    level: str | None = None,
+    /,
+    *,
+    workspace: str | None = None,
+    service: str | None = None,
+    target: Target,
+) -> None:
+    """Show what stands at a level, or what is in force and where it comes from.
+
+    Parameters
+    ----------
+    level : str, optional
+        As ``system`` or ``service/redacteur``; all levels if left out.
+    workspace, service : str, optional
+        Show the values in force there, each with its origin.
+    """
+    async with connected(target) as connection:
+        if workspace is not None or service is not None:
+            rows = await connection.get(
+                f"{SETTINGS_PATH}/effective",
+                list[OriginView],
+                workspace=workspace,
+                service=service,
+            )
+            print_rows(rows, target.as_json)
+            return
+        view = await connection.get(SETTINGS_PATH, SettingsView, level=level)
+        print_rows(view.levels, target.as_json)
+
+
+@app.command(name="set")
+async def set_settings(
+    level: str,
+    /,
+    *assignments: str,
+    revision: Revision = None,
+    change_id: ChangeIdText = None,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Set values at a level.
+
+    Parameters
+    ----------
+    level : str
+        As ``system``, ``service/redacteur``, ``workspace/releve``,
+        ``workspace/releve/service/redacteur`` or ``upstream/redacteur-1``.
+    assignments : str
+        Each as ``NAME=VALUE``, the value in YAML.
+    """
+    values = read_assignments(level, assignments)
+    edit = EditBody(level, revision, values)
+    body = ChangeBody(change_id or uuid4().hex, (edit,), author_name())
+    report = await send_change(target, body, wait, timeout)
+    print_value(report, target.as_json)
+
+
+@app.command(name="unset")
+async def unset_settings(
+    level: str,
+    /,
+    *names: str,
+    revision: Revision = None,
+    change_id: ChangeIdText = None,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Remove values from a level, so that it inherits them.
+
+    Parameters
+    ----------
+    level : str
+        As for ``set``.
+    names : str
+        The settings.
+    """
+    parse_level(level)
+    if not names:
+        raise ControlError(ErrorKind.INVALID_SETTING, "no setting was named")
+    known = {row.setting for row in list_settings()}
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        raise ControlError(
+            ErrorKind.UNKNOWN_PATH, f"no setting is named {', '.join(unknown)}"
+        )
+    edit = EditBody(level, revision, unset=names)
+    body = ChangeBody(change_id or uuid4().hex, (edit,), author_name())
+    report = await send_change(target, body, wait, timeout)
+    print_value(report, target.as_json)
+
+
+@app.command(name="diff")
+async def diff_settings(file: Path, /, *, exact: bool = False, target: Target) -> None:
+    """Show how a settings file differs from what is in force.
+
+    Parameters
+    ----------
+    file : pathlib.Path
+        A YAML file that maps levels to settings.
+    exact : bool
+        Count values that the file's levels have and the file does not.
+    """
+    wanted = read_settings_file(file)
+    async with connected(target) as connection:
+        view = await connection.get(SETTINGS_PATH, SettingsView)
+    print_rows(compare_levels(view, wanted, exact), target.as_json)
+
+
+@app.command(name="apply")
+async def apply_settings(
+    file: Path,
+    /,
+    *,
+    exact: bool = False,
+    dry_run: bool = False,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Make what is in force as a settings file has it, in one change.
+
+    Levels that the file does not name stay as they are. Applied again, the file
+    changes nothing; if anyone changes one of its levels in between, nothing is
+    changed and the command fails.
+
+    Parameters
+    ----------
+    file : pathlib.Path
+        A YAML file that maps levels to settings.
+    exact : bool
+        Also remove values that the file's levels have and the file does not.
+    dry_run : bool
+        Only check the file and show what would change.
+    """
+    wanted = read_settings_file(file)
+    async with connected(target) as connection:
+        view = await connection.get(SETTINGS_PATH, SettingsView)
+    differences = compare_levels(view, wanted, exact)
+    if differences:
+        body = change_of_levels(view, wanted, differences, author_name())
+    if dry_run:
+        print_rows(differences, target.as_json)
+        return
+    if not differences:
+        print_progress("nothing to change")
+        print_value(ChangeReport("", view.revision), target.as_json)
+        return
+    _tell(differences)
+    report = await send_change(target, body, wait, timeout)
+    print_value(report, target.as_json)
+
+
+def _tell(differences: list[Difference]) -> None:
+    levels = len({one.level for one in differences})
+    print_progress(f"changing {len(differences)} values at {levels} levels")
+
+
+@app.command(name="describe")
+def describe_settings(
+    name: str | None = None,
+    /,
+    *,
+    as_json: Annotated[bool, Parameter(name="--json", negative=())] = False,
+) -> None:
+    """List every setting: its type, default, levels and meaning.
+
+    Parameters
+    ----------
+    name : str, optional
+        Only this one.
+    as_json : bool
+        Print JSON, not a table.
+    """
+    rows: list[SettingReference] = [
+        row for row in list_settings() if name in (None, row.setting)
+    ]
+    if not rows:
+        raise ControlError(ErrorKind.UNKNOWN_PATH, f"no setting is named {name!r}")
+    print_rows(rows, as_json)
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/status.py
@@ -0,0 +1,79 @@
+"""``cranberryfield status``."""
+
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, Parameter
+
+from cranberryfield.client.connection import connected
+from cranberryfield.client.group import NodeReply, find_nodes
+from cranberryfield.client.options import Target
+from cranberryfield.client.output import print_rows, print_value
+from cranberryfield.core.operators.views import StatusView
+
+__all__ = ["app"]
+
+KIB_PER_MIB = 1024
+
+app = App(
+    name="status",
+    help="Show every process of the group, as found from one node.",
+    help_epilogue="""Examples:
+
+    cranberryfield status
+    cranberryfield status --one --json
+""",
+)
+
+
+class StatusRow(msgspec.Struct):
+    """One node of the group; `problem` says why the rest is missing."""
+
+    node: str
+    address: str
+    roles: str = "-"
+    data_centre: str = "-"
+    ready: bool | None = None
+    revision: int | None = None
+    upstreams: int | None = None
+    control: str = "-"
+    memory_mib: float | None = None
+    problem: str = ""
+
+
+@app.default
+async def show_status(
+    *,
+    one: Annotated[
+        bool, Parameter(negative=(), help="Only the asked node, in full")
+    ] = False,
+    target: Target,
+) -> None:
+    """Show every process of the group, as found from one node."""
+    if one:
+        async with connected(target) as connection:
+            view = await connection.get("/operator/status", StatusView)
+        print_value(view, target.as_json)
+        return
+    replies = await find_nodes(target)
+    print_rows([_row(reply) for reply in replies], target.as_json)
+
+
+def _row(reply: NodeReply[StatusView]) -> StatusRow:
+    view = reply.value
+    if view is None:
+        return StatusRow(reply.node, reply.address, problem=reply.error)
+    control = "-"
+    if view.control is not None:
+        control = f"{view.control.role}, term {view.control.term}"
+    return StatusRow(
+        view.node,
+        reply.address,
+        " ".join(view.roles),
+        view.data_centre,
+        view.ready,
+        view.settings_revision,
+        view.upstreams,
+        control,
+        round(view.resident_kib / KIB_PER_MIB, 1),
+    )
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/upstream.py
@@ -0,0 +1,127 @@
+"""``cranberryfield upstream``."""
+
+from cyclopts import App
+
+from cranberryfield.client.assignments import read_assignments
+from cranberryfield.client.commands.settings import DEFAULT_WAIT_S, Timeout, Wait
+from cranberryfield.client.connection import connected
+from cranberryfield.client.drain import drain, runs_on_upstream
+from cranberryfield.client.group import ask_nodes, find_nodes
+from cranberryfield.client.levels import create_level
+from cranberryfield.client.options import Target
+from cranberryfield.client.output import print_rows, print_value
+from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.operators.views import NodeAddress, UpstreamView
+
+__all__ = ["app"]
+
+LEVEL = "upstream/"
+
+app = App(
+    name="upstream",
+    help="List, show, prepare and drain upstreams.",
+    help_epilogue="""Examples:
+
+    cranberryfield upstream list
+    cranberryfield upstream drain redacteur-1 --wait --timeout 120
+""",
+)
+
+
+class NodeUpstreamView(UpstreamView, kw_only=True):
+    """An upstream as one node knows it."""
+
+    node: str
+
+
+@app.command(name="list")
+async def list_upstreams(*, service: str | None = None, target: Target) -> None:
+    """List upstreams as the asked entry host knows them.
+
+    Parameters
+    ----------
+    service : str, optional
+        Only those of this service.
+    """
+    async with connected(target) as connection:
+        rows = await connection.get("/operator/upstreams", list[UpstreamView])
+    print_rows([row for row in rows if service in (None, row.service)], target.as_json)
+
+
+@app.command(name="show")
+async def show_upstream(name: str, /, *, target: Target) -> None:
+    """Show an upstream as every node knows it.
+
+    Parameters
+    ----------
+    name : str
+        The upstream's id.
+    """
+    found = await find_nodes(target)
+    nodes = [NodeAddress(reply.node, reply.address) for reply in found]
+    replies = await ask_nodes(target, nodes, "/operator/upstreams", list[UpstreamView])
+    rows = [
+        _with_node(row, reply.node)
+        for reply in replies
+        for row in reply.value or ()
+        if row.upstream == name
+    ]
+    if not rows:
+        raise ControlError(ErrorKind.UNKNOWN_PATH, f"no node knows the upstream {name}")
+    print_rows(rows, target.as_json)
+
+
+def _with_node(row: UpstreamView, node: str) -> NodeUpstreamView:
+    fields = {name: getattr(row, name) for name in row.__struct_fields__}
+    return NodeUpstreamView(**fields, node=node)
+
+
+@app.command(name="create")
+async def create_upstream(
+    name: str,
+    /,
+    *assignments: str,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Set the attributes of an upstream before it announces itself.
+
+    Without attributes the upstream is created drained: when it announces
+    itself, it gets no work until ``upstream drain NAME --undo``.
+
+    Parameters
+    ----------
+    name : str
+        The id under which it will announce itself.
+    assignments : str
+        Attributes, each as ``NAME=VALUE``.
+    """
+    level = LEVEL + name
+    values = read_assignments(level, assignments or ("drained=true",))
+    report = await create_level(target, level, values, wait, timeout)
+    print_value(report, target.as_json)
+
+
+@app.command(name="drain")
+async def drain_upstream(
+    name: str,
+    /,
+    *,
+    undo: bool = False,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Give an upstream no new work and let its running requests end.
+
+    Parameters
+    ----------
+    name : str
+        The upstream's id.
+    undo : bool
+        Put it back into use.
+    """
+    count = runs_on_upstream(target, name)
+    report = await drain(target, LEVEL + name, undo, wait, timeout, count)
+    print_value(report, target.as_json)
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/workspace.py
@@ -0,0 +1,160 @@
+"""``cranberryfield workspace``."""
+
+import secrets
+from hashlib import sha256
+
+import msgspec
+from cyclopts import App
+
+from cranberryfield.client.assignments import read_assignments
+from cranberryfield.client.changes import wait_in_force
+from cranberryfield.client.commands.settings import DEFAULT_WAIT_S, Timeout, Wait
+from cranberryfield.client.connection import connected
+from cranberryfield.client.drain import drain, running_requests
+from cranberryfield.client.levels import (
+    create_level,
+    read_levels,
+    refuse_unknown_level,
+)
+from cranberryfield.client.options import Target
+from cranberryfield.client.output import print_rows, print_value
+from cranberryfield.core.operators.views import OriginView
+from cranberryfield.core.settings import parse_level
+from cranberryfield.core.settings.levels import LevelKind
+
+__all__ = ["app"]
+
+LEVEL = "workspace/"
+KEY_BYTES = 32
+KEY_PREFIX = "cbf_"
+
+app = App(
+    name="workspace",
+    help="List, show, create and drain workspaces.",
+    help_epilogue="""Examples:
+
+    cranberryfield workspace create releve share=2
+    cranberryfield workspace show releve --service redacteur
+    cranberryfield workspace drain releve --wait
+""",
+)
+
+
+class WorkspaceRow(msgspec.Struct):
+    """One workspace."""
+
+    workspace: str
+    keys: int
+    drained: bool
+    settings: int
+    services: tuple[str, ...]
+
+
+class CreatedWorkspace(msgspec.Struct):
+    """A new workspace and its key, which is stored nowhere."""
+
+    workspace: str
+    key: str
+    revision: int
+
+
+@app.command(name="list")
+async def list_workspaces(*, target: Target) -> None:
+    """List workspaces and the services at which they have settings of their own."""
+    rows: dict[str, WorkspaceRow] = {}
+    for name, level in (await read_levels(target)).items():
+        parsed = parse_level(name)
+        if parsed.kind is LevelKind.WORKSPACE:
+            values = level.values
+            rows[parsed.workspace] = WorkspaceRow(
+                parsed.workspace,
+                len(values.get("key_hashes") or ()),
+                bool(values.get("drained", False)),
+                len(values),
+                (),
+            )
+        elif parsed.kind is LevelKind.WORKSPACE_SERVICE:
+            row = rows[parsed.workspace]
+            row.services = (*row.services, parsed.service)
+    print_rows(list(rows.values()), target.as_json)
+
+
+@app.command(name="show")
+async def show_workspace(
+    name: str, /, *, service: str | None = None, target: Target
+) -> None:
+    """Show the settings in force for a workspace.
+
+    Parameters
+    ----------
+    name : str
+        The workspace.
+    service : str, optional
+        Those in force at this service.
+    """
+    await refuse_unknown_level(target, LEVEL + name)
+    async with connected(target) as connection:
+        rows = await connection.get(
+            "/operator/settings/effective",
+            list[OriginView],
+            workspace=name,
+            service=service,
+        )
+    print_rows(rows, target.as_json)
+
+
+@app.command(name="create")
+async def create_workspace(
+    name: str,
+    /,
+    *assignments: str,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Create a workspace and print its key, this once.
+
+    The system keeps only a digest of the key. Who loses the key sets the
+    digest of another one: ``key_hashes`` at the workspace's level.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    assignments : str
+        Settings at its level, each as ``NAME=VALUE``.
+    """
+    level = LEVEL + name
+    key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    digest = sha256(key.encode()).hexdigest()
+    values = read_assignments(level, (f"key_hashes=['{digest}']", *assignments))
+    report = await create_level(target, level, values, False, timeout)
+    # The key is printed before anything else can fail, since it is kept nowhere.
+    print_value(CreatedWorkspace(name, key, report.revision), target.as_json)
+    if wait:
+        await wait_in_force(target, report, timeout)
+
+
+@app.command(name="drain")
+async def drain_workspace(
+    name: str,
+    /,
+    *,
+    undo: bool = False,
+    wait: Wait = False,
+    timeout: Timeout = DEFAULT_WAIT_S,
+    target: Target,
+) -> None:
+    """Refuse a workspace's new requests and let its running ones end.
+
+    Parameters
+    ----------
+    name : str
+        The workspace.
+    undo : bool
+        Take its requests again.
+    """
+    await refuse_unknown_level(target, LEVEL + name)
+    count = running_requests(target, None, name)
+    report = await drain(target, LEVEL + name, undo, wait, timeout, count)
+    print_value(report, target.as_json)
--- a/packages/cranberryfield-client/src/cranberryfield/client/connection.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/connection.py
@@ -1,11 +1,17 @@
-"""HTTP calls to any node, with the operator's key."""
+"""HTTP calls to one node, with the operator's key."""
 
+import ssl
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import cache
 from typing import TypeVar
 
 import httpx
 import msgspec
 
+from cranberryfield.client.options import Target
 from cranberryfield.core.errors import (
+    CallerError,
     CranberryfieldError,
     ErrorKind,
     UnavailableError,
@@ -13,7 +19,7 @@
     error_of_kind,
 )
 
-__all__ = ["Connection"]
+__all__ = ["Connection", "connected"]
 
 T = TypeVar("T")
 TIMEOUT_S = 15.0
@@ -30,11 +36,11 @@
 
     Parameters
     ----------
-    client : httpx.Client
+    client : httpx.AsyncClient
         Set up with the node's address and the operator's key.
     """
 
-    def __init__(self, client: httpx.Client):
+    def __init__(self, client: httpx.AsyncClient):
         self._client = client
 
     @classmethod
@@ -52,18 +58,28 @@
         -------
         Connection
             Nothing is sent yet.
+
+        Raises
+        ------
+        CallerError
+            Of kind ``bad_request`` if the address or key cannot be used.
         """
         url = node if "://" in node else f"http://{node}"
-        return cls(
-            httpx.Client(
+        try:
+            client = httpx.AsyncClient(
                 base_url=url,
                 headers={"Authorization": f"Bearer {key}"},
                 timeout=TIMEOUT_S,
                 trust_env=False,
+                verify=_tls_context() if url.startswith("https:") else False,
             )
-        )
+        except (httpx.InvalidURL, ValueError) as error:
+            raise CallerError(
+                ErrorKind.BAD_REQUEST, f"--node or --key cannot be used: {error}"
+            ) from error
+        return cls(client)
 
-    def get(self, path: str, kind: type[T], **params: str) -> T:
+    async def get(self, path: str, kind: type[T], **params: str | None) -> T:
         """Read a value.
 
         Parameters
@@ -72,8 +88,8 @@
             The endpoint.
         kind : type
             What it answers with.
-        **params : str
-            Query parameters.
+        **params : str or None
+            Query parameters; those that are None are left out.
 
         Returns
         -------
@@ -83,24 +99,63 @@
         Raises
         ------
         CranberryfieldError
-            Of the kind that the node answered with.
+            Of the kind that the node answered with; ``not_ready`` if it did
+            not answer.
         """
-        return self._call("GET", path, kind, params=params)
+        given = {name: value for name, value in params.items() if value is not None}
+        return await self._call("GET", path, kind, params=given)
 
-    def post(self, path: str, body: msgspec.Struct, kind: type[T]) -> T:
+    async def post(self, path: str, body: msgspec.Struct, kind: type[T]) -> T:
         """Send a value and read the answer; see `get`."""
-        return self._call("POST", path, kind, content=msgspec.json.encode(body))
+        return await self._call("POST", path, kind, content=msgspec.json.encode(body))
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._client.aclose()
 
-    def _call(self, method: str, path: str, kind: type[T], **options) -> T:
+    async def _call(self, method: str, path: str, kind: type[T], **options) -> T:
         try:
-            response = self._client.request(method, path, **options)
-        except httpx.HTTPError as error:
+            response = await self._client.request(method, path, **options)
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            reason = str(error) or type(error).__name__
             raise UnavailableError(
-                ErrorKind.NOT_READY, f"no answer from {self._client.base_url}: {error}"
+                ErrorKind.NOT_READY, f"no answer from {self._client.base_url}: {reason}"
             ) from error
         if response.is_error:
             raise _error_of(response)
-        return msgspec.json.decode(response.content, type=kind)
+        try:
+            return msgspec.json.decode(response.content, type=kind)
+        except msgspec.DecodeError as error:
+            raise error_of_kind(
+                ErrorKind.PROTOCOL, f"the answer to {path} cannot be read: {error}"
+            ) from error
+
+
+@asynccontextmanager
+async def connected(target: Target) -> AsyncIterator[Connection]:
+    """Open a connection to the node that the operator named.
+
+    Parameters
+    ----------
+    target : Target
+        Where, and with which key.
+
+    Yields
+    ------
+    Connection
+        Closed afterwards.
+    """
+    connection = Connection.from_address(target.node, target.key)
+    try:
+        yield connection
+    finally:
+        await connection.close()
+
+
+@cache
+def _tls_context() -> ssl.SSLContext:
+    # Reading the authorities takes longer than a call does.
+    return httpx.create_ssl_context()
 
 
 def _error_of(response: httpx.Response) -> CranberryfieldError:
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/output.py
@@ -0,0 +1,87 @@
+"""Prints rows as tables for people or JSON for programs."""
+
+import sys
+from collections.abc import Sequence
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+__all__ = ["build_table", "print_progress", "print_rows", "print_value"]
+
+PIPE_WIDTH = 200
+
+
+def print_rows(rows: Sequence[msgspec.Struct], as_json: bool) -> None:
+    """Print a list.
+
+    Parameters
+    ----------
+    rows : sequence of msgspec.Struct
+        All of one type.
+    as_json : bool
+        Whether to print JSON.
+    """
+    if as_json:
+        print(msgspec.json.encode(rows).decode())
+        return
+    if not rows:
+        print("none")
+        return
+    _console().print(build_table(rows))
+
+
+def print_value(value: msgspec.Struct, as_json: bool) -> None:
+    """Print one value: as a table with a line for each field, or as JSON."""
+    if as_json:
+        print(msgspec.json.encode(value).decode())
+        return
+    table = Table(show_header=False)
+    for name, field in msgspec.to_builtins(value).items():
+        table.add_row(name.replace("_", " "), Text(_cell(field)))
+    _console().print(table)
+
+
+def build_table(rows: Sequence[msgspec.Struct], title: str | None = None) -> Table:
+    """Build a table with one column for each field of the rows' type.
+
+    Parameters
+    ----------
+    rows : sequence of msgspec.Struct
+        At least one row.
+    title : str, optional
+        Shown above the table.
+
+    Returns
+    -------
+    rich.table.Table
+        The table.
+    """
+    plain = [msgspec.to_builtins(row) for row in rows]
+    table = Table(*(name.replace("_", " ") for name in plain[0]), title=title)
+    for row in plain:
+        table.add_row(*(Text(_cell(value)) for value in row.values()))
+    return table
+
+
+def print_progress(text: str) -> None:
+    """Tell a person on standard error how far a long command has come."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def _console() -> Console:
+    # Tables that go to a file or a pipe are not folded to 80 columns.
+    return Console(width=None if sys.stdout.isatty() else PIPE_WIDTH)
+
+
+def _cell(value) -> str:
+    if isinstance(value, dict):
+        return ", ".join(f"{name}={_cell(one)}" for name, one in value.items())
+    if isinstance(value, list):
+        return ", ".join(_cell(one) for one in value)
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:g}"
+    return "-" if value is None else str(value)
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/settings_file.py
@@ -0,0 +1,189 @@
+"""Settings files: read, checked with line numbers, compared with the tree."""
+
+from hashlib import sha256
+from pathlib import Path
+
+import msgspec
+
+from cranberryfield.core.config import load_yaml
+from cranberryfield.core.config.yaml_lines import Document, Problem, raise_problems
+from cranberryfield.core.errors import ConfigError, ControlError, ErrorKind
+from cranberryfield.core.operators.views import ChangeBody, EditBody, SettingsView
+from cranberryfield.core.settings import (
+    LevelState,
+    SettingsTree,
+    SettingValue,
+    check_tree,
+    check_value,
+    parse_level,
+)
+
+__all__ = ["Difference", "change_of_levels", "compare_levels", "read_settings_file"]
+
+CHANGE_ID_LENGTH = 32
+
+#: Values by setting, by level.
+Levels = dict[str, dict[str, SettingValue]]
+
+
+class Difference(msgspec.Struct):
+    """One value that a file and the tree do not share.
+
+    Attributes
+    ----------
+    level, setting : str
+        Where.
+    now, wanted : object
+        What stands there and what the file has; None for nothing.
+    """
+
+    level: str
+    setting: str
+    now: SettingValue
+    wanted: SettingValue
+
+
+def read_settings_file(path: Path) -> Levels:
+    """Read a file that maps levels to the values to stand there.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        A YAML file.
+
+    Returns
+    -------
+    dict
+        Values by setting, by level.
+
+    Raises
+    ------
+    ConfigError
+        With one line per fault: file, line, key and reason.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        raise ConfigError(ErrorKind.INVALID_CONFIG, f"{path}: {reason}") from error
+    document = load_yaml(text, str(path))
+    raise_problems(_find_problems(document))
+    return document.data
+
+
+def _find_problems(document: Document) -> list[Problem]:
+    if not isinstance(document.data, dict) or not document.data:
+        return [document.problem((), "must map levels, as service/NAME, to settings")]
+    problems = []
+    for level, values in document.data.items():
+        try:
+            kind = parse_level(level).kind
+        except ControlError as error:
+            problems.append(document.problem((level,), error.detail))
+            continue
+        if not isinstance(values, dict) or not values:
+            problems.append(document.problem((level,), "must map settings to values"))
+            continue
+        for name, value in values.items():
+            try:
+                check_value(kind, name, value)
+            except ControlError as error:
+                problems.append(document.problem((level, name), error.detail))
+    return problems
+
+
+def compare_levels(view: SettingsView, wanted: Levels, exact: bool) -> list[Difference]:
+    """List what would change.
+
+    Parameters
+    ----------
+    view : SettingsView
+        The tree as it stands.
+    wanted : dict
+        Values by setting, by level.
+    exact : bool
+        Whether values that stand at a wanted level and are not wanted go.
+
+    Returns
+    -------
+    list of Difference
+        In the order of the file.
+    """
+    standing = {level.level: level.values for level in view.levels}
+    found = []
+    for level, values in wanted.items():
+        now = standing.get(level, {})
+        for name, value in values.items():
+            if name not in now or now[name] != value:
+                found.append(Difference(level, name, now.get(name), value))
+        if exact:
+            found += [
+                Difference(level, name, value, None)
+                for name, value in now.items()
+                if name not in values
+            ]
+    return found
+
+
+def change_of_levels(
+    view: SettingsView, wanted: Levels, differences: list[Difference], author: str
+) -> ChangeBody:
+    """Build the one change that makes the tree as the file wants it.
+
+    Parameters
+    ----------
+    view : SettingsView
+        The tree as it stands.
+    wanted : dict
+        Values by setting, by level.
+    differences : list of Difference
+        What is to change; at least one.
+    author : str
+        Who asks, for the history.
+
+    Returns
+    -------
+    ChangeBody
+        Each level must still have the revision of `view`. The change id is
+        derived from the edits and these revisions: sent again, the change has
+        no second effect; after another change of a level it is another one.
+
+    Raises
+    ------
+    ControlError
+        Of kind ``invalid_setting`` if the tree could not work afterwards.
+    """
+    revisions = {level.level: level.revision for level in view.levels}
+    edits = []
+    for level in dict.fromkeys(one.level for one in differences):
+        changed = [one for one in differences if one.level == level]
+        kept = {one.setting for one in changed} & wanted[level].keys()
+        edits.append(
+            EditBody(
+                level,
+                revisions.get(level, 0),
+                {name: wanted[level][name] for name in sorted(kept)},
+                tuple(sorted({one.setting for one in changed} - kept)),
+            )
+        )
+    _check_whole_tree(view, edits)
+    digest = sha256(msgspec.json.encode(edits)).hexdigest()
+    return ChangeBody(digest[:CHANGE_ID_LENGTH], tuple(edits), author)
+
+
+def _check_whole_tree(view: SettingsView, edits: list[EditBody]) -> None:
+    levels = {one.level: dict(one.values) for one in view.levels}
+    for edit in edits:
+        values = levels.setdefault(edit.level, {})
+        values |= edit.set
+        for name in edit.unset:
+            values.pop(name, None)
+        if not values:
+            del levels[edit.level]
+    tree = SettingsTree(
+        view.revision,
+        {level: LevelState(view.revision, values) for level, values in levels.items()},
+    )
+    faults = check_tree(tree)
+    if faults:
+        raise ControlError(ErrorKind.INVALID_SETTING, "; ".join(faults))
--- a/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
@@ -1,6 +1,7 @@
 """Schema of the daemon's configuration file."""
 
 from enum import Enum
+from pathlib import Path
 from typing import Annotated
 
 import msgspec
@@ -10,9 +11,18 @@
     load_yaml,
     raise_problems,
 )
+from cranberryfield.core.errors import ConfigError, ErrorKind
 from cranberryfield.core.ids import DataCentre, NodeId
 
-__all__ = ["ControlMember", "DaemonConfig", "Role", "TlsFiles", "split_address"]
+__all__ = [
+    "ControlMember",
+    "DaemonConfig",
+    "LogLevel",
+    "Role",
+    "TlsFiles",
+    "read_daemon_config",
+    "split_address",
+]
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 IpAddress = Annotated[
@@ -29,6 +39,15 @@
     CONTROL = "control"
 
 
+class LogLevel(Enum):
+    """Lowest level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 class ControlMember(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One process of the control group, as the file names it."""
 
@@ -75,7 +94,7 @@
         Files for mutual TLS; required off loopback.
     statsd : str, optional
         ``IP:PORT`` of the statsd daemon.
-    log_level : str
+    log_level : LogLevel
         Lowest level that is logged.
     """
 
@@ -94,7 +113,7 @@
     data_folder: str | None = None
     tls: TlsFiles | None = None
     statsd: IpAddress | None = None
-    log_level: str = "info"
+    log_level: LogLevel = LogLevel.INFO
 
     @property
     def node_id(self) -> NodeId:
@@ -137,6 +156,32 @@
         return config
 
 
+def read_daemon_config(path: Path) -> DaemonConfig:
+    """Read and check a daemon's file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The YAML file.
+
+    Returns
+    -------
+    DaemonConfig
+        The checked configuration.
+
+    Raises
+    ------
+    ConfigError
+        If the file cannot be read, or with one line per fault in it.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        raise ConfigError(ErrorKind.INVALID_CONFIG, f"{path}: {reason}") from error
+    return DaemonConfig.from_yaml(text, str(path))
+
+
 def _conflicts(config: DaemonConfig) -> list[tuple[str, str]]:
     found = []
     if Role.CONTROL in config.roles:
--- a/packages/cranberryfield-core/src/cranberryfield/core/errors.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/errors.py
@@ -23,6 +23,7 @@
     "UnavailableError",
     "WasRun",
     "error_of_kind",
+    "first_known_error",
 ]
 
 
@@ -56,6 +57,7 @@
     ANSWER_TOO_LARGE = "answer_too_large"
     RECORDS_FULL = "records_full"
     NOT_READY = "not_ready"
+    DRAINED = "drained"
     STALE_INCARNATION = "stale_incarnation"
     NO_QUORUM = "no_quorum"
     UNKNOWN_PATH = "unknown_path"
@@ -65,6 +67,7 @@
     DATA_IN_USE = "data_in_use"
     CORRUPT_DATA = "corrupt_data"
     INVALID_CONFIG = "invalid_config"
+    ADDRESS_UNAVAILABLE = "address_unavailable"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
 
@@ -114,6 +117,7 @@
     ErrorKind.ANSWER_TOO_LARGE: Answer(502, WasRun.YES, False, 7),
     ErrorKind.RECORDS_FULL: Answer(503, _NO, True, 6),
     ErrorKind.NOT_READY: Answer(503, _NO, True, 6),
+    ErrorKind.DRAINED: Answer(503, _NO, True, 6),
     ErrorKind.STALE_INCARNATION: Answer(409, _NO, False, 5),
     ErrorKind.NO_QUORUM: Answer(503, _NO, True, 6),
     ErrorKind.UNKNOWN_PATH: Answer(404, _NO, False, 4),
@@ -123,6 +127,7 @@
     ErrorKind.DATA_IN_USE: Answer(500, _NO, False, 10),
     ErrorKind.CORRUPT_DATA: Answer(500, _NO, False, 11),
     ErrorKind.INVALID_CONFIG: Answer(500, _NO, False, 2),
+    ErrorKind.ADDRESS_UNAVAILABLE: Answer(500, _NO, False, 13),
     ErrorKind.PROTOCOL: Answer(502, _UNKNOWN, True, 12),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, True, 1),
 }
@@ -216,6 +221,7 @@
     ErrorKind.DATA_IN_USE: StorageError,
     ErrorKind.CORRUPT_DATA: StorageError,
     ErrorKind.INVALID_CONFIG: ConfigError,
+    ErrorKind.ADDRESS_UNAVAILABLE: ConfigError,
     ErrorKind.PROTOCOL: ProtocolError,
     ErrorKind.INTERNAL: InternalError,
 }
@@ -253,3 +259,31 @@
     """
     cls = _CLASS_OF_KIND.get(kind, UnavailableError)
     return cls(kind, detail, was_run=was_run, retry_after_s=retry_after_s)
+
+
+def first_known_error(error: BaseException) -> CranberryfieldError | None:
+    """Find the first error of this project in a group of errors.
+
+    Parameters
+    ----------
+    error : BaseException
+        An error, or an `ExceptionGroup` as a task group raises it.
+
+    Returns
+    -------
+    CranberryfieldError or None
+        None if it holds none.
+
+    Examples
+    --------
+    >>> inner = CranberryfieldError(ErrorKind.NO_QUORUM, "one of three answers")
+    >>> first_known_error(ExceptionGroup("tasks", [ValueError(), inner])) is inner
+    True
+    """
+    if isinstance(error, CranberryfieldError):
+        return error
+    for inner in getattr(error, "exceptions", ()):
+        found = first_known_error(inner)
+        if found is not None:
+            return found
+    return None
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/metrics/counts.py
@@ -0,0 +1,96 @@
+"""Histograms as sparse counts, which can be added up and subtracted.
+
+Percentiles of several nodes cannot be joined; counts of equal buckets can. All
+nodes use the buckets of `cranberryfield.core.metrics.registry`.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+__all__ = ["join_counts", "percentile_of_counts", "subtract_counts"]
+
+#: Number of observations by the upper end of their bucket, in microseconds.
+BucketCounts = dict[int, int]
+
+
+def join_counts(histograms: Iterable[BucketCounts]) -> BucketCounts:
+    """Add up the counts of several nodes.
+
+    Parameters
+    ----------
+    histograms : iterable of dict
+        Counts by bucket.
+
+    Returns
+    -------
+    dict
+        Counts by bucket over all of them.
+
+    Examples
+    --------
+    >>> join_counts([{10: 1}, {10: 2, 20: 1}])
+    {10: 3, 20: 1}
+    """
+    total: Counter[int] = Counter()
+    for histogram in histograms:
+        total.update(histogram)
+    return dict(total)
+
+
+def subtract_counts(later: BucketCounts, earlier: BucketCounts) -> BucketCounts:
+    """Return what was observed between two readings of one histogram.
+
+    Parameters
+    ----------
+    later, earlier : dict
+        Counts by bucket.
+
+    Returns
+    -------
+    dict
+        Their difference. A count that fell, since the node was started again
+        in between, is taken as it stands.
+
+    Examples
+    --------
+    >>> subtract_counts({10: 5, 20: 1}, {10: 3})
+    {10: 2, 20: 1}
+    """
+    restarted = any(later.get(bucket, 0) < count for bucket, count in earlier.items())
+    if restarted:
+        return dict(later)
+    difference = {
+        bucket: count - earlier.get(bucket, 0) for bucket, count in later.items()
+    }
+    return {bucket: count for bucket, count in difference.items() if count}
+
+
+def percentile_of_counts(counts: BucketCounts, percentile: float) -> float:
+    """Return the value that a share of the observations does not exceed.
+
+    Parameters
+    ----------
+    counts : dict
+        Counts by bucket.
+    percentile : float
+        From 0 to 100.
+
+    Returns
+    -------
+    float
+        Upper end of the bucket, in microseconds; 0 without observations.
+
+    Examples
+    --------
+    >>> percentile_of_counts({10: 95, 400: 5}, 95)
+    10
+    >>> percentile_of_counts({10: 95, 400: 5}, 96)
+    400
+    """
+    needed = sum(counts.values()) * percentile / 100
+    seen = 0
+    for bucket, count in sorted(counts.items()):
+        seen += count
+        if seen >= needed:
+            return bucket
+    return 0
--- a/packages/cranberryfield-core/src/cranberryfield/core/metrics/registry.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/metrics/registry.py
@@ -5,14 +5,26 @@
 from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
+from cranberryfield.core.metrics.counts import percentile_of_counts
+from cranberryfield.core.metrics.views import (
+    CounterView,
+    HistogramView,
+    MetricsView,
+)
+
 __all__ = ["Metrics"]
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
-PERCENTILES = (50.0, 95.0, 99.0)
+COUNTER_BYTES = 4
 US_PER_S = 1_000_000
+US_PER_MS = 1_000
 MS_PER_S = 1_000
+#: Bounds the memory of counters and histograms. Observations of further
+#: workspaces are kept together under `OVERFLOW`.
+MAX_SERIES = 512
+OVERFLOW = "(others)"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,8 +48,8 @@
     --------
     >>> metrics = Metrics()
     >>> metrics.observe("first_token", 0.012, workspace="releve", priority="field")
-    >>> row = metrics.snapshot()["histograms"][0]
-    >>> row["workspace"], row["count"]
+    >>> row = metrics.snapshot().histograms[0]
+    >>> row.workspace, row.count
     ('releve', 1)
     """
 
@@ -81,7 +93,7 @@
         workspace, priority : str
             What the counter is kept for; ``-`` where neither applies.
         """
-        series = _Series(name, workspace, priority)
+        series = _bounded(self._counters, _Series(name, workspace, priority))
         self._counters[series] = self._counters.get(series, 0) + by
         if self._statsd is not None:
             self._statsd.incr(_statsd_name(series), by)
@@ -100,51 +112,63 @@
         workspace, priority : str
             What the histogram is kept for.
         """
-        series = _Series(name, workspace, priority)
+        series = _bounded(self._histograms, _Series(name, workspace, priority))
         histogram = self._histograms.get(series)
         if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            histogram = HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS, COUNTER_BYTES
+            )
             self._histograms[series] = histogram
-        histogram.record_value(max(LOWEST_US, int(seconds * US_PER_S)))
+        micros = int(seconds * US_PER_S)
+        histogram.record_value(min(HIGHEST_US, max(LOWEST_US, micros)))
         if self._statsd is not None:
             self._statsd.timing(_statsd_name(series), seconds * MS_PER_S)
 
-    def snapshot(self) -> dict:
-        """Return every counter and histogram as plain data for JSON.
+    def snapshot(self) -> MetricsView:
+        """Return every counter and histogram.
 
         Returns
         -------
-        dict
-            ``counters`` and ``histograms``; durations in milliseconds.
+        MetricsView
+            What ``GET /metrics.json`` answers with.
         """
-        return {
-            "counters": [
-                {**_labels(series), "value": value}
+        return MetricsView(
+            [
+                CounterView(series.name, series.workspace, series.priority, value)
                 for series, value in self._counters.items()
             ],
-            "histograms": [
-                {
-                    **_labels(series),
-                    "count": histogram.get_total_count(),
-                    **{
-                        f"p{percentile:g}_ms": histogram.get_value_at_percentile(
-                            percentile
-                        )
-                        / MS_PER_S
-                        for percentile in PERCENTILES
-                    },
-                }
+            [
+                _histogram_view(series, histogram)
                 for series, histogram in self._histograms.items()
             ],
-        }
+        )
+
+
+def _bounded(known: dict[_Series, object], series: _Series) -> _Series:
+    if series in known or len(known) < MAX_SERIES:
+        return series
+    return _Series(series.name, OVERFLOW, OVERFLOW)
 
 
-def _labels(series: _Series) -> dict[str, str]:
-    return {
-        "name": series.name,
-        "workspace": series.workspace,
-        "class": series.priority,
+def _histogram_view(series: _Series, histogram: HdrHistogram) -> HistogramView:
+    buckets = {
+        item.value_iterated_to: item.count_added_in_this_iter_step
+        for item in histogram.get_recorded_iterator()
     }
+    p50, p95, p99 = (
+        percentile_of_counts(buckets, percentile) / US_PER_MS
+        for percentile in (50, 95, 99)
+    )
+    return HistogramView(
+        series.name,
+        series.workspace,
+        series.priority,
+        histogram.get_total_count(),
+        p50,
+        p95,
+        p99,
+        buckets,
+    )
 
 
 def _statsd_name(series: _Series) -> str:
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/reference.py
@@ -0,0 +1,116 @@
+"""The reference of all settings, read from the schema and its docstring."""
+
+import msgspec
+from docstring_parser import DocstringStyle, parse
+
+from cranberryfield.core.settings import EffectiveSettings
+from cranberryfield.core.settings.levels import LevelKind
+from cranberryfield.core.settings.schema import LEVELS_OF
+
+__all__ = ["SettingReference", "list_settings", "settings_table"]
+
+_EVERY_LEVEL = (
+    LevelKind.SYSTEM,
+    LevelKind.SERVICE,
+    LevelKind.WORKSPACE,
+    LevelKind.WORKSPACE_SERVICE,
+)
+
+
+class SettingReference(msgspec.Struct):
+    """One setting.
+
+    Attributes
+    ----------
+    setting : str
+        Its name.
+    type : str
+        What its values are, with their bounds.
+    default : str
+        Its value where no level sets it, as JSON.
+    levels : str
+        Where it may stand.
+    meaning : str
+        What it does.
+    """
+
+    setting: str
+    type: str
+    default: str
+    levels: str
+    meaning: str
+
+
+def list_settings() -> list[SettingReference]:
+    """Return every setting in the order of the schema.
+
+    Returns
+    -------
+    list of SettingReference
+        One for each field of `EffectiveSettings`.
+
+    Examples
+    --------
+    >>> [row.default for row in list_settings() if row.setting == "queue_limit"]
+    ['256']
+    """
+    meanings = _meanings()
+    defaults = msgspec.to_builtins(EffectiveSettings())
+    rows = []
+    for field in msgspec.structs.fields(EffectiveSettings):
+        levels = LEVELS_OF.get(field.name, frozenset(_EVERY_LEVEL))
+        rows.append(
+            SettingReference(
+                field.name,
+                _describe_type(msgspec.json.schema(field.type)),
+                msgspec.json.encode(defaults[field.name]).decode(),
+                ", ".join(kind.value for kind in LevelKind if kind in levels),
+                meanings.get(field.name, ""),
+            )
+        )
+    return rows
+
+
+def _meanings() -> dict[str, str]:
+    parsed = parse(EffectiveSettings.__doc__ or "", DocstringStyle.NUMPYDOC)
+    return {
+        name.strip(): " ".join((attribute.description or "").split())
+        for attribute in parsed.params
+        for name in attribute.arg_name.split(",")
+    }
+
+
+def _describe_type(schema: dict) -> str:
+    if "$ref" in schema:
+        schema = schema["$defs"][schema["$ref"].rpartition("/")[2]]
+    if "anyOf" in schema:
+        return " or ".join(_describe_type(one) for one in schema["anyOf"])
+    if "enum" in schema:
+        return " or ".join(str(value) for value in schema["enum"])
+    if schema["type"] == "array":
+        return f"list of {_describe_type(schema.get('items', {'type': 'any'}))}"
+    bounds = {
+        "minimum": "at least",
+        "exclusiveMinimum": "above",
+        "maximum": "at most",
+    }
+    limits = [
+        f"{words} {schema[key]}" for key, words in bounds.items() if key in schema
+    ]
+    if "pattern" in schema:
+        limits.append(f"matching {schema['pattern']}")
+    return ", ".join([schema["type"], *limits])
+
+
+def settings_table() -> str:
+    """Return the reference as a table in Markdown."""
+    lines = [
+        "| setting | type | default | levels | meaning |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for row in list_settings():
+        cells = (row.setting, row.type, row.default, row.levels, row.meaning)
+        lines.append(
+            "| " + " | ".join(cell.replace("|", "\\|") for cell in cells) + " |"
+        )
+    return "\n".join(lines) + "\n"
--- a/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
@@ -12,7 +12,10 @@
     "ControlView",
     "EditBody",
     "LevelView",
+    "NodeAddress",
     "OriginView",
+    "RequestReport",
+    "RunningView",
     "SettingsView",
     "StatusView",
     "UpstreamView",
@@ -80,6 +83,47 @@
     lease_left_ms: int
     running: int
     queued: int
+    drained: bool = False
+    in_flight: int = 0
+
+
+class RunningView(msgspec.Struct):
+    """Requests of a workspace at a service that run on one node now."""
+
+    workspace: str
+    service: str
+    running: int
+
+
+class RequestReport(msgspec.Struct):
+    """What one node's record says of a request.
+
+    Attributes
+    ----------
+    node : str
+        The node.
+    workspace, key, service : str
+        The request.
+    state : str
+        Where it stands.
+    idempotent : bool
+        Whether it may run more than once.
+    events : int
+        Events of the answer so far.
+    kind, was_run, detail : str or None
+        How it failed, if it did.
+    """
+
+    node: str
+    workspace: str
+    key: str
+    service: str
+    state: str
+    idempotent: bool
+    events: int = 0
+    kind: str | None = None
+    was_run: str | None = None
+    detail: str | None = None
 
 
 class ControlView(msgspec.Struct):
@@ -93,8 +137,39 @@
     voters: tuple[str, ...]
 
 
+class NodeAddress(msgspec.Struct, frozen=True):
+    """A node and where it answers operators, ``IP:PORT``."""
+
+    node: str
+    address: str
+
+
 class StatusView(msgspec.Struct):
-    """One process."""
+    """One process.
+
+    Attributes
+    ----------
+    node : str
+        Its id.
+    roles : tuple of str
+        What it does.
+    data_centre : str
+        Where it runs.
+    ready : bool
+        Whether it takes new requests.
+    settings_revision : int
+        Revision of the settings in force.
+    peers : tuple of str
+        Nodes that it has links to.
+    upstreams : int
+        Upstreams that it knows.
+    control : ControlView or None
+        Its replica of the log, with the control role.
+    addresses : tuple of NodeAddress
+        Where its peers answer operators.
+    resident_kib : int
+        Memory of the process, in KiB.
+    """
 
     node: str
     roles: tuple[str, ...]
@@ -104,3 +179,5 @@
     peers: tuple[str, ...]
     upstreams: int
     control: ControlView | None = None
+    addresses: tuple[NodeAddress, ...] = ()
+    resident_kib: int = 0
--- a/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
@@ -72,7 +72,7 @@
     key_hashes : tuple of str
         SHA-256 digests of the workspace's keys.
     drained : bool
-        Whether an upstream takes no new work.
+        Whether a service, a workspace or an upstream takes no new work.
     """
 
     kind: ServiceKind = ServiceKind.MODEL
@@ -122,7 +122,7 @@
     "share": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
     "rate_limit_per_s": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
     "key_hashes": _WORKSPACE_ONLY,
-    "drained": frozenset({LevelKind.UPSTREAM}),
+    "drained": frozenset({LevelKind.SERVICE, LevelKind.WORKSPACE, LevelKind.UPSTREAM}),
 }
 
 _TYPES = {field.name: field.type for field in msgspec.structs.fields(EffectiveSettings)}
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/main.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/main.py
@@ -2,47 +2,87 @@
 
 import sys
 from pathlib import Path
+from typing import Annotated
 
 import anyio
-from cyclopts import App
+import structlog
+from cyclopts import App, CycloptsError, Parameter
 
-from cranberryfield.core.config import DaemonConfig
-from cranberryfield.core.errors import ConfigError, CranberryfieldError, ErrorKind
+from cranberryfield.core.config import DaemonConfig, read_daemon_config
+from cranberryfield.core.errors import (
+    ConfigError,
+    CranberryfieldError,
+    ErrorKind,
+    first_known_error,
+)
 from cranberryfield.core.logs import configure_logs
-from cranberryfield.daemon.process import run_process
+from cranberryfield.daemon.preflight import check_host
 
 __all__ = ["main"]
 
-app = App(name="cranberryfieldd", help="One process of a cranberryfield group.")
+PROGRAM = "cranberryfieldd"
+USAGE_EXIT_CODE = 2
+
+logger = structlog.get_logger(__name__)
+
+app = App(
+    name=PROGRAM,
+    help="Run one process of a cranberryfield group.",
+    help_epilogue="""Examples:
+
+    cranberryfieldd --config /etc/cranberryfield/entry-1.yaml
+    cranberryfieldd --config /etc/cranberryfield/entry-1.yaml --check
+""",
+)
 
 
 @app.default
-def serve(*, config: Path) -> None:
+def serve(
+    *,
+    config: Path,
+    check: Annotated[bool, Parameter(negative=())] = False,
+) -> None:
     """Run the process that a configuration file describes.
 
     Parameters
     ----------
     config : pathlib.Path
         The YAML file.
+    check : bool
+        Only check the file and this host: ports, certificates, data folder.
     """
-    checked = _read_config(config)
-    configure_logs(checked.node, checked.log_level)
-    anyio.run(run_process, checked)
+    checked = read_daemon_config(config)
+    configure_logs(checked.node, checked.log_level.value)
+    faults = check_host(checked)
+    if faults:
+        for fault in faults:
+            logger.error("cannot start", kind=fault.kind.value, detail=fault.detail)
+        sys.exit(faults[0].answer.exit_code)
+    if check:
+        print(f"{config}: {checked.node} can start")
+        return
+    _run(checked)
 
 
-def _read_config(path: Path) -> DaemonConfig:
+def _run(config: DaemonConfig) -> None:
+    # Imported late, so that a bad file is reported before the roles are loaded.
+    from cranberryfield.daemon.process import run_process
+
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise ConfigError(ErrorKind.INVALID_CONFIG, f"{path}: {error}") from error
-    return DaemonConfig.from_yaml(text, str(path))
+        anyio.run(run_process, config)
+    except (CranberryfieldError, ExceptionGroup, OSError) as error:
+        known = first_known_error(error) or _refused_by_host(error)
+        if known is None:
+            raise
+        logger.error("stopped by an error", kind=known.kind.value, detail=known.detail)
+        sys.exit(known.answer.exit_code)
 
 
-def _first_known_error(error: BaseException) -> CranberryfieldError | None:
-    if isinstance(error, CranberryfieldError):
-        return error
+def _refused_by_host(error: BaseException) -> CranberryfieldError | None:
+    if isinstance(error, OSError):
+        return ConfigError(ErrorKind.ADDRESS_UNAVAILABLE, str(error))
     for inner in getattr(error, "exceptions", ()):
-        found = _first_known_error(inner)
+        found = _refused_by_host(inner)
         if found is not None:
             return found
     return None
@@ -51,10 +91,15 @@
 def main() -> None:
     """Run the command line; exit with the code of the error's kind."""
     try:
-        app()
-    except (CranberryfieldError, ExceptionGroup) as error:
-        known = _first_known_error(error)
-        if known is None:
-            raise
-        print(f"cranberryfieldd: {known.detail}", file=sys.stderr)
-        sys.exit(known.answer.exit_code)
+        app(exit_on_error=False, print_error=False)
+    except CycloptsError as error:
+        message = " ".join(str(error).split())
+        _fail(f"{message} See {PROGRAM} --help.", USAGE_EXIT_CODE)
+    except CranberryfieldError as error:
+        _fail(error.detail, error.answer.exit_code)
+
+
+def _fail(message: str, exit_code: int) -> None:
+    for line in message.splitlines():
+        print(f"{PROGRAM}: {line}", file=sys.stderr)
+    sys.exit(exit_code)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
@@ -7,35 +7,36 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from cranberryfield.control.runtime import ControlSection
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.errors import ControlError, ErrorKind
 from cranberryfield.core.http import decode_json, require_key
-from cranberryfield.core.ids import ChangeId, ServiceName, WorkspaceId
+from cranberryfield.core.ids import ChangeId, RequestKey, ServiceName, WorkspaceId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.commands import ChangeSettings, LevelEdit
 from cranberryfield.core.operators.views import (
     ChangeBody,
     ChangeResult,
-    ControlView,
     LevelView,
     OriginView,
     SettingsView,
-    StatusView,
-    UpstreamView,
 )
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings import explain_settings, parse_level
 from cranberryfield.core.settings.follow import SettingsSection
-from cranberryfield.entry.membership import UpstreamsSection
+from cranberryfield.daemon.operators.reports import (
+    report_request,
+    report_running,
+    report_status,
+    report_upstreams,
+)
+from cranberryfield.entry.requests import RecordsSection
 
 __all__ = ["OperatorApi"]
 
 CHANGE_TIMEOUT_S = 5.0
 MAX_CHANGE_BYTES = 4 << 20
-MS_PER_S = 1000
 
 
 class OperatorApi:
@@ -68,6 +69,7 @@
         self._mesh = mesh
         self._proposer = proposer
         self._ready = ready
+        self._is_entry = Role.ENTRY in config.roles
 
     def routes(self) -> list[Route]:
         """Return the operators' routes."""
@@ -77,6 +79,8 @@
             Route("/operator/settings/effective", self._explain, methods=["GET"]),
             Route("/operator/status", self._status, methods=["GET"]),
             Route("/operator/upstreams", self._upstreams, methods=["GET"]),
+            Route("/operator/running", self._running, methods=["GET"]),
+            Route("/operator/requests", self._request, methods=["GET"]),
         ]
 
     def _authorise(self, http: HttpRequest) -> None:
@@ -124,58 +128,33 @@
 
     async def _status(self, http: HttpRequest) -> Response:
         self._authorise(http)
-        roles = tuple(role.value for role in self._config.roles)
-        is_entry = Role.ENTRY in self._config.roles
-        upstreams = self._board.read(UpstreamsSection).upstreams if is_entry else ()
-        return _json(
-            StatusView(
-                self._config.node,
-                roles,
-                self._config.data_centre,
-                self._ready() if self._ready is not None else True,
-                self._board.read(SettingsSection).tree.revision,
-                tuple(sorted(peer.node for peer in self._mesh.peers)),
-                len(upstreams),
-                self._control_view(),
-            )
-        )
-
-    def _control_view(self) -> ControlView | None:
-        if Role.CONTROL not in self._config.roles:
-            return None
-        replica = self._board.read(ControlSection).replica
-        return ControlView(
-            replica.role.value,
-            replica.term,
-            replica.leader,
-            replica.commit_index,
-            replica.log.last_index,
-            replica.voters,
-        )
+        ready = self._ready() if self._ready is not None else True
+        return _json(report_status(self._config, self._board, self._mesh.peers, ready))
 
     async def _upstreams(self, http: HttpRequest) -> Response:
         self._authorise(http)
-        if Role.ENTRY not in self._config.roles:
+        if not self._is_entry:
             return _json([])
-        now = monotonic_clock()
-        section = self._board.read(UpstreamsSection)
-        return _json(
-            [
-                UpstreamView(
-                    known.record.upstream,
-                    known.record.service,
-                    known.record.data_centre,
-                    known.record.address,
-                    known.record.machine_class,
-                    known.record.incarnation,
-                    known.record.leaving,
-                    max(0, int((known.lease_ends_at() - now) * MS_PER_S)),
-                    known.record.load.running,
-                    known.record.load.queued,
-                )
-                for _, known in sorted(section.upstreams.items())
-            ]
+        return _json(report_upstreams(self._board, monotonic_clock()))
+
+    async def _running(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        if not self._is_entry:
+            return _json([])
+        return _json(report_running(self._board.read(RecordsSection)))
+
+    async def _request(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        if not self._is_entry:
+            return _json([])
+        workspace = http.query_params.get("workspace")
+        reports = report_request(
+            self._config.node,
+            self._board.read(RecordsSection),
+            WorkspaceId(workspace) if workspace else None,
+            RequestKey(http.query_params.get("key", "")),
         )
+        return _json(reports)
 
 
 def _json(value) -> Response:
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
@@ -0,0 +1,201 @@
+"""Builds what operators are shown from the sections of the blackboard."""
+
+from collections import Counter
+from resource import getpagesize
+
+from cranberryfield.control.runtime import ControlSection
+from cranberryfield.core.blackboard import Blackboard
+from cranberryfield.core.config import DaemonConfig, Role
+from cranberryfield.core.ids import RequestKey, WorkspaceId
+from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.operators.views import (
+    ControlView,
+    NodeAddress,
+    RequestReport,
+    RunningView,
+    StatusView,
+    UpstreamView,
+)
+from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.settings.tree import upstream_is_drained
+from cranberryfield.entry.membership import UpstreamsSection
+from cranberryfield.entry.requests import RecordsSection, RequestRecord
+from cranberryfield.entry.requests.records import RequestState
+from cranberryfield.entry.routing import DispatchSection
+
+__all__ = [
+    "report_request",
+    "report_running",
+    "report_status",
+    "report_upstreams",
+    "resident_kib",
+]
+
+MS_PER_S = 1000
+BYTES_PER_KIB = 1024
+STATM = "/proc/self/statm"
+
+
+def resident_kib() -> int:
+    """Return this process's resident memory in KiB; 0 where it can't be read."""
+    try:
+        with open(STATM, encoding="ascii") as statm:
+            pages = int(statm.read().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * getpagesize() // BYTES_PER_KIB
+
+
+def report_status(
+    config: DaemonConfig, board: Blackboard, peers: list[Hello], ready: bool
+) -> StatusView:
+    """Describe this process.
+
+    Parameters
+    ----------
+    config : DaemonConfig
+        Its configuration.
+    board : Blackboard
+        Its sections.
+    peers : list of Hello
+        Processes that it has links to.
+    ready : bool
+        Whether it takes new requests.
+
+    Returns
+    -------
+    StatusView
+        The description.
+    """
+    is_entry = Role.ENTRY in config.roles
+    known = board.read(UpstreamsSection).upstreams if is_entry else ()
+    linked = sorted(peers, key=lambda peer: peer.node)
+    return StatusView(
+        config.node,
+        tuple(role.value for role in config.roles),
+        config.data_centre,
+        ready,
+        board.read(SettingsSection).tree.revision,
+        tuple(peer.node for peer in linked),
+        len(known),
+        _control_view(config, board),
+        tuple(NodeAddress(peer.node, peer.callers) for peer in linked),
+        resident_kib(),
+    )
+
+
+def _control_view(config: DaemonConfig, board: Blackboard) -> ControlView | None:
+    if Role.CONTROL not in config.roles:
+        return None
+    replica = board.read(ControlSection).replica
+    return ControlView(
+        replica.role.value,
+        replica.term,
+        replica.leader,
+        replica.commit_index,
+        replica.log.last_index,
+        replica.voters,
+    )
+
+
+def report_upstreams(board: Blackboard, now: float) -> list[UpstreamView]:
+    """Describe the upstreams that an entry host knows.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Its sections.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    list of UpstreamView
+        By id.
+    """
+    tree = board.read(SettingsSection).tree
+    dispatched = board.read(DispatchSection)
+    known = board.read(UpstreamsSection).upstreams
+    return [
+        UpstreamView(
+            one.record.upstream,
+            one.record.service,
+            one.record.data_centre,
+            one.record.address,
+            one.record.machine_class,
+            one.record.incarnation,
+            one.record.leaving,
+            max(0, int((one.lease_ends_at() - now) * MS_PER_S)),
+            one.record.load.running,
+            one.record.load.queued,
+            upstream_is_drained(tree, one.record.upstream),
+            dispatched.in_flight.get(one.record.upstream, 0),
+        )
+        for _, one in sorted(known.items())
+    ]
+
+
+def report_running(records: RecordsSection) -> list[RunningView]:
+    """Count the requests that run on this node.
+
+    Parameters
+    ----------
+    records : RecordsSection
+        Its records.
+
+    Returns
+    -------
+    list of RunningView
+        One for each workspace and service with any.
+    """
+    counts = Counter(
+        (record.request.workspace, record.request.service)
+        for record in records.records.values()
+        if record.state is RequestState.RUNNING
+    )
+    return [RunningView(*names, count) for names, count in sorted(counts.items())]
+
+
+def report_request(
+    node: str, records: RecordsSection, workspace: WorkspaceId | None, key: RequestKey
+) -> list[RequestReport]:
+    """Describe the requests that this node has a record of under a key.
+
+    Parameters
+    ----------
+    node : str
+        This node.
+    records : RecordsSection
+        Its records.
+    workspace : WorkspaceId or None
+        Whose request; None for every workspace's.
+    key : RequestKey
+        The request's key.
+
+    Returns
+    -------
+    list of RequestReport
+        One for each workspace that has used the key.
+    """
+    return [
+        _report_record(node, record)
+        for (owner, its_key), record in sorted(records.records.items())
+        if its_key == key and workspace in (None, owner)
+    ]
+
+
+def _report_record(node: str, record: RequestRecord) -> RequestReport:
+    request = record.request
+    error = record.error
+    return RequestReport(
+        node,
+        request.workspace,
+        request.key,
+        request.service,
+        record.state.value,
+        request.idempotent,
+        len(record.events),
+        error.kind.value if error else None,
+        error.was_run.value if error else None,
+        error.detail if error else None,
+    )
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/preflight.py
@@ -0,0 +1,111 @@
+"""Checks what a configuration file cannot show: ports, certificates, folders.
+
+All of them are made before a port is bound, so that a host which cannot serve
+never answers a balancer, and every fault is reported at once.
+"""
+
+import os
+import socket
+import ssl
+from pathlib import Path
+
+from cranberryfield.core.config import DaemonConfig, Role
+from cranberryfield.core.config.daemon import split_address
+from cranberryfield.core.errors import (
+    ConfigError,
+    CranberryfieldError,
+    ErrorKind,
+    StorageError,
+)
+
+__all__ = ["check_host"]
+
+
+def check_host(config: DaemonConfig) -> list[CranberryfieldError]:
+    """Find what keeps a process from starting on this host.
+
+    Parameters
+    ----------
+    config : DaemonConfig
+        A checked configuration.
+
+    Returns
+    -------
+    list of CranberryfieldError
+        Every fault found; empty if the process can start.
+    """
+    faults = [
+        *_check_tls(config),
+        *_check_folder(config),
+        *_check_port("callers", config.callers),
+        *_check_port("mesh", config.mesh),
+    ]
+    return faults
+
+
+def _check_tls(config: DaemonConfig) -> list[CranberryfieldError]:
+    if config.tls is None:
+        return []
+    faults = []
+    for key in ("authority", "certificate", "private_key"):
+        path = Path(getattr(config.tls, key))
+        try:
+            path.read_bytes()
+        except OSError as error:
+            faults.append(_config_error(f"tls.{key}: {path}: {error.strerror}"))
+    if faults:
+        return faults
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    try:
+        context.load_verify_locations(config.tls.authority)
+    except (ssl.SSLError, OSError) as error:
+        faults.append(_config_error(f"tls.authority: {_reason(error)}"))
+    try:
+        context.load_cert_chain(config.tls.certificate, config.tls.private_key)
+    except (ssl.SSLError, OSError) as error:
+        faults.append(
+            _config_error(f"tls.certificate and tls.private_key: {_reason(error)}")
+        )
+    return faults
+
+
+def _check_folder(config: DaemonConfig) -> list[CranberryfieldError]:
+    if Role.CONTROL not in config.roles:
+        return []
+    folder = Path(config.data_folder)
+    existing = folder
+    while not existing.exists() and existing != existing.parent:
+        existing = existing.parent
+    if not existing.is_dir():
+        return [_storage_error(f"data_folder: {existing} is not a folder")]
+    if not os.access(existing, os.W_OK | os.X_OK):
+        return [_storage_error(f"data_folder: {existing} cannot be written")]
+    return []
+
+
+def _check_port(key: str, address: str) -> list[CranberryfieldError]:
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except (OSError, OverflowError) as error:
+            reason = getattr(error, "strerror", None) or str(error)
+            fault = ConfigError(
+                ErrorKind.ADDRESS_UNAVAILABLE, f"{key}: {address}: {reason}"
+            )
+            return [fault]
+    return []
+
+
+def _reason(error: OSError) -> str:
+    return getattr(error, "reason", None) or error.strerror or str(error)
+
+
+def _config_error(detail: str) -> ConfigError:
+    return ConfigError(ErrorKind.INVALID_CONFIG, detail)
+
+
+def _storage_error(detail: str) -> StorageError:
+    return StorageError(ErrorKind.DATA_IN_USE, detail)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -1,5 +1,6 @@
 """One process: mesh, roles, HTTP server, and its stop."""
 
+import logging
 import signal
 import time
 from random import Random
@@ -54,7 +55,7 @@
     web.shutdown_timeout = LONGEST_ANSWER_S
     web.keep_alive_timeout = KEEP_ALIVE_S
     web.accesslog = None
-    web.errorlog = None
+    web.errorlog = logging.getLogger("hypercorn.error")
     return web
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -10,6 +10,7 @@
 __all__ = ["AdmissionGate"]
 
 RETRY_AFTER_S = 1.0
+DRAINED_RETRY_AFTER_S = 30.0
 
 
 class AdmissionGate:
@@ -35,9 +36,16 @@
         Raises
         ------
         UnavailableError
-            Of kind ``queue_full`` if there is no place.
+            Of kind ``queue_full`` if there is no place; ``drained`` if operators
+            have taken the workspace or the service out of use.
         """
         workspace, service = request.workspace, request.service
+        if request.settings.drained:
+            raise UnavailableError(
+                ErrorKind.DRAINED,
+                f"{workspace} at {service} takes no new requests",
+                retry_after_s=DRAINED_RETRY_AFTER_S,
+            )
         name = (workspace, service)
         running = self._running.get(name, 0)
         if running >= request.settings.concurrency_limit:
--- /dev/null
+++ b/tests/test_client_commands.py
@@ -0,0 +1,256 @@
+import json
+import uuid
+
+import httpx
+import pytest
+
+from cranberryfield.client import main as client
+from standins.fleets import NOTARY_KEY, RELEVE_KEY
+from standins.group import OPERATOR_KEY
+
+
+@pytest.fixture
+def run(fleet, monkeypatch, capsys):
+    """Run the client against entry-1; return exit code, output and errors."""
+    monkeypatch.setenv("CRANBERRYFIELD_NODE", fleet.entry_addresses[0])
+    monkeypatch.setenv("CRANBERRYFIELD_KEY", OPERATOR_KEY)
+
+    def run(*arguments):
+        monkeypatch.setattr("sys.argv", ["cranberryfield", *map(str, arguments)])
+        try:
+            client.main()
+            code = 0
+        except SystemExit as stop:
+            code = stop.code or 0
+        output = capsys.readouterr()
+        assert "Traceback" not in output.err
+        return code, output.out, output.err
+
+    return run
+
+
+@pytest.fixture
+def read(run):
+    def read(*arguments):
+        code, out, err = run(*arguments, "--json")
+        assert code == 0, err
+        return json.loads(out)
+
+    return read
+
+
+MISTAKES = [
+    ("unknown command", ("frob",), 2, "Unknown command"),
+    ("argument missing", ("settings", "set"), 2, "LEVEL"),
+    ("unknown option", ("status", "--colour"), 2, "--colour"),
+    ("no equals sign", ("settings", "set", "system", "queue_limit"), 8, "NAME=VALUE"),
+    ("no assignment", ("settings", "set", "system"), 8, "no NAME=VALUE"),
+    ("no value", ("settings", "set", "system", "queue_limit="), 8, "no value"),
+    ("bad YAML", ("settings", "set", "system", "queue_limit=[1"), 8, "not YAML"),
+    ("twice", ("settings", "set", "system", "share=1", "share=1"), 8, "share"),
+    ("unknown level", ("settings", "set", "team/x", "share=1"), 4, "team/x"),
+    ("unknown setting", ("settings", "set", "system", "colour=1"), 4, "colour"),
+    ("unknown to unset", ("settings", "unset", "system", "colour"), 4, "colour"),
+    ("out of range", ("settings", "set", "system", "queue_limit=-1"), 8, ">= 0"),
+    (
+        "stale",
+        ("settings", "set", "service/redacteur", "queue_limit=1", "--revision", 0),
+        9,
+        "revision",
+    ),
+    ("service exists", ("service", "create", "redacteur", "--kind=model"), 9, "0"),
+    ("no such service", ("service", "show", "nobody"), 4, "nobody"),
+    ("no such upstream", ("upstream", "show", "nobody"), 4, "nobody"),
+    ("no such request", ("requests", "show", "nobody"), 4, "nobody"),
+    ("wrong key", ("status", "--key", "wrong"), 3, "key"),
+    ("bad address", ("status", "--node", "127.0.0.1:port"), 2, "--node"),
+    ("no node there", ("status", "--node", "127.0.0.1:1"), 6, "no answer"),
+    ("file missing", ("settings", "apply", "/nowhere.yaml"), 2, "No such file"),
+    ("not a daemon's file", ("config", "check", "/nowhere.yaml"), 2, "No such file"),
+]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "message"),
+    [row[1:] for row in MISTAKES],
+    ids=[row[0] for row in MISTAKES],
+)
+def test_a_mistake_gives_one_line_and_the_kinds_exit_code(
+    run, arguments, code, message
+):
+    found, out, err = run(*arguments)
+    assert (found, out) == (code, "")
+    assert err.startswith("cranberryfield: ")
+    assert err.count("\n") == 1
+    assert message in err
+
+
+READS = [
+    ("status", ("status",), "entry-3"),
+    ("status of one", ("status", "--one"), "entry-1"),
+    ("members", ("control", "members"), "leader"),
+    ("levels", ("settings", "get"), "service/redacteur"),
+    ("one level", ("settings", "get", "service/redacteur"), "model"),
+    ("in force", ("settings", "get", "--service", "redacteur"), "retry_budget"),
+    ("describe", ("settings", "describe", "queue_limit"), "256"),
+    ("services", ("service", "list"), "booking-app"),
+    ("service", ("service", "show", "booking-app"), "plain"),
+    ("workspaces", ("workspace", "list"), "notary"),
+    ("workspace", ("workspace", "show", "releve"), "key_hashes"),
+    ("upstreams", ("upstream", "list"), "clerk-lm-2"),
+    ("upstream", ("upstream", "show", "clerk-lm-2"), "entry-2"),
+    ("histograms", ("top", "--total"), "request"),
+]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "expected"), [row[1:] for row in READS], ids=[row[0] for row in READS]
+)
+def test_each_verb_prints_a_table_and_json(fleet, run, arguments, expected):
+    _complete(fleet, 0)
+    code, table, err = run(*arguments)
+    assert code == 0, err
+    assert expected in table
+    code, text, err = run(*arguments, "--json")
+    assert code == 0, err
+    assert expected in json.dumps(json.loads(text))
+
+
+def _complete(fleet, host):
+    body = {"model": "redacteur", "prompt": "wall", "max_tokens": 2}
+    response = httpx.post(
+        f"http://{fleet.entry_addresses[host]}/v1/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {RELEVE_KEY}"},
+        timeout=20,
+        trust_env=False,
+    )
+    assert response.status_code == 200
+
+
+def _book(fleet, host, key):
+    return httpx.post(
+        f"http://{fleet.entry_addresses[host]}/services/booking-app/appointments",
+        content=b"slot",
+        headers={"Authorization": f"Bearer {NOTARY_KEY}", "Idempotency-Key": key},
+        timeout=20,
+        trust_env=False,
+    )
+
+
+def test_status_shows_every_node_from_any(fleet, read):
+    rows = read("status", "--node", fleet.hosts["control-2"].callers)
+    assert {row["node"] for row in rows} == set(fleet.hosts)
+    assert all(row["memory_mib"] > 0 for row in rows)
+
+
+def test_top_counts_the_requests_of_all_nodes(fleet, read):
+    def seen():
+        rows = read("top", "--total", "--workspace", "releve")
+        return sum(row["count"] for row in rows if row["histogram"] == "request")
+
+    before = seen()
+    for host in range(3):
+        _complete(fleet, host)
+    assert seen() == before + 3
+
+
+def test_a_change_is_waited_for_and_a_resend_has_no_second_effect(fleet, read):
+    level = "service/archives"
+    change = uuid.uuid4().hex
+    arguments = ("settings", "set", level, "queue_limit=77", "--change-id", change)
+    first = read(*arguments, "--wait")
+    assert first["in_force"] == first["nodes"] == len(fleet.hosts)
+    assert read(*arguments)["revision"] == first["revision"]
+    origins = read("settings", "get", "--service", "archives")
+    assert {"name": "queue_limit", "value": 77, "level": level} in origins
+    read("settings", "unset", level, "queue_limit", "--wait")
+    assert read("settings", "get", level)[0]["values"] == {"kind": "model"}
+
+
+def test_apply_is_one_change_and_changes_nothing_when_repeated(read, run, tmp_path):
+    file = tmp_path / "fleet.yaml"
+    file.write_text("service/archives: {queue_limit: 5}\nworkspace/releve: {share: 2}")
+    assert len(read("settings", "diff", file)) == 2
+    assert len(read("settings", "apply", file, "--dry-run")) == 2
+    before = read("status", "--one")["settings_revision"]
+    applied = read("settings", "apply", file, "--wait")
+    assert applied["revision"] == before + 1
+    assert read("settings", "diff", file) == []
+    assert read("settings", "apply", file)["revision"] == before + 1
+    read("settings", "unset", "service/archives", "queue_limit", "--wait")
+    assert [row["setting"] for row in read("settings", "diff", file)] == ["queue_limit"]
+    assert read("settings", "apply", file)["revision"] == before + 3
+    read("settings", "unset", "service/archives", "queue_limit")
+    read("settings", "unset", "workspace/releve", "share", "--wait")
+
+
+def test_all_faults_of_a_settings_file_are_told_with_their_lines(run, tmp_path):
+    file = tmp_path / "fleet.yaml"
+    file.write_text(
+        "system:\n  queue_limit: many\n  colour: red\nteam/x: {share: 1}\n"
+        "service/archives: 3\n"
+    )
+    code, out, err = run("settings", "apply", file)
+    assert (code, out) == (2, "")
+    lines = [line.partition(":")[2].split(":")[0] for line in err.splitlines()]
+    assert len(lines) == 4
+    for number in (2, 3, 4, 5):
+        assert f"fleet.yaml:{number}: " in err
+
+
+def test_a_created_workspace_can_call_and_its_key_is_kept_nowhere(fleet, run, read):
+    name = f"w-{uuid.uuid4().hex[:8]}"
+    created = read("workspace", "create", name, "share=3", "--wait")
+    response = httpx.get(
+        f"http://{fleet.entry_addresses[1]}/v1/requests/none",
+        headers={"Authorization": f"Bearer {created['key']}"},
+        trust_env=False,
+    )
+    assert response.json()["kind"] == "unknown_request"
+    code, text, _ = run("settings", "get", f"workspace/{name}", "--json")
+    assert code == 0
+    assert created["key"] not in text
+
+
+def test_a_drained_upstream_gets_no_work_until_it_is_put_back(fleet, read):
+    read("upstream", "drain", "booking-app-1", "--wait")
+    before = len(fleet.journal())
+    for number in range(6):
+        assert _book(fleet, number % 3, uuid.uuid4().hex).status_code == 200
+    after = fleet.journal()[before:]
+    assert {entry.upstream for entry in after} == {"booking-app-2"}
+    read("upstream", "drain", "booking-app-1", "--undo", "--wait")
+    rows = read("upstream", "list", "--service", "booking-app")
+    assert [row["drained"] for row in rows] == [False, False]
+
+
+@pytest.mark.parametrize(
+    "noun", [("service", "booking-app"), ("workspace", "notary")], ids=lambda n: n[0]
+)
+def test_a_drained_level_refuses_new_requests_with_a_time_to_come_back(
+    fleet, read, noun
+):
+    read(noun[0], "drain", noun[1], "--wait")
+    response = _book(fleet, 2, uuid.uuid4().hex)
+    assert (response.status_code, response.json()["kind"]) == (503, "drained")
+    assert response.json()["was_run"] == "no"
+    assert int(response.headers["Retry-After"]) > 0
+    read(noun[0], "drain", noun[1], "--undo", "--wait")
+    assert _book(fleet, 2, uuid.uuid4().hex).status_code == 200
+
+
+def test_a_request_is_shown_with_the_node_that_has_its_record(fleet, read):
+    key = uuid.uuid4().hex
+    _book(fleet, 1, key)
+    rows = read("requests", "show", key, "--workspace", "notary")
+    assert ("entry-2", "answered") in {(row["node"], row["state"]) for row in rows}
+    assert all(row["idempotent"] is False for row in rows)
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_names_every_noun(run, shell):
+    code, text, _ = run("completion", "--shell", shell)
+    assert code == 0
+    for noun in ("settings", "service", "workspace", "upstream", "requests"):
+        assert noun in text
