--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PARTS),$(CURDIR)/packages/cranberryfield-$(p)/src)):$(CURDIR)
 RUN := $(VENV)/bin/python
 
-.PHONY: setup format lint test demo matrix bench
+.PHONY: setup format lint test demo local docs matrix bench
 
 setup: $(VENV)/.cranberryfield-ready
 
@@ -33,6 +33,14 @@
 demo: setup
 	$(RUN) -m standins.demo
 
+# A small group to try requests and the client on, until Ctrl-C.
+local: setup
+	$(RUN) -m standins.local
+
+# Writes the pages that are generated from the code; a test compares them.
+docs: setup
+	$(RUN) -m cranberryfield.core.operators.reference > docs/operators/settings-reference.md
+
 matrix: setup
 	$(RUN) -m tests.matrix
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/operators/reference.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/reference.py
@@ -7,7 +7,14 @@
 from cranberryfield.core.settings.levels import LevelKind
 from cranberryfield.core.settings.schema import LEVELS_OF
 
-__all__ = ["SettingReference", "list_settings", "settings_table"]
+__all__ = ["SettingReference", "list_settings", "reference_page"]
+
+HEADING = """\
+# Settings reference
+
+Made from the schema by `make docs`; `cranberryfield settings describe` prints
+the same. [settings.md](settings.md) explains levels and changes.
+"""
 
 _EVERY_LEVEL = (
     LevelKind.SYSTEM,
@@ -102,15 +109,28 @@
     return ", ".join([schema["type"], *limits])
 
 
-def settings_table() -> str:
-    """Return the reference as a table in Markdown."""
-    lines = [
-        "| setting | type | default | levels | meaning |",
-        "| --- | --- | --- | --- | --- |",
-    ]
+def reference_page() -> str:
+    """Return the page on all settings, in Markdown.
+
+    Returns
+    -------
+    str
+        ``docs/operators/settings-reference.md``.
+    """
+    lines = [HEADING]
     for row in list_settings():
-        cells = (row.setting, row.type, row.default, row.levels, row.meaning)
-        lines.append(
-            "| " + " | ".join(cell.replace("|", "\\|") for cell in cells) + " |"
-        )
-    return "\n".join(lines) + "\n"
+        lines += [
+            f"## {row.setting}",
+            "",
+            row.meaning,
+            "",
+            f"- values: {row.type}",
+            f"- default: `{row.default}`",
+            f"- may stand at: {row.levels}",
+            "",
+        ]
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    print(reference_page(), end="")
--- /dev/null
+++ b/standins/local.py
@@ -0,0 +1,39 @@
+"""A small group to try things on: ``make local``, until interrupted."""
+
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+from standins.fleets import (
+    HOSTS,
+    NOTARY_KEY,
+    RELEVE_KEY,
+    fleet_settings,
+    start_upstreams,
+)
+from standins.group import OPERATOR_KEY, running_group
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Start both fleets in small, print how to reach them, and wait."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_group(Path(folder), HOSTS) as group,
+    ):
+        revision = group.change_settings(fleet_settings(), "fleets", "entry-1")
+        group.wait_revision(revision)
+        group.wait_upstreams(start_upstreams(group))
+        first, *others = group.entry_addresses
+        print("# Paste these lines into another terminal; end with Ctrl-C here.")
+        print(f"export ENTRY={first} OTHER_ENTRY={others[0]}")
+        print(f"export KEY={RELEVE_KEY} NOTARY_KEY={NOTARY_KEY}")
+        print(f"export CRANBERRYFIELD_NODE={first} CRANBERRYFIELD_KEY={OPERATOR_KEY}")
+        print('export PATH="$PWD/.venv/bin:$PATH"', flush=True)
+        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+
+
+if __name__ == "__main__":
+    sys.exit(main())
