--- a/packages/cranberryfield-client/src/cranberryfield/client/output.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/output.py
@@ -78,7 +78,7 @@
 def _cell(value) -> str:
     if isinstance(value, dict):
         return ", ".join(f"{name}={_cell(one)}" for name, one in value.items())
-    if isinstance(value, list):
+    if isinstance(value, (list, tuple)):
         return ", ".join(_cell(one) for one in value)
     if isinstance(value, bool):
         return "yes" if value else "no"
--- a/standins/local.py
+++ b/standins/local.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 
 from standins.fleets import (
@@ -19,6 +20,14 @@
 
 def main() -> None:
     """Start both fleets in small, print how to reach them, and wait."""
+    # Both signals unwind the stack, so that all processes are ended.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    with suppress(KeyboardInterrupt):
+        _run()
+
+
+def _run() -> None:
     with (
         tempfile.TemporaryDirectory() as folder,
         running_group(Path(folder), HOSTS) as group,
@@ -32,7 +41,7 @@
         print(f"export KEY={RELEVE_KEY} NOTARY_KEY={NOTARY_KEY}")
         print(f"export CRANBERRYFIELD_NODE={first} CRANBERRYFIELD_KEY={OPERATOR_KEY}")
         print('export PATH="$PWD/.venv/bin:$PATH"', flush=True)
-        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+        signal.pause()
 
 
 if __name__ == "__main__":
