--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,1 @@
+pytest_plugins = ["tests.known_red"]
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,161 @@
+"""Tests that are listed in ``KNOWN-RED.txt``: run, printed, and passed over.
+
+A listed test that fails does not fail the run; one that passes is reported as
+to be removed from the list. Everything else fails as usual. Loaded as a pytest
+plugin by the ``conftest.py`` at the root, and read by the matrix runner.
+"""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pytest
+
+__all__ = ["KnownRedPlugin", "RedEntry", "find_entry", "read_known_red"]
+
+ROOT = Path(__file__).resolve().parent.parent
+FILE_NAME = "KNOWN-RED.txt"
+FIELDS = 4
+CELL_TEST = "::test_cell"
+
+
+@dataclass(frozen=True, slots=True)
+class RedEntry:
+    """One line of the list.
+
+    Attributes
+    ----------
+    test : str
+        Id of a test, or of a cell of the matrix.
+    command : str
+        Command and seed that show the failure.
+    seen : str
+        What was seen.
+    issue : str
+        Where it is followed.
+    """
+
+    test: str
+    command: str
+    seen: str
+    issue: str
+
+
+def read_known_red(path: Path = ROOT / FILE_NAME) -> list[RedEntry]:
+    """Read the list.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file; a missing one has no entries.
+
+    Returns
+    -------
+    list of RedEntry
+        In the order of the file.
+
+    Raises
+    ------
+    ValueError
+        If a line has not four fields, or a test is listed twice.
+    """
+    if not path.exists():
+        return []
+    entries: dict[str, RedEntry] = {}
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        fields = [one.strip() for one in line.split(" | ")]
+        if len(fields) != FIELDS or not all(fields):
+            raise ValueError(f"{path.name}:{number}: four fields between ' | '")
+        entry = RedEntry(*fields)
+        if entry.test in entries:
+            raise ValueError(f"{path.name}:{number}: {entry.test} is listed twice")
+        entries[entry.test] = entry
+    return list(entries.values())
+
+
+def find_entry(entries: list[RedEntry], name: str) -> RedEntry | None:
+    """Return the entry of a test, by its pytest id or the id of its cell.
+
+    Parameters
+    ----------
+    entries : list of RedEntry
+        The list.
+    name : str
+        Id of a pytest test or of a cell.
+
+    Returns
+    -------
+    RedEntry or None
+        None if the test is not listed.
+
+    Examples
+    --------
+    >>> entry = RedEntry("accepted/none/plain", "make matrix", "cut", "#6")
+    >>> find_entry([entry], "tests/a.py::test_cell[accepted/none/plain]") is entry
+    True
+    >>> find_entry([entry], "tests/a.py::test_other[accepted/none/plain]")
+    """
+    cell = ""
+    if f"{CELL_TEST}[" in name:
+        cell = name.split(f"{CELL_TEST}[", 1)[1].removesuffix("]")
+    for entry in entries:
+        if entry.test in (name, cell):
+            return entry
+    return None
+
+
+@dataclass(slots=True)
+class KnownRedPlugin:
+    """What the listed tests did in one run.
+
+    Attributes
+    ----------
+    entries : list of RedEntry
+        The list.
+    failed, passed : list of RedEntry
+        Those whose test failed, and those whose test passed.
+    """
+
+    entries: list[RedEntry]
+    failed: list[RedEntry] = field(default_factory=list)
+    passed: list[RedEntry] = field(default_factory=list)
+
+    @pytest.hookimpl(hookwrapper=True)
+    def pytest_runtest_makereport(self, item, call):
+        """Turn the failure of a listed test into an expected one."""
+        outcome = yield
+        report = outcome.get_result()
+        entry = find_entry(self.entries, item.nodeid)
+        if entry is None:
+            return
+        if report.failed:
+            report.outcome = "skipped"
+            report.wasxfail = f"{FILE_NAME}: {entry.seen}"
+            if entry not in self.failed:
+                self.failed.append(entry)
+        elif report.passed and report.when == "call":
+            self.passed.append(entry)
+
+    def pytest_terminal_summary(self, terminalreporter):
+        """Print the listed tests that ran."""
+        for entry in self.failed:
+            terminalreporter.write_line(
+                f"known red: {entry.test}: {entry.seen} ({entry.issue})"
+            )
+        for entry in self.passed:
+            if entry not in self.failed:
+                terminalreporter.write_line(
+                    f"passes, to be removed from {FILE_NAME}: {entry.test}"
+                )
+
+
+def pytest_addoption(parser):
+    """Add the option that names another list."""
+    parser.addoption("--known-red", default=str(ROOT / FILE_NAME))
+
+
+def pytest_configure(config):
+    """Register the plugin with the list read."""
+    path = Path(config.getoption("--known-red"))
+    config.pluginmanager.register(KnownRedPlugin(read_known_red(path)), "known-red")
