Run a group's links through fault proxies

Every link (callers to entry hosts, entry hosts to upstreams, and between the system's processes) can go through a proxy in a thread of the test, to be held, cut, lost one way or silenced; a group can lose a control host's disk or the end of its log and start ended upstreams again. Ports are taken from below the range of outgoing connections, which could take them first. The known-red plugin must be hashable for pytest's hook callers: it failed any run of more than one folder.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -26,6 +26,7 @@
 
 RUN_HEADER = "Cranberryfield-Run"
 CRASH_EXIT_CODE = 70
+REQUEST_START = 64
 CACHE_BLOCKS = 4096
 LOAD_LAG_S = 0.2
 
@@ -180,18 +181,24 @@
 
     async def _complete(self, http: HttpRequest) -> Response:
         request = msgspec.json.decode(await http.body(), type=CompletionRequest)
+        name = http.headers.get(RUN_HEADER, f"run-{time.time_ns()}")
+        start = prompt_of(request)[:REQUEST_START]
         if self._leaving:
+            self._journal.write("refused", name, request=start)
             return Response(status_code=503)
-        name = http.headers.get(RUN_HEADER, f"run-{time.time_ns()}")
         run = new_run(name, request, self._cache)
-        self._journal.write("started", name, prefill_tokens=run.prefill_left)
+        self._journal.write(
+            "started", name, prefill_tokens=run.prefill_left, request=start
+        )
         return self._stream(run, http.url.path)
 
     async def _resume(self, http: HttpRequest) -> Response:
         body = msgspec.json.decode(await http.body(), type=ResumeBody)
+        name = http.path_params["run"]
+        start = prompt_of(body.request)[:REQUEST_START]
         if self._leaving:
+            self._journal.write("refused", name, request=start)
             return Response(status_code=503)
-        name = http.path_params["run"]
         words = (prompt_of(body.request) + body.delivered_text).split()
         kept = self._imported.pop(name, None)
         recomputed = 0
@@ -211,6 +218,7 @@
             prefill_tokens=recomputed,
             recomputed_tokens=recomputed,
             tokens=body.delivered_events,
+            request=start,
         )
         return self._stream(run, body.path, body.delivered_events)
 
--- a/standins/group.py
+++ b/standins/group.py
@@ -1,8 +1,10 @@
 """A small group: control hosts, entry hosts, engines and plain services."""
 
+import os
+import shutil
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
 from hashlib import sha256
 from pathlib import Path
@@ -11,8 +13,10 @@
 import msgspec
 import yaml
 
+from cranberryfield.core.config.daemon import split_address
 from standins.engine import EngineOptions
 from standins.journal import Entry, read_journal
+from standins.links import CALLERS, ENTRIES, Links, running_links
 from standins.processes import Process, free_port, wait_until
 from standins.service import ServiceOptions
 
@@ -75,6 +79,9 @@
     hosts: dict[str, Host] = field(default_factory=dict)
     upstreams: dict[str, Process] = field(default_factory=dict)
 
+    links: Links | None = None
+    _options: dict[str, tuple[str, msgspec.Struct]] = field(default_factory=dict)
+
     def add_hosts(self, plans: list[HostPlan]) -> None:
         """Write the configuration of each host and start them all."""
         for plan in plans:
@@ -101,9 +108,14 @@
             "roles": list(plan.roles),
             "mesh": host.mesh,
             "callers": host.callers,
-            "control": [{"node": one.plan.node, "mesh": one.mesh} for one in control],
+            "control": [
+                {"node": one.plan.node, "mesh": self._mesh_address(host, one)}
+                for one in control
+            ],
             "seeds": [
-                one.mesh for one in self.hosts.values() if "entry" in one.plan.roles
+                self._mesh_address(host, one)
+                for one in self.hosts.values()
+                if "entry" in one.plan.roles
             ],
             "mesh_key": MESH_KEY,
             "operator_keys": [_digest(OPERATOR_KEY)],
@@ -114,6 +126,24 @@
         file = self.folder / f"{plan.node}.yaml"
         file.write_text(yaml.safe_dump(config, sort_keys=False))
 
+    def _mesh_address(self, source: Host, target: Host) -> str:
+        if self.links is None or source is target:
+            return target.mesh
+        _, port = split_address(target.mesh)
+        return self.links.open(source.plan.node, target.plan.node, port)
+
+    @property
+    def caller_addresses(self) -> dict[str, str]:
+        """Address by entry host for callers, through a proxy if there is one."""
+        addresses = {}
+        for node, host in self.hosts.items():
+            if "entry" in host.plan.roles:
+                addresses[node] = host.callers
+                if self.links is not None:
+                    _, port = split_address(host.callers)
+                    addresses[node] = self.links.open(CALLERS, node, port)
+        return addresses
+
     @property
     def entry_addresses(self) -> list[str]:
         """Addresses of the entry hosts for callers."""
@@ -123,41 +153,61 @@
 
     def add_engine(self, id: str, service: str, data_centre: str, **options) -> None:
         """Start one engine."""
-        port = free_port()
-        full = EngineOptions(
-            id=id,
-            service=service,
-            data_centre=data_centre,
-            port=port,
-            journal=str(self.journal_path(id)),
-            announce=tuple(self.entry_addresses),
-            key=UPSTREAM_KEY,
-            incarnation=time.time_ns() // 1_000_000,
-            **options,
+        self._add_upstream(
+            id, "standins.engine", EngineOptions, service, data_centre, options
         )
-        self._start_upstream(id, "standins.engine", full)
 
     def add_service(self, id: str, service: str, data_centre: str, **options) -> None:
         """Start one process of a plain service."""
-        full = ServiceOptions(
+        self._add_upstream(
+            id, "standins.service", ServiceOptions, service, data_centre, options
+        )
+
+    def _add_upstream(
+        self, id: str, module: str, kind: type, service: str, zone: str, options: dict
+    ) -> None:
+        port = free_port()
+        address = ""
+        if self.links is not None:
+            address = self.links.open(ENTRIES, id, port)
+        full = kind(
             id=id,
             service=service,
-            data_centre=data_centre,
-            port=free_port(),
+            data_centre=zone,
+            port=port,
             journal=str(self.journal_path(id)),
             announce=tuple(self.entry_addresses),
             key=UPSTREAM_KEY,
-            incarnation=time.time_ns() // 1_000_000,
-            **options,
+            incarnation=0,
+            **{"address": address, **options},
         )
-        self._start_upstream(id, "standins.service", full)
-
-    def _start_upstream(self, id: str, module: str, options: msgspec.Struct) -> None:
+        self._options[id] = module, full
+        self.start_upstream(id)
+
+    def start_upstream(self, id: str) -> None:
+        """Start an upstream's process, again if it has ended."""
+        module, options = self._options[id]
+        incarnation = time.time_ns() // 1_000_000
+        options = msgspec.structs.replace(options, incarnation=incarnation)
         text = msgspec.json.encode(options).decode()
         process = Process(id, [module, text], self.folder)
         self.upstreams[id] = process
         process.start()
 
+    def data_folder(self, node: str) -> Path:
+        """Return the folder in which a control host keeps its state."""
+        return self.folder / f"{node}-data"
+
+    def lose_disk(self, node: str) -> None:
+        """Delete what an ended control host had on its disk."""
+        shutil.rmtree(self.data_folder(node))
+
+    def tear_tail(self, node: str, size: int) -> None:
+        """Cut bytes off the end of an ended control host's newest log file."""
+        files = self.data_folder(node).rglob("log*")
+        newest = max(files, key=lambda path: path.stat().st_mtime_ns)
+        os.truncate(newest, max(0, newest.stat().st_size - size))
+
     def journal_path(self, upstream: str) -> Path:
         """Return the file in which an upstream's stand-in writes what it does."""
         return self.folder / f"{upstream}.journal"
@@ -233,7 +283,9 @@
 
 
 @contextmanager
-def running_group(folder: Path, plans: list[HostPlan]) -> Iterator[Group]:
+def running_group(
+    folder: Path, plans: list[HostPlan], *, proxied: bool = False
+) -> Iterator[Group]:
     """Run a group and end all its processes afterwards.
 
     Parameters
@@ -242,21 +294,24 @@
         Where its files go.
     plans : list of HostPlan
         The hosts.
+    proxied : bool
+        Whether all links go through fault proxies.
 
     Yields
     ------
     Group
         The group, its hosts ready.
     """
-    group = Group(folder)
-    try:
+    with ExitStack() as stack:
+        group = Group(folder)
+        if proxied:
+            group.links = stack.enter_context(running_links())
+        stack.callback(group.stop)
         group.add_hosts(plans)
         for node in group.hosts:
             wait_until(lambda node=node: group.status(node), f"{node} answers")
         wait_until(lambda: _has_leader(group), "a leader of the control group")
         yield group
-    finally:
-        group.stop()
 
 
 def _has_leader(group: Group) -> bool:
--- a/standins/journal.py
+++ b/standins/journal.py
@@ -26,6 +26,8 @@
         Wall-clock time in nanoseconds.
     tokens, prefill_tokens, recomputed_tokens : int
         Tokens given, processed, and processed again.
+    request : str
+        Start of the request's prompt or body, by which a test finds its own.
     detail : str
         Anything else.
     """
@@ -38,6 +40,7 @@
     tokens: int = 0
     prefill_tokens: int = 0
     recomputed_tokens: int = 0
+    request: str = ""
     detail: str = ""
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,18 +8,30 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from random import randint
 
 __all__ = ["Process", "free_port", "wait_until"]
 
 ROOT = Path(__file__).resolve().parent.parent
 POLL_S = 0.02
+#: Below the ports that operating systems give to outgoing connections.
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 
 
 def free_port() -> int:
     """Return a port on 127.0.0.1 that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) == 0:
+                continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float = 30.0):
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy that breaks connections in the ways that networks do."""
 
+import time
 from dataclasses import dataclass, field
 
 import anyio
@@ -8,6 +9,7 @@
 __all__ = ["FaultProxy", "Faults"]
 
 CHUNK_BYTES = 65_536
+HOLD_POLL_S = 0.005
 
 
 @dataclass(slots=True)
@@ -24,6 +26,8 @@
         Whether new connections carry nothing, though they open.
     drop_to_target, drop_to_client : bool
         Whether all connections lose what goes in one direction.
+    hold_to_target, hold_to_client : bool
+        Whether what goes in one direction waits until this is unset.
     """
 
     delay_s: float = 0.0
@@ -31,6 +35,24 @@
     silence_new: bool = False
     drop_to_target: bool = False
     drop_to_client: bool = False
+    hold_to_target: bool = False
+    hold_to_client: bool = False
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What has gone through in one direction.
+
+    Attributes
+    ----------
+    sent : int
+        Bytes handed on.
+    held : int
+        Bytes that wait now.
+    """
+
+    sent: int = 0
+    held: int = 0
 
 
 @dataclass(slots=True)
@@ -50,27 +72,55 @@
     ----------
     port : int
         Local port.
-    target_host, target_port
+    target_port, target_host
         Where traffic goes.
     faults : Faults
         What is done to it.
+    to_target, to_client : Traffic
+        What has gone through.
+    accepted_ns : list of int
+        Wall-clock time of each accepted connection, in nanoseconds.
     """
 
     port: int
     target_port: int
     target_host: str = "127.0.0.1"
     faults: Faults = field(default_factory=Faults)
+    to_target: Traffic = field(default_factory=Traffic)
+    to_client: Traffic = field(default_factory=Traffic)
+    accepted_ns: list[int] = field(default_factory=list)
     _pairs: list[_Pair] = field(default_factory=list)
     _tasks: TaskGroup | None = None
+    _listening: anyio.CancelScope | None = None
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Forward until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            await self.start_listening()
+            task_status.started()
+            await anyio.sleep_forever()
+
+    async def start_listening(self) -> None:
+        """Accept connections, after `stop_listening` again."""
+        if self._listening is None:
+            await self._tasks.start(self._listen)
+
+    async def stop_listening(self) -> None:
+        """Have new connections refused by the operating system."""
+        if self._listening is not None:
+            self._listening.cancel()
+        while self._listening is not None:
+            await anyio.sleep(HOLD_POLL_S)
+
+    async def _listen(self, *, task_status) -> None:
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
         )
-        async with anyio.create_task_group() as self._tasks:
-            task_status.started()
-            await listener.serve(self._accept, self._tasks)
+        with anyio.CancelScope() as self._listening:
+            async with listener:
+                task_status.started()
+                await listener.serve(self._accept, self._tasks)
+        self._listening = None
 
     def silence_open(self) -> None:
         """Carry nothing more on connections now open; new ones work."""
@@ -83,7 +133,15 @@
             await anyio.aclose_forcefully(pair.client)
             await anyio.aclose_forcefully(pair.target)
 
+    async def cut_silenced(self) -> None:
+        """Close the connections that `silence_open` has silenced."""
+        for pair in list(self._pairs):
+            if pair.silenced:
+                await anyio.aclose_forcefully(pair.client)
+                await anyio.aclose_forcefully(pair.target)
+
     async def _accept(self, client: SocketStream) -> None:
+        self.accepted_ns.append(time.time_ns())
         if self.faults.refuse_new:
             await anyio.aclose_forcefully(client)
             return
@@ -110,9 +168,11 @@
         sink: SocketStream,
         to_target: bool,
     ) -> None:
+        traffic = self.to_target if to_target else self.to_client
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
+                await self._wait_released(traffic, len(data), to_target)
                 if self.faults.delay_s:
                     await anyio.sleep(self.faults.delay_s)
                 dropped = (
@@ -122,13 +182,27 @@
                 )
                 if not (pair.silenced or dropped):
                     await sink.send(data)
+                    traffic.sent += len(data)
         except (anyio.EndOfStream, anyio.ClosedResourceError):
+            await self._wait_released(traffic, 0, to_target)
             if not pair.silenced:
                 await self._end(sink)
         except (anyio.BrokenResourceError, OSError):
             await anyio.aclose_forcefully(source)
             await anyio.aclose_forcefully(sink)
 
+    async def _wait_released(self, traffic: Traffic, size: int, to_target: bool):
+        traffic.held += size
+        try:
+            while self._is_held(to_target):
+                await anyio.sleep(HOLD_POLL_S)
+        finally:
+            traffic.held -= size
+
+    def _is_held(self, to_target: bool) -> bool:
+        faults = self.faults
+        return faults.hold_to_target if to_target else faults.hold_to_client
+
     async def _end(self, sink: SocketStream) -> None:
         try:
             await sink.send_eof()
--- a/standins/service.py
+++ b/standins/service.py
@@ -20,6 +20,7 @@
 __all__ = ["PlainService", "ServiceOptions", "main"]
 
 RUN_HEADER = "Cranberryfield-Run"
+REQUEST_START = 64
 
 
 class ServiceOptions(msgspec.Struct, frozen=True):
@@ -99,11 +100,13 @@
                 return
 
     async def _call(self, http: HttpRequest) -> Response:
-        if self._leaving:
-            return Response(status_code=503)
         body = await http.body()
         run = http.headers.get(RUN_HEADER, "")
-        self._journal.write("started", run, detail=http.url.path)
+        start = body[:REQUEST_START].decode(errors="replace")
+        if self._leaving:
+            self._journal.write("refused", run, request=start)
+            return Response(status_code=503)
+        self._journal.write("started", run, request=start, detail=http.url.path)
         self._running += 1
         try:
             await anyio.sleep(self._options.work_ms / 1000)
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -105,7 +105,7 @@
     return None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class KnownRedPlugin:
     """What the listed tests did in one run.
 
