--- a/standins/links.py
+++ b/standins/links.py
@@ -4,8 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from anyio.abc import BlockingPortal
-from anyio.from_thread import start_blocking_portal
+from anyio.from_thread import BlockingPortal, start_blocking_portal
 
 from standins.processes import free_port
 from standins.proxy import FaultProxy, Faults
@@ -23,7 +22,7 @@
 
     Attributes
     ----------
-    portal : anyio.abc.BlockingPortal
+    portal : anyio.from_thread.BlockingPortal
         Reaches the proxies' event loop.
     proxies : dict
         By names of both ends.
--- /dev/null
+++ b/tests/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step, judged from outside."""
--- /dev/null
+++ b/tests/matrix/checks.py
@@ -0,0 +1,229 @@
+"""The invariants, from stand-ins' journals and callers' transcripts alone.
+
+Each check returns what is wrong, one sentence each; none for a good run.
+"""
+
+from itertools import pairwise
+
+from standins.journal import Entry
+from tests.matrix.transcripts import (
+    Attempt,
+    Change,
+    End,
+    Observation,
+    Stop,
+    Transcript,
+)
+
+__all__ = [
+    "check_changes",
+    "check_leaving",
+    "check_not_run",
+    "check_once",
+    "check_orders",
+    "check_planned_stop",
+    "check_prefix",
+    "check_whole",
+]
+
+NS_PER_S = 1_000_000_000
+LEAVE_LIMIT_S = 3.0
+CHANGE_LIMIT_S = 4.0
+RUN_EVENTS = frozenset({"started", "resumed"})
+DISPATCH_EVENTS = RUN_EVENTS | {"refused"}
+OUTCOME_UNKNOWN = "outcome_unknown"
+
+
+def _of_key(journal: list[Entry], key: str) -> list[Entry]:
+    return [entry for entry in journal if entry.request.startswith(f"{key} ")]
+
+
+def check_whole(
+    transcripts: list[Transcript],
+    *,
+    may_be_unknown: bool = False,
+    refusal: str | None = None,
+) -> list[str]:
+    """I1: each accepted request ends in one whole answer.
+
+    Parameters
+    ----------
+    transcripts : list of Transcript
+        Of callers that retried until they had a final answer.
+    may_be_unknown : bool
+        Whether a non-idempotent request may end as ``outcome_unknown``: after a
+        loss without notice.
+    refusal : str, optional
+        Kind of the final refusal that is due in place of an answer.
+
+    Returns
+    -------
+    list of str
+        What is wrong.
+    """
+    wrong = []
+    for one in transcripts:
+        if refusal is not None:
+            if one.last_kind != refusal:
+                wrong.append(f"I1 {one.key}: no {refusal}: {_history(one)}")
+            continue
+        excused = may_be_unknown and not one.idempotent
+        if excused and one.last_kind == OUTCOME_UNKNOWN:
+            continue
+        if not one.is_whole:
+            wrong.append(f"I1 {one.key}: no whole answer: {_history(one)}")
+        elif one.text != one.expected:
+            wrong.append(f"I1 {one.key}: another answer than its own")
+    return wrong
+
+
+def check_prefix(transcripts: list[Transcript]) -> list[str]:
+    """I2: what came under a key is a prefix of that key's one answer."""
+    wrong = []
+    for one in transcripts:
+        wrong += [f"I2 {one.key}: {fault}" for fault in one.faults]
+        if not one.expected.startswith(one.text):
+            wrong.append(f"I2 {one.key}: bytes that are not of its answer")
+    return wrong
+
+
+def check_not_run(transcripts: list[Transcript], journal: list[Entry]) -> list[str]:
+    """I3: ``was_run: no`` implies that no upstream has run the request.
+
+    A run is excused only by an attempt that the caller sent after the refusal.
+    """
+    wrong = []
+    for one in transcripts:
+        starts = [entry for entry in _of_key(journal, one.key) if _is_run(entry)]
+        for number, attempt in enumerate(one.attempts):
+            if attempt.was_run != "no":
+                continue
+            later = [again.sent_ns for again in one.attempts[number + 1 :]]
+            resent_ns = min(later, default=None)
+            wrong += [
+                f"I3 {one.key}: {attempt.kind} from {attempt.host} says not run, "
+                f"but {entry.upstream} {entry.event} it"
+                for entry in starts
+                if resent_ns is None or entry.at_ns < resent_ns
+            ]
+    return wrong
+
+
+def _is_run(entry: Entry) -> bool:
+    return entry.event in RUN_EVENTS
+
+
+def check_once(transcripts: list[Transcript], journal: list[Entry]) -> list[str]:
+    """I4: a non-idempotent key is run at most once by all upstreams together."""
+    wrong = []
+    for one in transcripts:
+        runs = [entry for entry in _of_key(journal, one.key) if _is_run(entry)]
+        if not one.idempotent and len(runs) > 1:
+            places = ", ".join(f"{run.upstream} {run.event}" for run in runs)
+            wrong.append(f"I4 {one.key}: run {len(runs)} times: {places}")
+    return wrong
+
+
+def check_leaving(journal: list[Entry]) -> list[str]:
+    """I5: an upstream gets no new work later than 3 s after its leave."""
+    left = {
+        (entry.upstream, entry.incarnation): entry.at_ns
+        for entry in journal
+        if entry.event == "leaving"
+    }
+    wrong = []
+    for entry in journal:
+        since = left.get((entry.upstream, entry.incarnation))
+        if since is None or entry.event not in DISPATCH_EVENTS:
+            continue
+        late_s = (entry.at_ns - since) / NS_PER_S
+        if late_s > LEAVE_LIMIT_S:
+            wrong.append(f"I5 {entry.upstream}: {entry.event} {late_s:.1f} s after")
+    return wrong
+
+
+def check_planned_stop(transcripts: list[Transcript], stops: list[Stop]) -> list[str]:
+    """I6: a planned stop cuts no answer and ends when the last is done."""
+    wrong = []
+    for stop in stops:
+        if stop.exit_code != 0:
+            wrong.append(f"I6 {stop.host}: exit code {stop.exit_code}")
+        for one in transcripts:
+            wrong += [
+                f"I6 {stop.host}: {one.key} was {attempt.end.value}: {attempt.error}"
+                for attempt in one.attempts
+                if _in_progress(attempt, stop) and attempt.end is not End.WHOLE
+            ]
+    return wrong
+
+
+def _in_progress(attempt: Attempt, stop: Stop) -> bool:
+    during = attempt.sent_ns < stop.asked_ns < attempt.ended_ns
+    return attempt.host == stop.host and during
+
+
+def check_changes(
+    changes: list[Change], observations: list[Observation], end_ns: int
+) -> list[str]:
+    """I7: accepted changes are in force everywhere in 4 s and never revert.
+
+    Parameters
+    ----------
+    changes : list of Change
+        Those reported as accepted.
+    observations : list of Observation
+        Of hosts that serve, in order of time.
+    end_ns : int
+        Until when hosts were observed.
+
+    Returns
+    -------
+    list of str
+        What is wrong.
+    """
+    wrong = []
+    for change in changes:
+        due_ns = change.accepted_ns + CHANGE_LIMIT_S * NS_PER_S
+        if due_ns > end_ns:
+            wrong.append(f"I7 change {change.number}: not observed for 4 s")
+        wrong += [
+            f"I7 {one.host}: at {one.number}, 4 s after change {change.number}"
+            for one in observations
+            if one.at_ns > due_ns and one.number < change.number
+        ]
+    for host in sorted({one.host for one in observations}):
+        seen = [one.number for one in observations if one.host == host]
+        wrong += [
+            f"I7 {host}: went from {before} back to {after}"
+            for before, after in pairwise(seen)
+            if after < before
+        ]
+    return wrong
+
+
+def check_orders(journal: list[Entry]) -> list[str]:
+    """I8: no order of a deposed control host after its successor's first."""
+    wrong = []
+    highest = 0
+    ordered = sorted(journal, key=lambda entry: entry.at_ns)
+    for entry in ordered:
+        if entry.event != "order":
+            continue
+        order_id, fencing = entry.detail.split()[:2]
+        if int(fencing) < highest:
+            wrong.append(
+                f"I8 {entry.upstream}: order {order_id} numbered {fencing} "
+                f"after one numbered {highest}"
+            )
+        highest = max(highest, int(fencing))
+    return wrong
+
+
+def _history(one: Transcript) -> str:
+    parts = []
+    for attempt in one.attempts:
+        what = attempt.kind or attempt.error or attempt.end.value
+        part = f"{attempt.host} {what}"
+        if not parts or parts[-1] != part:
+            parts.append(part)
+    return "; ".join(parts[-8:])
