Add the fault matrix for requests

Real processes behind fault proxies; one request of each kind is brought to a step from outside, the fault comes, callers retry until a final answer, and each cell is judged by the checks.

--- a/standins/group.py
+++ b/standins/group.py
@@ -189,11 +189,16 @@
         module, options = self._options[id]
         incarnation = time.time_ns() // 1_000_000
         options = msgspec.structs.replace(options, incarnation=incarnation)
+        self._options[id] = module, options
         text = msgspec.json.encode(options).decode()
         process = Process(id, [module, text], self.folder)
         self.upstreams[id] = process
         process.start()
 
+    def incarnation(self, upstream: str) -> int:
+        """Return the number of an upstream's last start."""
+        return self._options[upstream][1].incarnation
+
     def data_folder(self, node: str) -> Path:
         """Return the folder in which a control host keeps its state."""
         return self.folder / f"{node}-data"
--- /dev/null
+++ b/tests/matrix/__main__.py
@@ -0,0 +1,111 @@
+"""Runs the matrix: ``python -m tests.matrix [--only TEXT]``."""
+
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from standins.group import Group
+from tests.known_red import find_entry, read_known_red
+from tests.matrix.cells import CellResult, Scenario, request_scenarios
+from tests.matrix.scene import matrix_group
+
+WORKERS = 3
+PASS, FAIL = "pass", "FAIL"
+
+app = App(name="tests.matrix")
+
+
+def all_scenarios() -> list[Scenario]:
+    """Return every scenario, in the order of the table."""
+    return request_scenarios()
+
+
+def _run_one(scenario: Scenario, group: Group, turn: int) -> list[CellResult]:
+    try:
+        return scenario.run(group, turn)
+    except Exception as error:
+        wrong = [f"{type(error).__name__}: {error}"]
+        return [CellResult(cell, wrong) for cell in scenario.cells]
+
+
+def _run_share(scenarios: list[Scenario]) -> None:
+    """Run scenarios, in a group of their own after one that broke it."""
+    left = list(enumerate(scenarios))
+    while left:
+        with matrix_group() as group:
+            while left:
+                turn, scenario = left.pop(0)
+                began = time.monotonic()
+                results = _run_one(scenario, group, turn)
+                spent_s = time.monotonic() - began
+                for result in results:
+                    _print_result(result, spent_s)
+                if scenario.own_group or any("Error" in w for r in results
+                                             for w in r.wrong):  # fmt: skip
+                    break
+
+
+def _print_result(result: CellResult, spent_s: float) -> None:
+    verdict = FAIL if result.wrong else PASS
+    why = f": {' | '.join(result.wrong)[:600]}" if result.wrong else ""
+    print(f"{verdict} {result.cell} {spent_s:.1f} s{why}", flush=True)
+
+
+def _relay(number: int, only: str) -> list[str]:
+    """Run one worker; print its lines as they come and return them."""
+    command = [sys.executable, "-m", "tests.matrix", "--share", str(number)]
+    command += ["--only", only]
+    lines = []
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as child:
+        for line in child.stdout:
+            lines.append(line.rstrip())
+            print(lines[-1], flush=True)
+    return lines
+
+
+@app.default
+def main(
+    *,
+    only: Annotated[str, Parameter(help="run scenarios whose name has this")] = "",
+    share: Annotated[int, Parameter(show=False)] = -1,
+) -> int:
+    """Run all cells, or some, and print one line for each."""
+    scenarios = [one for one in all_scenarios() if only in one.name]
+    if share >= 0:
+        _run_share(scenarios[share::WORKERS])
+        return 0
+    with ThreadPoolExecutor(WORKERS) as pool:
+        shares = pool.map(lambda number: _relay(number, only), range(WORKERS))
+        lines = [line for share_lines in shares for line in share_lines]
+    return _conclude(scenarios, lines)
+
+
+def _conclude(scenarios: list[Scenario], lines: list[str]) -> int:
+    verdicts = {}
+    for line in lines:
+        verdict, cell, *_ = line.split(" ")
+        verdicts[cell] = verdict
+    entries = read_known_red()
+    failed = 0
+    for cell in (cell for scenario in scenarios for cell in scenario.cells):
+        entry = find_entry(entries, cell)
+        verdict = verdicts.get(cell)
+        if verdict is None:
+            print(f"{FAIL} {cell}: did not run")
+        if verdict == PASS and entry is not None:
+            print(f"passes, to be removed from KNOWN-RED.txt: {cell}")
+        elif verdict != PASS and entry is not None:
+            print(f"known red: {cell}: {entry.seen} ({entry.issue})")
+        elif verdict != PASS:
+            failed += 1
+    passed = sum(verdict == PASS for verdict in verdicts.values())
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/tests/matrix/callers.py
@@ -0,0 +1,250 @@
+"""Callers that retry until a final answer and record all that they see."""
+
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+import httpx
+import msgspec
+
+from standins.fleets import RELEVE_KEY
+from standins.tokens import CompletionRequest, answer_text
+from tests.matrix.transcripts import Attempt, End, Transcript
+
+__all__ = ["Caller", "RequestKind", "expected_text"]
+
+PAUSE_S = 0.1
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 4.0
+STREAM_TOKENS = 60
+FINAL_KINDS = frozenset(
+    {
+        "bad_request",
+        "key_expired",
+        "key_reused",
+        "outcome_unknown",
+        "request_crashes_upstreams",
+        "unauthenticated",
+    }
+)
+
+
+class RequestKind(Enum):
+    """What is asked for; each kind has a service of its own.
+
+    ``_ONCE`` and ``BOOKING`` are not idempotent.
+    """
+
+    STREAMED = "streamed"
+    PLAIN = "plain"
+    STREAMED_ONCE = "streamed-once"
+    PLAIN_ONCE = "plain-once"
+    LOOKUP = "lookup"
+    BOOKING = "booking"
+
+    @property
+    def is_completion(self) -> bool:
+        """Whether an engine answers it."""
+        return self not in (RequestKind.LOOKUP, RequestKind.BOOKING)
+
+    @property
+    def is_streamed(self) -> bool:
+        """Whether its answer comes as events."""
+        return self in (RequestKind.STREAMED, RequestKind.STREAMED_ONCE)
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether it may be run again."""
+        return self in (RequestKind.STREAMED, RequestKind.PLAIN, RequestKind.LOOKUP)
+
+    @property
+    def service(self) -> str:
+        """The service that it goes to."""
+        return f"for-{self.value}"
+
+
+def _prompt(key: str) -> str:
+    return f"{key} a crack in the wall"
+
+
+def expected_text(kind: RequestKind, key: str) -> str:
+    """Return the one answer's text: of a completion, or a service's echo."""
+    if not kind.is_completion:
+        return _prompt(key)
+    return answer_text(
+        CompletionRequest(kind.service, _prompt(key), max_tokens=STREAM_TOKENS)
+    )
+
+
+@dataclass(slots=True)
+class Caller:
+    """One caller in a thread of its own.
+
+    Attributes
+    ----------
+    kind : RequestKind
+        What it asks for.
+    key : str
+        The request's key.
+    hosts : dict
+        Addresses by entry host, tried in this order.
+    crash : bool
+        Whether the request ends the engine that runs it.
+    """
+
+    kind: RequestKind
+    key: str
+    hosts: dict[str, str]
+    crash: bool = False
+    transcript: Transcript = field(init=False)
+    _thread: threading.Thread = field(init=False)
+    _stopped: threading.Event = field(default_factory=threading.Event)
+
+    def __post_init__(self):
+        self.transcript = Transcript(
+            self.key, self.kind.is_idempotent, expected_text(self.kind, self.key)
+        )
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Send the request."""
+        self._thread.start()
+
+    def join(self, timeout_s: float) -> None:
+        """Wait for the final answer."""
+        self._thread.join(timeout_s)
+
+    def finish(self, timeout_s: float) -> None:
+        """Wait for the final answer; after the time, send no more."""
+        self._thread.join(timeout_s)
+        self._stopped.set()
+        self._thread.join(READ_TIMEOUT_S + CONNECT_TIMEOUT_S)
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it has its final answer."""
+        return not self._thread.is_alive()
+
+    def _run(self) -> None:
+        timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        with httpx.Client(timeout=timeout, trust_env=False) as client:
+            for node, address in self._hosts_in_turn():
+                attempt = Attempt(node, time.time_ns())
+                self.transcript.attempts.append(attempt)
+                self._try(client, address, attempt)
+                attempt.ended_ns = time.time_ns()
+                if self.transcript.is_whole or attempt.kind in FINAL_KINDS:
+                    return
+                if self._stopped.wait(PAUSE_S):
+                    return
+
+    def _hosts_in_turn(self) -> Iterator[tuple[str, str]]:
+        while True:
+            yield from self.hosts.items()
+
+    def _try(self, client: httpx.Client, address: str, attempt: Attempt) -> None:
+        try:
+            if self.kind.is_streamed:
+                self._stream(client, address, attempt)
+            else:
+                self._call(client, address, attempt)
+        except httpx.HTTPError as error:
+            attempt.end = End.CUT
+            attempt.error = type(error).__name__
+
+    def _url(self, address: str) -> str:
+        if self.kind.is_completion:
+            return f"http://{address}/v1/completions"
+        return f"http://{address}/services/{self.kind.service}/slots"
+
+    def _headers(self) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {RELEVE_KEY}",
+            "Idempotency-Key": self.key,
+            "Last-Event-ID": str(self.transcript.events),
+        }
+
+    def _body(self) -> bytes:
+        if not self.kind.is_completion:
+            return _prompt(self.key).encode()
+        request = CompletionRequest(
+            self.kind.service,
+            _prompt(self.key),
+            max_tokens=STREAM_TOKENS,
+            stream=self.kind.is_streamed,
+            crash=self.crash,
+        )
+        return msgspec.json.encode(request)
+
+    def _call(self, client: httpx.Client, address: str, attempt: Attempt) -> None:
+        headers = self._headers()
+        del headers["Last-Event-ID"]
+        response = client.post(
+            self._url(address), content=self._body(), headers=headers
+        )
+        attempt.status = response.status_code
+        if response.is_error:
+            _note_refusal(attempt, response)
+            return
+        body = response.json()
+        completion = self.kind.is_completion
+        self.transcript.text = (
+            body["choices"][0]["text"] if completion else body["echo"]
+        )
+        self.transcript.is_whole = True
+        attempt.end = End.WHOLE
+
+    def _stream(self, client: httpx.Client, address: str, attempt: Attempt) -> None:
+        with client.stream(
+            "POST", self._url(address), content=self._body(), headers=self._headers()
+        ) as response:
+            attempt.status = response.status_code
+            if response.is_error:
+                response.read()
+                _note_refusal(attempt, response)
+                return
+            number, event = 0, ""
+            for line in response.iter_lines():
+                name, _, value = line.partition(": ")
+                if name == "id":
+                    number = int(value)
+                elif name == "event":
+                    event = value
+                elif name == "data":
+                    self._take(number, event, value, attempt)
+                    event = ""
+        if attempt.end is End.OPEN:
+            attempt.end = End.CUT
+            attempt.error = "ended without an end"
+
+    def _take(self, number: int, event: str, data: str, attempt: Attempt) -> None:
+        transcript = self.transcript
+        if event:
+            problem = msgspec.json.decode(data)
+            attempt.kind = problem.get("kind", event)
+            attempt.was_run = problem.get("was_run", "")
+            attempt.end = End.REFUSED if event == "error" else End.MOVED
+            return
+        if number != transcript.events + 1:
+            transcript.faults.append(f"event {number} after {transcript.events}")
+        if data == "[DONE]":
+            transcript.is_whole = True
+            attempt.end = End.WHOLE
+            return
+        transcript.events = number
+        transcript.event_ns.append(time.time_ns())
+        transcript.text += msgspec.json.decode(data)["choices"][0]["text"]
+
+
+def _note_refusal(attempt: Attempt, response: httpx.Response) -> None:
+    attempt.end = End.REFUSED
+    attempt.retry_after = response.headers.get("Retry-After", "")
+    try:
+        problem = response.json()
+    except ValueError:
+        attempt.kind = f"status {response.status_code}"
+        return
+    attempt.kind = problem.get("kind", "")
+    attempt.was_run = problem.get("was_run", "")
--- /dev/null
+++ b/tests/matrix/cells.py
@@ -0,0 +1,117 @@
+"""The table: steps, faults and kinds of request, and how one cell is judged."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tests.matrix.callers import Caller, RequestKind
+from tests.matrix.checks import (
+    check_leaving,
+    check_not_run,
+    check_once,
+    check_orders,
+    check_planned_stop,
+    check_prefix,
+    check_whole,
+)
+from tests.matrix.faults import FAULTS, Fault
+from tests.matrix.scene import FRONTS, Scene
+from tests.matrix.steps import STEPS, Step
+
+__all__ = ["CellResult", "Scenario", "request_scenarios"]
+
+CALLERS_TIMEOUT_S = 20.0
+THAW_AFTER_S = 6.0
+
+
+@dataclass(slots=True)
+class CellResult:
+    """What is wrong in one cell; empty for a cell that passed."""
+
+    cell: str
+    wrong: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Cells that are run together: one step and one fault.
+
+    Attributes
+    ----------
+    name : str
+        As ``STEP/FAULT``.
+    cells : tuple of str
+        Ids of its cells.
+    run : callable
+        Takes a group and a front host; returns the cells' results.
+    own_group : bool
+        Whether it leaves the group unfit for others.
+    """
+
+    name: str
+    cells: tuple[str, ...]
+    run: Callable
+    own_group: bool = False
+
+
+def request_scenarios() -> list[Scenario]:
+    """Return the scenarios about requests, in the order of the table."""
+    return [_request_scenario(step, fault) for step in STEPS.values()
+            for fault in FAULTS.values()]  # fmt: skip
+
+
+def _request_scenario(step: Step, fault: Fault) -> Scenario:
+    name = f"{step.name}/{fault.name}"
+    kinds = [kind for kind in RequestKind if kind in step.kinds]
+
+    def run(group, turn: int) -> list[CellResult]:
+        scene = Scene(group, FRONTS[turn % len(FRONTS)])
+        hosts = group.caller_addresses
+        in_turn = {node: hosts[node] for node in scene.entries}
+        key = f"{name.replace('/', '.').replace('+', '.')}.{scene.since_ns}"
+        scene.callers = [Caller(kind, f"{key}.{kind.value}", in_turn) for kind in kinds]
+        try:
+            step.reach(scene)
+            fault.inject(scene)
+            scene.links.release()
+            _finish(scene)
+        except TimeoutError as error:
+            wrong = [f"step or fault not reached: {error}"]
+            _finish(scene)
+            results = [CellResult(f"{name}/{kind.value}", wrong) for kind in kinds]
+        else:
+            results = [
+                _judge(scene, step, fault, caller, f"{name}/{caller.kind.value}")
+                for caller in scene.callers
+            ]
+        scene.repair()
+        return results
+
+    return Scenario(name, tuple(f"{name}/{kind.value}" for kind in kinds), run)
+
+
+def _finish(scene: Scene) -> None:
+    """Let callers end, thaw what is frozen, and let callers end again."""
+    for caller in scene.callers:
+        caller.join(THAW_AFTER_S / len(scene.callers))
+    scene.thaw()
+    for caller in scene.callers:
+        caller.finish(CALLERS_TIMEOUT_S / len(scene.callers))
+    scene.settle()
+
+
+def _judge(
+    scene: Scene, step: Step, fault: Fault, caller: Caller, cell: str
+) -> CellResult:
+    journal = scene.journal()
+    mine = [caller.transcript]
+    accepted = [] if step.name == "before-acceptance" else mine
+    wrong = [
+        *check_whole(mine, may_be_unknown=not fault.announced),
+        *check_prefix(mine),
+        *check_not_run(mine, journal),
+        *check_once(mine, journal),
+        *check_leaving(journal),
+        *check_planned_stop(accepted, scene.stops),
+        *check_orders(journal),
+    ]
+    return CellResult(cell, wrong)
--- a/tests/matrix/checks.py
+++ b/tests/matrix/checks.py
@@ -158,6 +158,8 @@
 
 
 def _in_progress(attempt: Attempt, stop: Stop) -> bool:
+    if attempt.kind == "not_ready":
+        return False
     during = attempt.sent_ns < stop.asked_ns < attempt.ended_ns
     return attempt.host == stop.host and during
 
