--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -12,17 +12,18 @@
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
-from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import UpstreamsSection
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.membership.gossip import TableGossip
+from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.routing import DispatchSection, make_chooser
-from cranberryfield.entry.settings import SettingsFollower
+from cranberryfield.entry.settings import LocalControl, SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
@@ -40,23 +41,35 @@
         The records of requests.
     api : CallerApi
         Endpoints for callers and upstreams.
-    follower : SettingsFollower or None
-        Follows settings; None where the control role does so.
+    follower : SettingsFollower
+        Follows settings.
+    clock : Clock
+        Monotonic time.
     dispatcher : Dispatcher
         Connections to upstreams.
+    gossip : TableGossip
+        Keeps the tables of entry hosts and upstreams.
+    leases : LeaseKeeper
+        Renews the leases of upstreams.
     """
 
     def __init__(
         self,
         settings: SettingsSection,
         records: RecordsSection,
-        follower: SettingsFollower | None,
+        follower: SettingsFollower,
         dispatcher: Dispatcher,
+        clock: Clock,
+        gossip: TableGossip,
+        leases: LeaseKeeper,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
+        self._clock = clock
+        self._gossip = gossip
+        self._leases = leases
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -71,7 +84,7 @@
         tasks: TaskGroup,
         clock: Clock,
         rng: Random,
-        follows_settings: bool,
+        local_settings: LocalControl | None,
     ) -> "EntryRuntime":
         """Build the role.
 
@@ -93,8 +106,9 @@
             Monotonic time.
         rng : random.Random
             Seeded generator.
-        follows_settings : bool
-            Whether settings come over the mesh.
+        local_settings : callable or None
+            Asks this process's own control role for settings; None without
+            that role.
 
         Returns
         -------
@@ -107,10 +121,15 @@
         dispatched = board.add(DispatchSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
-        follower = None
-        if follows_settings:
-            follower = SettingsFollower(settings, mesh, control, clock)
-        runtime = cls(settings, records, follower, dispatcher)
+        follower = SettingsFollower(
+            settings, mesh, config.node_id, control, local_settings, clock, rng
+        )
+        peers = board.add(PeersSection(config.node_id))
+        gossip = TableGossip(
+            peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
+        )
+        leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
+        runtime = cls(settings, records, follower, dispatcher, clock, gossip, leases)
         runner = RequestRunner(
             config.node_id,
             make_chooser(board, config.zone, clock, rng),
@@ -123,9 +142,8 @@
         )
         runtime.api = CallerApi(
             settings,
-            upstreams,
             records,
-            MembershipGossip(upstreams, mesh, clock),
+            leases,
             runner,
             metrics,
             config.upstream_keys,
@@ -137,7 +155,7 @@
 
     def is_ready(self) -> bool:
         """Say whether new requests are taken."""
-        return not self._stopping and self._settings.confirmed_at is not None
+        return not self._stopping and may_serve(self._settings, self._clock())
 
     def begin_stop(self) -> None:
         """Take no new requests from now on."""
@@ -152,11 +170,13 @@
             await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings until cancelled."""
-        if self._follower is None:
-            await anyio.sleep_forever()
-        await self._follower.run()
+        """Follow settings and membership until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._follower.run)
 
     async def close(self) -> None:
-        """Close connections to upstreams."""
+        """Tell the other entry hosts and close connections to upstreams."""
+        self._gossip.say_goodbye()
         await self._dispatcher.close()
