Give each dialler of a mesh port a fault proxy of its own

Entry hosts now dial each other at gossiped addresses, which went round the proxies named in their files. A host announces one shared port instead; it finds which process dialled and hands the connection to that pair's proxy. The daemon may bind another mesh address than it announces (mesh_bind).

--- a/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
@@ -59,6 +59,8 @@
         What the process does.
     mesh : str
         ``IP:PORT`` for other processes of the system.
+    mesh_bind : str, optional
+        ``IP:PORT`` to bind where that differs, as behind address translation.
     callers : str
         ``IP:PORT`` for callers, upstreams and operators over HTTP.
     control : tuple of ControlMember
@@ -87,6 +89,7 @@
     callers: IpAddress
     control: Annotated[tuple[ControlMember, ...], msgspec.Meta(min_length=1)]
     mesh_key: Annotated[str, msgspec.Meta(min_length=16)]
+    mesh_bind: IpAddress | None = None
     region: Name = "default"
     seeds: tuple[IpAddress, ...] = ()
     operator_keys: tuple[KeyHash, ...] = ()
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -98,7 +98,7 @@
             tasks.start_soon(entry.run)
         if control is not None:
             tasks.start_soon(control.run)
-        await tasks.start(mesh.listen, config.mesh)
+        await tasks.start(mesh.listen, config.mesh_bind or config.mesh)
         _dial_all(config, mesh, tasks)
         web = build_web_app(config, board, mesh, metrics, proposer, entry, control)
         stop = anyio.Event()
--- a/standins/group.py
+++ b/standins/group.py
@@ -59,6 +59,7 @@
     process: Process
     callers: str
     mesh: str
+    announced_mesh: str
 
 
 @dataclass(slots=True)
@@ -93,7 +94,10 @@
                 self.folder,
             )
             callers, mesh = (f"127.0.0.1:{port}" for port in ports)
-            self.hosts[plan.node] = Host(plan, process, callers, mesh)
+            announced = mesh
+            if self.links is not None:
+                announced = self._share_mesh(plan.node, ports[1])
+            self.hosts[plan.node] = Host(plan, process, callers, mesh, announced)
         for host in self.hosts.values():
             self._write_config(host)
             host.process.start()
@@ -106,14 +110,14 @@
             "group": "loopback",
             "data_centre": plan.data_centre,
             "roles": list(plan.roles),
-            "mesh": host.mesh,
+            "mesh": host.announced_mesh,
+            "mesh_bind": host.mesh,
             "callers": host.callers,
             "control": [
-                {"node": one.plan.node, "mesh": self._mesh_address(host, one)}
-                for one in control
+                {"node": one.plan.node, "mesh": one.announced_mesh} for one in control
             ],
             "seeds": [
-                self._mesh_address(host, one)
+                one.announced_mesh
                 for one in self.hosts.values()
                 if "entry" in one.plan.roles
             ],
@@ -126,11 +130,19 @@
         file = self.folder / f"{plan.node}.yaml"
         file.write_text(yaml.safe_dump(config, sort_keys=False))
 
-    def _mesh_address(self, source: Host, target: Host) -> str:
-        if self.links is None or source is target:
-            return target.mesh
-        _, port = split_address(target.mesh)
-        return self.links.open(source.plan.node, target.plan.node, port)
+    def _share_mesh(self, node: str, port: int) -> str:
+        for source in self.hosts:
+            _, other = split_address(self.hosts[source].mesh)
+            self.links.add_shared(source, node, port)
+            self.links.add_shared(node, source, other)
+        return self.links.share(node, port, self._host_pids)
+
+    def _host_pids(self) -> dict[str, int]:
+        return {
+            node: host.process.pid
+            for node, host in self.hosts.items()
+            if host.process.is_running
+        }
 
     @property
     def caller_addresses(self) -> dict[str, str]:
--- a/standins/links.py
+++ b/standins/links.py
@@ -1,16 +1,20 @@
 """The links of a group, each through a fault proxy that runs in a thread."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from anyio.from_thread import BlockingPortal, start_blocking_portal
 
+from standins.ports import SharedPort
 from standins.processes import free_port
 from standins.proxy import FaultProxy, Faults
 
 __all__ = ["CALLERS", "ENTRIES", "Links", "running_links"]
 
+#: Returns process ids by name.
+Owners = Callable[[], dict[str, int]]
+
 #: Names that stand for all callers, and for all entry hosts at an upstream.
 CALLERS = "callers"
 ENTRIES = "entries"
@@ -41,6 +45,27 @@
         proxy.target_port = target_port
         return f"127.0.0.1:{proxy.port}"
 
+    def share(self, target: str, target_port: int, owners: Owners) -> str:
+        """Start one port for all processes that dial `target`.
+
+        Each process's connections have a proxy of their own.
+        """
+
+        def proxy_of(source: str) -> FaultProxy:
+            proxy = self.proxies.get((source, target))
+            if proxy is None:
+                proxy = FaultProxy(0, target_port)
+                self.proxies[source, target] = proxy
+            return proxy
+
+        shared = SharedPort(free_port(), owners, proxy_of)
+        self.portal.start_task_soon(shared.run)
+        return f"127.0.0.1:{shared.port}"
+
+    def add_shared(self, source: str, target: str, target_port: int) -> None:
+        """Prepare the proxy of a process that may dial a shared port."""
+        self.proxies[source, target] = FaultProxy(0, target_port)
+
     def ends(self, first: str, second: str) -> list[tuple[FaultProxy, bool]]:
         """Return the proxies between two ends, and whether `first` dials."""
         found = []
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -71,7 +71,7 @@
     Attributes
     ----------
     port : int
-        Local port.
+        Local port; 0 if connections come from a `standins.ports.SharedPort`.
     target_port, target_host
         Where traffic goes.
     faults : Faults
@@ -80,6 +80,8 @@
         What has gone through.
     accepted_ns : list of int
         Wall-clock time of each accepted connection, in nanoseconds.
+    is_open : bool
+        Whether new connections are accepted.
     """
 
     port: int
@@ -89,6 +91,7 @@
     to_target: Traffic = field(default_factory=Traffic)
     to_client: Traffic = field(default_factory=Traffic)
     accepted_ns: list[int] = field(default_factory=list)
+    is_open: bool = True
     _pairs: list[_Pair] = field(default_factory=list)
     _tasks: TaskGroup | None = None
     _listening: anyio.CancelScope | None = None
@@ -102,11 +105,13 @@
 
     async def start_listening(self) -> None:
         """Accept connections, after `stop_listening` again."""
-        if self._listening is None:
+        self.is_open = True
+        if self._listening is None and self.port:
             await self._tasks.start(self._listen)
 
     async def stop_listening(self) -> None:
         """Have new connections refused by the operating system."""
+        self.is_open = False
         if self._listening is not None:
             self._listening.cancel()
         while self._listening is not None:
@@ -119,7 +124,7 @@
         with anyio.CancelScope() as self._listening:
             async with listener:
                 task_status.started()
-                await listener.serve(self._accept, self._tasks)
+                await listener.serve(self.accept, self._tasks)
         self._listening = None
 
     def silence_open(self) -> None:
@@ -140,9 +145,10 @@
                 await anyio.aclose_forcefully(pair.client)
                 await anyio.aclose_forcefully(pair.target)
 
-    async def _accept(self, client: SocketStream) -> None:
+    async def accept(self, client: SocketStream) -> None:
+        """Forward one connection, until it ends."""
         self.accepted_ns.append(time.time_ns())
-        if self.faults.refuse_new:
+        if self.faults.refuse_new or not self.is_open:
             await anyio.aclose_forcefully(client)
             return
         try:
