--- a/standins/service.py
+++ b/standins/service.py
@@ -20,6 +20,7 @@
 __all__ = ["PlainService", "ServiceOptions", "main"]
 
 RUN_HEADER = "Cranberryfield-Run"
+REQUEST_START = 64
 
 
 class ServiceOptions(msgspec.Struct, frozen=True):
@@ -91,19 +92,20 @@
                 self._leaving = True
                 self._journal.write("leaving")
                 await announcer.leave(self._options.reclaim_ms)
-                with anyio.move_on_after(self._options.reclaim_ms / 1000):
-                    while self._running:
-                        await anyio.sleep(0.02)
+                # Late requests are refused until the host is taken away.
+                await anyio.sleep(self._options.reclaim_ms / 1000)
                 self._journal.write("stopped")
                 stop.set()
                 return
 
     async def _call(self, http: HttpRequest) -> Response:
-        if self._leaving:
-            return Response(status_code=503)
         body = await http.body()
         run = http.headers.get(RUN_HEADER, "")
-        self._journal.write("started", run, detail=http.url.path)
+        start = body[:REQUEST_START].decode(errors="replace")
+        if self._leaving:
+            self._journal.write("refused", run, request=start)
+            return Response(status_code=503)
+        self._journal.write("started", run, request=start, detail=http.url.path)
         self._running += 1
         try:
             await anyio.sleep(self._options.work_ms / 1000)
