--- /dev/null
+++ b/tests/test_control_settings.py
@@ -0,0 +1,169 @@
+"""Settings in force everywhere, whatever is cut off from what."""
+
+import uuid
+from itertools import combinations
+
+import httpx
+import pytest
+
+from cranberryfield.core.errors import CranberryfieldError, ErrorKind
+from cranberryfield.core.messages.commands import ChangeSettings, LevelEdit
+from cranberryfield.core.messages.control import ReadHolders
+from standins.control_client import running_client
+from standins.group import HostPlan, running_group
+from standins.processes import wait_until
+
+CONTROL = ["control-1", "control-2", "control-3"]
+ENTRY = ["entry-1", "entry-2", "entry-3", "entry-4"]
+HOSTS = [
+    *(HostPlan(node, "plateau", ("control",)) for node in CONTROL),
+    *(HostPlan(node, "plateau") for node in ENTRY),
+]
+MISSED_CHANGES = 500
+
+
+class Cluster:
+    """A group whose links can be cut, and a client of its control hosts."""
+
+    def __init__(self, group, client):
+        self.group = group
+        self.client = client
+        self.limit = 0
+
+    def change(self, timeout_s=15.0):
+        self.limit += 1
+        edit = LevelEdit("system", None, {"queue_limit": self.limit})
+        command = ChangeSettings(uuid.uuid4().hex, "test", (edit,))
+        return self.client.propose(command, timeout_s).revision
+
+    def revision(self, node):
+        return (self.group.status(node) or {}).get("settings_revision", -1)
+
+    def is_ready(self, node):
+        url = f"http://{self.group.hosts[node].callers}/healthz/ready"
+        try:
+            return httpx.get(url, trust_env=False, timeout=2).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def wait_ready(self, nodes, ready=True):
+        for node in nodes:
+            wait_until(
+                lambda node=node: self.is_ready(node) is ready, f"{node}: {ready}"
+            )
+
+    def wait_revision(self, nodes, revision):
+        for node in nodes:
+            wait_until(
+                lambda node=node: self.revision(node) >= revision,
+                f"revision {revision} on {node}",
+            )
+
+    def part(self, side):
+        """Cut all links between the hosts of one side and all others."""
+        for first, second in combinations([*CONTROL, *ENTRY], 2):
+            if (first in side) != (second in side):
+                self.group.links.cut(first, second)
+
+    def cut(self, node, others):
+        for other in others:
+            self.group.links.cut(node, other)
+
+    def follower(self):
+        """Return a control host that does not lead."""
+        views = {node: self.group.status(node)["control"] for node in CONTROL}
+        return next(node for node in CONTROL if views[node]["role"] != "leader")
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("settings")
+    with (
+        running_group(folder, HOSTS, proxied=True) as group,
+        running_client(group) as client,
+    ):
+        yield Cluster(group, client)
+
+
+@pytest.fixture
+def cluster(running):
+    """The group with all links whole and every host ready."""
+    running.group.links.heal()
+    running.wait_ready(ENTRY)
+    wait_until(
+        lambda: len(running.client.ask(ReadHolders(0)).holders) == len(ENTRY),
+        "all entry hosts follow",
+    )
+    return running
+
+
+def test_holders_are_counted(cluster):
+    revision = cluster.change()
+    wait_until(
+        lambda: cluster.client.ask(ReadHolders(revision)).holders == tuple(ENTRY),
+        "every entry host has it",
+    )
+    view = cluster.client.ask(ReadHolders(revision + 1))
+    assert (view.holders, view.lagging, view.silent) == ((), tuple(ENTRY), ())
+
+
+def test_a_host_cut_off_from_control_follows_its_peers(cluster):
+    cluster.cut("entry-1", CONTROL)
+    for _ in range(3):
+        cluster.wait_revision(["entry-1"], cluster.change())
+        cluster.wait_ready(["entry-1"])
+
+
+def test_a_host_that_misses_control_and_peers_turns_not_ready(cluster):
+    cluster.part(["entry-1"])
+    cluster.wait_ready(["entry-1"], False)
+    revision = cluster.change()
+    cluster.wait_revision(ENTRY[1:], revision)
+    assert cluster.revision("entry-1") < revision
+    cluster.group.links.heal()
+    cluster.wait_ready(["entry-1"])
+    assert cluster.revision("entry-1") >= revision
+
+
+def test_a_stale_control_host_confirms_nothing(cluster):
+    stale = cluster.follower()
+    cluster.part(["entry-1", stale])
+    cluster.wait_ready(["entry-1"], False)
+    before = cluster.revision("entry-1")
+    for _ in range(MISSED_CHANGES):
+        revision = cluster.change()
+    process = cluster.group.hosts["entry-1"].process
+    process.kill()
+    process.start()
+    # The restarted host takes what the stale one has, and does not serve by it.
+    cluster.wait_revision(["entry-1"], before)
+    assert cluster.revision("entry-1") == before
+    assert not cluster.is_ready("entry-1")
+    cluster.group.links.heal()
+    cluster.wait_ready(["entry-1"])
+    assert cluster.revision("entry-1") >= revision
+    cluster.wait_revision([stale], revision)
+
+
+def test_no_change_is_accepted_that_most_entry_hosts_would_miss(cluster):
+    revision = cluster.change()
+    cluster.wait_revision(ENTRY, revision)
+    cluster.part(ENTRY[:3])
+
+    def refused():
+        try:
+            cluster.change(2.0)
+        except CranberryfieldError as error:
+            assert error.kind is ErrorKind.NO_QUORUM
+            return "less than half of the entry hosts" in error.detail
+        return False
+
+    wait_until(refused, "changes are refused")
+    in_force = cluster.revision("entry-4")
+    cluster.wait_ready(ENTRY)
+    assert {cluster.revision(node) for node in ENTRY[:3]} <= set(
+        range(revision, in_force + 1)
+    )
+    cluster.group.links.heal()
+    wait_until(lambda: not refused(), "changes are accepted again")
+    cluster.wait_revision(ENTRY, cluster.change())
