--- a/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
@@ -118,6 +118,11 @@
     statsd: IpAddress | None = None
     log_level: LogLevel = LogLevel.INFO
 
+    @property
+    def mesh_listen(self) -> str:
+        """Address that the mesh binds."""
+        return self.mesh_bind or self.mesh
+
     @property
     def node_id(self) -> NodeId:
         """The process's id."""
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -99,7 +99,7 @@
             tasks.start_soon(entry.run)
         if control is not None:
             tasks.start_soon(control.run)
-        await tasks.start(mesh.listen, config.mesh_bind or config.mesh)
+        await tasks.start(mesh.listen, config.mesh_listen)
         _dial_all(config, mesh, tasks)
         web = build_web_app(config, board, mesh, metrics, proposer, entry, control)
         stop = anyio.Event()
