--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
@@ -91,10 +91,10 @@
     return ControlView(
         replica.role.value,
         replica.term,
-        replica.leader,
+        replica.leader_node,
         replica.commit_index,
         replica.log.last_index,
-        replica.voters,
+        replica.voter_nodes,
     )
 
 
