--- a/packages/cranberryfield-client/src/cranberryfield/client/commands/control.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/control.py
@@ -3,10 +3,19 @@
 import msgspec
 from cyclopts import App
 
+from cranberryfield.client.connection import connected
 from cranberryfield.client.group import NodeReply, find_nodes
 from cranberryfield.client.options import Target
-from cranberryfield.client.output import print_rows
-from cranberryfield.core.operators.views import StatusView
+from cranberryfield.client.output import print_rows, print_value
+from cranberryfield.core.errors import CallerError, ErrorKind
+from cranberryfield.core.operators.views import (
+    GroupReplacement,
+    HoldersRow,
+    HostRemoval,
+    MemberChange,
+    MembersView,
+    StatusView,
+)
 
 __all__ = ["app"]
 
@@ -16,6 +25,9 @@
     help_epilogue="""Examples:
 
     cranberryfield control members
+    cranberryfield control members --add control-4
+    cranberryfield control members --remove control-2
+    cranberryfield control replace control-1 --majority-is-lost
 """,
 )
 
@@ -35,8 +47,23 @@
 
 
 @app.command(name="members")
-async def list_members(*, target: Target) -> None:
-    """Show each replica: its role, term, and how far its log goes."""
+async def list_members(
+    *, add: str | None = None, remove: str | None = None, target: Target
+) -> None:
+    """Show each replica: its role, term, and how far its log goes.
+
+    Parameters
+    ----------
+    add : str, optional
+        First let this host join: it runs with an empty data folder and votes
+        once it has caught up.
+    remove : str, optional
+        First take this host out of the group.
+    """
+    if add is not None or remove is not None:
+        async with connected(target) as connection:
+            change = MemberChange(add, remove)
+            await connection.post("/operator/control/members", change, MembersView)
     replies = await find_nodes(target)
     voters = {
         voter
@@ -49,6 +76,50 @@
     print_rows(rows, target.as_json)
 
 
+@app.command(name="replace")
+async def replace_group(
+    node: str, /, *, majority_is_lost: bool = False, target: Target
+) -> None:
+    """Make one control host the whole group, when a majority is lost for good.
+
+    What only the lost hosts had is lost with them. Never use it while any of
+    them may come back: switch them off first.
+
+    Parameters
+    ----------
+    node : str
+        The surviving control host; ``--node`` must give its address.
+    majority_is_lost : bool
+        Confirms that the others are switched off and will not come back.
+    """
+    if not majority_is_lost:
+        raise CallerError(
+            ErrorKind.BAD_REQUEST,
+            "read `control replace --help`, then repeat with --majority-is-lost",
+        )
+    async with connected(target) as connection:
+        view = await connection.post(
+            "/operator/control/replace", GroupReplacement(node), MembersView
+        )
+    print_value(view, target.as_json)
+
+
+@app.command(name="forget")
+async def forget_host(name: str, /, *, target: Target) -> None:
+    """Strike an entry host that is gone for good off the list of holders.
+
+    Parameters
+    ----------
+    name : str
+        The entry host.
+    """
+    async with connected(target) as connection:
+        view = await connection.post(
+            "/operator/hosts/forget", HostRemoval(name), HoldersRow
+        )
+    print_value(view, target.as_json)
+
+
 def _row(node: str, reply: NodeReply[StatusView] | None) -> MemberRow:
     view = reply.value if reply is not None else None
     if view is None or view.control is None:
--- a/packages/cranberryfield-client/src/cranberryfield/client/commands/settings.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/settings.py
@@ -17,11 +17,13 @@
     compare_levels,
     read_settings_file,
 )
-from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.errors import CallerError, ControlError, ErrorKind
 from cranberryfield.core.operators.reference import SettingReference, list_settings
 from cranberryfield.core.operators.views import (
     ChangeBody,
+    DifferenceRow,
     EditBody,
+    HistoryRow,
     OriginView,
     SettingsView,
 )
@@ -153,22 +155,74 @@
 
 
 @app.command(name="diff")
-async def diff_settings(file: Path, /, *, exact: bool = False, target: Target) -> None:
-    """Show how a settings file differs from what is in force.
+async def diff_settings(
+    file: Path | None = None,
+    /,
+    *,
+    exact: bool = False,
+    since: int | None = None,
+    until: int | None = None,
+    target: Target,
+) -> None:
+    """Show how a file differs from what is in force, or two revisions differ.
 
     Parameters
     ----------
-    file : pathlib.Path
+    file : pathlib.Path, optional
         A YAML file that maps levels to settings.
     exact : bool
         Count values that the file's levels have and the file does not.
+    since, until : int, optional
+        In place of a file: the older and the newer revision; the newer one is
+        the present one if left out.
     """
+    if (file is None) == (since is None):
+        raise CallerError(ErrorKind.BAD_REQUEST, "give either a file or --since")
+    if file is None:
+        await _diff_revisions(target, since, until)
+        return
     wanted = read_settings_file(file)
     async with connected(target) as connection:
         view = await connection.get(SETTINGS_PATH, SettingsView)
     print_rows(compare_levels(view, wanted, exact), target.as_json)
 
 
+async def _diff_revisions(target: Target, since: int, until: int | None) -> None:
+    async with connected(target) as connection:
+        if until is None:
+            until = (await connection.get(SETTINGS_PATH, SettingsView)).revision
+        rows = await connection.get(
+            f"{SETTINGS_PATH}/difference",
+            list[DifferenceRow],
+            first=str(since),
+            last=str(until),
+        )
+    print_rows(rows, target.as_json)
+
+
+@app.command(name="history")
+async def show_history(
+    level: str | None = None, /, *, limit: int = 20, target: Target
+) -> None:
+    """Show the latest accepted changes, newest first.
+
+    Parameters
+    ----------
+    level : str, optional
+        Only changes of this level.
+    limit : int
+        Most changes to show.
+    """
+    async with connected(target) as connection:
+        rows = await connection.get(
+            f"{SETTINGS_PATH}/history",
+            list[HistoryRow],
+            level=level,
+            limit=str(limit),
+        )
+    print_rows(rows, target.as_json)
+
+
 @app.command(name="apply")
 async def apply_settings(
     file: Path,
--- a/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
@@ -10,8 +10,15 @@
     "ChangeBody",
     "ChangeResult",
     "ControlView",
+    "DifferenceRow",
     "EditBody",
+    "GroupReplacement",
+    "HistoryRow",
+    "HoldersRow",
+    "HostRemoval",
     "LevelView",
+    "MemberChange",
+    "MembersView",
     "NodeAddress",
     "OriginView",
     "RequestReport",
@@ -181,3 +188,95 @@
     control: ControlView | None = None
     addresses: tuple[NodeAddress, ...] = ()
     resident_kib: int = 0
+
+
+class HistoryRow(msgspec.Struct):
+    """One value that an accepted change set or removed.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the tree after the change.
+    author, change_id : str
+        Who asked, and under which id.
+    level, setting : str
+        Where.
+    before, after : object
+        Its values; None where nothing stood.
+    """
+
+    revision: int
+    author: str
+    change_id: str
+    level: str
+    setting: str
+    before: SettingValue
+    after: SettingValue
+
+
+class DifferenceRow(msgspec.Struct):
+    """One setting that differs between two revisions; None for nothing."""
+
+    level: str
+    setting: str
+    before: SettingValue
+    after: SettingValue
+
+
+class HoldersRow(msgspec.Struct):
+    """Which entry hosts have a revision in force, as the leader knows.
+
+    Attributes
+    ----------
+    revision : int
+        The revision asked about.
+    holders, lagging, silent : tuple of str
+        Hosts that have it; that do not yet; that have not been heard lately,
+        and so do not serve.
+    """
+
+    revision: int
+    holders: tuple[str, ...]
+    lagging: tuple[str, ...]
+    silent: tuple[str, ...]
+
+
+class MembersView(msgspec.Struct):
+    """The control group.
+
+    Attributes
+    ----------
+    voters, learners : tuple of str
+        Its members.
+    leader : str or None
+        The leader, if known.
+    generation : int
+        Counts how often the group was replaced.
+    term : int
+        The election term.
+    """
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    leader: str | None
+    generation: int
+    term: int
+
+
+class MemberChange(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/control/members``: one host to add or remove."""
+
+    add: str | None = None
+    remove: str | None = None
+
+
+class GroupReplacement(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/control/replace``; names the asked host."""
+
+    node: str
+
+
+class HostRemoval(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/hosts/forget``; names an entry host."""
+
+    node: str
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
@@ -25,6 +25,7 @@
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings import explain_settings, parse_level
 from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.daemon.operators.control_api import ControlApi
 from cranberryfield.daemon.operators.reports import (
     report_request,
     report_running,
@@ -70,6 +71,7 @@
         self._proposer = proposer
         self._ready = ready
         self._is_entry = Role.ENTRY in config.roles
+        self._control = ControlApi(config.node_id, mesh, proposer, self._authorise)
 
     def routes(self) -> list[Route]:
         """Return the operators' routes."""
@@ -81,6 +83,7 @@
             Route("/operator/upstreams", self._upstreams, methods=["GET"]),
             Route("/operator/running", self._running, methods=["GET"]),
             Route("/operator/requests", self._request, methods=["GET"]),
+            *self._control.routes(),
         ]
 
     def _authorise(self, http: HttpRequest) -> None:
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/control_api.py
@@ -0,0 +1,163 @@
+"""Endpoints that the control group answers, through any process."""
+
+from collections.abc import Callable
+
+import msgspec
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
+from starlette.routing import Route
+
+from cranberryfield.core.errors import CallerError, ErrorKind
+from cranberryfield.core.http import decode_json
+from cranberryfield.core.ids import NodeId, Revision
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.control import (
+    ChangeControl,
+    ControlMembers,
+    ForgetHost,
+    ReadDifference,
+    ReadHistory,
+    ReadHolders,
+    ReplaceControl,
+)
+from cranberryfield.core.messages.settings import SettingDifference, SettingsChange
+from cranberryfield.core.operators.views import (
+    DifferenceRow,
+    GroupReplacement,
+    HistoryRow,
+    HoldersRow,
+    HostRemoval,
+    MemberChange,
+    MembersView,
+)
+from cranberryfield.core.proposals import Proposer
+
+__all__ = ["ControlApi"]
+
+READ_TIMEOUT_S = 5.0
+CHANGE_TIMEOUT_S = 12.0
+MAX_BODY_BYTES = 4096
+DEFAULT_HISTORY = 50
+
+
+class ControlApi:
+    """Endpoints about settings history and the control group's members.
+
+    Parameters
+    ----------
+    node : NodeId
+        This process.
+    mesh : Mesh
+        Links to other processes.
+    proposer : Proposer
+        Finds the leader of the control group.
+    authorise : callable
+        Refuses a request without an operator's key.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        mesh: Mesh,
+        proposer: Proposer,
+        authorise: Callable[[HttpRequest], None],
+    ):
+        self._node = node
+        self._mesh = mesh
+        self._proposer = proposer
+        self._authorise = authorise
+
+    def routes(self) -> list[Route]:
+        """Return the routes."""
+        return [
+            Route("/operator/settings/history", self._history),
+            Route("/operator/settings/difference", self._difference),
+            Route("/operator/settings/holders", self._holders),
+            Route("/operator/control/members", self._change, methods=["POST"]),
+            Route("/operator/control/replace", self._replace, methods=["POST"]),
+            Route("/operator/hosts/forget", self._forget, methods=["POST"]),
+        ]
+
+    async def _history(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        level = http.query_params.get("level")
+        limit = _number(http, "limit", DEFAULT_HISTORY)
+        view = await self._proposer.ask(ReadHistory(level, limit), READ_TIMEOUT_S)
+        return _json([row for change in view.changes for row in _history_rows(change)])
+
+    async def _difference(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        first, last = _number(http, "first"), _number(http, "last")
+        view = await self._proposer.ask(
+            ReadDifference(Revision(first), Revision(last)), READ_TIMEOUT_S
+        )
+        return _json([_difference_row(one) for one in view.settings])
+
+    async def _holders(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        revision = Revision(_number(http, "revision"))
+        view = await self._proposer.ask(ReadHolders(revision), READ_TIMEOUT_S)
+        return _json(HoldersRow(view.revision, view.holders, view.lagging, view.silent))
+
+    async def _change(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        body = await decode_json(http, MemberChange, MAX_BODY_BYTES)
+        add = NodeId(body.add) if body.add is not None else None
+        remove = NodeId(body.remove) if body.remove is not None else None
+        view = await self._proposer.ask(ChangeControl(add, remove), CHANGE_TIMEOUT_S)
+        return _json(_members_view(view))
+
+    async def _replace(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        body = await decode_json(http, GroupReplacement, MAX_BODY_BYTES)
+        request = ReplaceControl(NodeId(body.node))
+        view = await self._mesh.request(self._node, request, CHANGE_TIMEOUT_S)
+        return _json(_members_view(view))
+
+    async def _forget(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        body = await decode_json(http, HostRemoval, MAX_BODY_BYTES)
+        request = ForgetHost(NodeId(body.node))
+        view = await self._proposer.ask(request, CHANGE_TIMEOUT_S)
+        return _json(HoldersRow(view.revision, view.holders, view.lagging, view.silent))
+
+
+def _number(http: HttpRequest, name: str, default: int | None = None) -> int:
+    text = http.query_params.get(name, "" if default is None else str(default))
+    if not text.isascii() or not text.isdigit():
+        raise CallerError(ErrorKind.BAD_REQUEST, f"{name} must be a number")
+    return int(text)
+
+
+def _history_rows(change: SettingsChange) -> list[HistoryRow]:
+    rows = []
+    for edit in change.edits:
+        before = change.before.get(edit.level, {})
+        after = {**edit.set_values, **dict.fromkeys(edit.unset)}
+        rows += [
+            HistoryRow(
+                change.revision,
+                change.author,
+                change.change_id,
+                edit.level,
+                name,
+                before.get(name),
+                value,
+            )
+            for name, value in after.items()
+        ]
+    return rows
+
+
+def _difference_row(one: SettingDifference) -> DifferenceRow:
+    return DifferenceRow(one.level, one.name, one.before, one.after)
+
+
+def _members_view(view: ControlMembers) -> MembersView:
+    return MembersView(
+        view.voters, view.learners, view.leader, view.generation, view.term
+    )
+
+
+def _json(value) -> Response:
+    return Response(msgspec.json.encode(value), media_type="application/json")
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
@@ -8,6 +8,7 @@
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.ids import RequestKey, WorkspaceId
 from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.messages.membership import PeerState
 from cranberryfield.core.operators.views import (
     ControlView,
     NodeAddress,
@@ -19,6 +20,7 @@
 from cranberryfield.core.settings.follow import SettingsSection
 from cranberryfield.core.settings.tree import upstream_is_drained
 from cranberryfield.entry.membership import UpstreamsSection
+from cranberryfield.entry.membership.peers import PeersSection
 from cranberryfield.entry.requests import RecordsSection, RequestRecord
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.routing import DispatchSection
@@ -79,11 +81,26 @@
         tuple(peer.node for peer in linked),
         len(known),
         _control_view(config, board),
-        tuple(NodeAddress(peer.node, peer.callers) for peer in linked),
+        _addresses(board, linked, is_entry),
         resident_kib(),
     )
 
 
+def _addresses(
+    board: Blackboard, linked: list[Hello], is_entry: bool
+) -> tuple[NodeAddress, ...]:
+    known = {peer.node: peer.callers for peer in linked}
+    if is_entry:
+        # An entry host has links to some of the others only.
+        peers = board.read(PeersSection).peers.values()
+        known |= {
+            peer.record.node: peer.record.callers
+            for peer in peers
+            if peer.record.state is not PeerState.LEFT
+        }
+    return tuple(NodeAddress(node, known[node]) for node in sorted(known))
+
+
 def _control_view(config: DaemonConfig, board: Blackboard) -> ControlView | None:
     if Role.CONTROL not in config.roles:
         return None
