--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -8,6 +8,7 @@
 import anyio
 import structlog
 
+from cranberryfield.control.claims import LogClock
 from cranberryfield.control.compaction import Compactor
 from cranberryfield.control.consensus import (
     Action,
@@ -47,7 +48,7 @@
 from cranberryfield.core.ids import LogIndex, NodeId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.base import Message
-from cranberryfield.core.messages.codec import decode_message
+from cranberryfield.core.messages.codec import decode_message, encode_message
 from cranberryfield.core.messages.commands import ProposalRedirected, Propose
 from cranberryfield.core.messages.consensus import (
     LogEntry,
@@ -110,6 +111,7 @@
         self._events: deque[Event] = deque()
         self._proposals = ProposalQueue()
         self._reads = ReadQueue(section.replica, self._wake_up)
+        self._log_clock = LogClock()
         self._wake = anyio.Event()
         self._joining = Joining(section.replica, listed, mesh, self.submit, clock)
         self._compactor = Compactor(section, stored, self.submit)
@@ -261,8 +263,10 @@
         if self._proposals.is_empty:
             return []
         replica = self._section.replica
-        first = LogIndex(replica.log.last_index + 1)
-        commands = self._proposals.take_batch(first, replica.term)
+        stamp = self._log_clock.advance(replica.term, now)
+        stamps = (encode_message(stamp),) if stamp else ()
+        first = LogIndex(replica.log.last_index + 1 + len(stamps))
+        commands = (*stamps, *self._proposals.take_batch(first, replica.term))
         return step(replica, Proposed(commands), now)
 
     def _change_members(self, now: float) -> list[Action]:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -20,6 +20,7 @@
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.routing import DispatchSection, make_chooser
@@ -28,6 +29,8 @@
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Longest wait of a stop for the log to take the ends of claims, in seconds.
+CLOSE_WAIT_S = 10.0
 
 
 class EntryRuntime:
@@ -51,6 +54,8 @@
         Keeps the tables of entry hosts and upstreams.
     leases : LeaseKeeper
         Renews the leases of upstreams.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         clock: Clock,
         gossip: TableGossip,
         leases: LeaseKeeper,
+        claims: ClaimKeeper,
     ):
         self._settings = settings
         self._records = records
@@ -70,6 +76,7 @@
         self._clock = clock
         self._gossip = gossip
         self._leases = leases
+        self._claims = claims
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -129,14 +136,16 @@
             peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
-        runtime = cls(settings, records, follower, dispatcher, clock, gossip, leases)
+        claims = ClaimKeeper(config.node_id, proposer, clock)
+        runtime = cls(
+            settings, records, follower, dispatcher, clock, gossip, leases, claims
+        )
         runner = RequestRunner(
-            config.node_id,
             make_chooser(board, config.zone, clock, rng),
             dispatched,
             AdmissionGate(),
             dispatcher,
-            proposer,
+            claims,
             metrics,
             clock,
         )
@@ -145,6 +154,7 @@
             records,
             leases,
             runner,
+            claims,
             metrics,
             config.upstream_keys,
             runtime.is_ready,
@@ -162,19 +172,23 @@
         self._stopping = True
 
     async def wait_drained(self) -> None:
-        """Wait until no request is running here."""
+        """Wait until no request is running here and no claim is left open."""
         while any(
             record.state is RequestState.RUNNING
             for record in self._records.records.values()
         ):
             await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(CLOSE_WAIT_S):
+            while self._claims.unclosed:
+                await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings and membership until cancelled."""
+        """Follow settings and membership and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._leases.run)
             tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._claims.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
