--- a/packages/cranberryfield-client/src/cranberryfield/client/commands/requests.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/requests.py
@@ -2,11 +2,17 @@
 
 from cyclopts import App
 
+from cranberryfield.client.connection import connected
 from cranberryfield.client.group import ask_nodes, find_nodes
 from cranberryfield.client.options import Target
-from cranberryfield.client.output import print_progress, print_rows
+from cranberryfield.client.output import print_progress, print_rows, print_value
 from cranberryfield.core.errors import CallerError, ErrorKind
-from cranberryfield.core.operators.views import NodeAddress, RequestReport
+from cranberryfield.core.operators.views import (
+    ClaimRow,
+    NodeAddress,
+    RequestReport,
+    RequestView,
+)
 
 __all__ = ["app"]
 
@@ -24,15 +30,32 @@
 async def show_request(
     key: str, /, *, workspace: str | None = None, target: Target
 ) -> None:
-    """Show what every node knows of a request.
+    """Show the claim of a request, and what every node has a record of.
 
     Parameters
     ----------
     key : str
         The caller's ``Idempotency-Key``.
     workspace : str, optional
-        Only this workspace's request.
+        Only this workspace's request; needed for the claim.
     """
+    view = await _look_up(target, key, workspace)
+    if view.claim is None and not view.records:
+        silent = f" (no answer from {', '.join(view.silent)})" if view.silent else ""
+        raise CallerError(
+            ErrorKind.UNKNOWN_REQUEST, f"no node knows the request {key!r}{silent}"
+        )
+    if target.as_json:
+        print_value(view, as_json=True)
+        return
+    if view.claim is not None:
+        print_value(view.claim, as_json=False)
+    print_rows(view.records, as_json=False)
+    if view.silent:
+        print_progress(f"no answer from {', '.join(view.silent)}")
+
+
+async def _look_up(target: Target, key: str, workspace: str | None) -> RequestView:
     found = await find_nodes(target)
     nodes = [NodeAddress(reply.node, reply.address) for reply in found]
     replies = await ask_nodes(
@@ -43,12 +66,14 @@
         key=key,
         workspace=workspace,
     )
-    silent = [reply.node for reply in replies if reply.value is None]
-    if silent:
-        print_progress(f"no answer from {', '.join(silent)}")
-    rows = [row for reply in replies for row in reply.value or ()]
-    if not rows:
-        raise CallerError(
-            ErrorKind.UNKNOWN_REQUEST, f"no node has a record of the request {key!r}"
-        )
-    print_rows(rows, target.as_json)
+    claim = None
+    if workspace is not None:
+        async with connected(target) as connection:
+            claim = await connection.get(
+                "/operator/claim", ClaimRow | None, workspace=workspace, key=key
+            )
+    return RequestView(
+        claim,
+        [row for reply in replies for row in reply.value or ()],
+        tuple(reply.node for reply in replies if reply.value is None),
+    )
--- a/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
@@ -9,6 +9,7 @@
 __all__ = [
     "ChangeBody",
     "ChangeResult",
+    "ClaimRow",
     "ControlView",
     "DifferenceRow",
     "EditBody",
@@ -22,6 +23,7 @@
     "NodeAddress",
     "OriginView",
     "RequestReport",
+    "RequestView",
     "RunningView",
     "SettingsView",
     "StatusView",
@@ -133,6 +135,45 @@
     detail: str | None = None
 
 
+class ClaimRow(msgspec.Struct):
+    """A non-idempotent request's claim in the replicated log.
+
+    Attributes
+    ----------
+    state : str
+        ``claimed``, ``dispatched``, ``answered``, ``unknown`` or ``released``.
+    attempt : int
+        Counts the claimers.
+    node : str
+        The claimer.
+    status : int
+        HTTP status of the answer; 0 without one.
+    """
+
+    state: str
+    attempt: int
+    node: str
+    status: int
+
+
+class RequestView(msgspec.Struct):
+    """What the group knows of a request.
+
+    Attributes
+    ----------
+    claim : ClaimRow or None
+        Its claim, if it is non-idempotent and a workspace was named.
+    records : list of RequestReport
+        What nodes have a record of.
+    silent : tuple of str
+        Nodes that did not answer.
+    """
+
+    claim: ClaimRow | None
+    records: list[RequestReport]
+    silent: tuple[str, ...]
+
+
 class ControlView(msgspec.Struct):
     """The node's replica of the log."""
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/control_api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/control_api.py
@@ -9,8 +9,9 @@
 
 from cranberryfield.core.errors import CallerError, ErrorKind
 from cranberryfield.core.http import decode_json
-from cranberryfield.core.ids import NodeId, Revision
+from cranberryfield.core.ids import NodeId, RequestKey, Revision, WorkspaceId
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.claims import FindClaim
 from cranberryfield.core.messages.control import (
     ChangeControl,
     ControlMembers,
@@ -22,6 +23,7 @@
 )
 from cranberryfield.core.messages.settings import SettingDifference, SettingsChange
 from cranberryfield.core.operators.views import (
+    ClaimRow,
     DifferenceRow,
     GroupReplacement,
     HistoryRow,
@@ -73,6 +75,7 @@
             Route("/operator/settings/history", self._history),
             Route("/operator/settings/difference", self._difference),
             Route("/operator/settings/holders", self._holders),
+            Route("/operator/claim", self._claim),
             Route("/operator/control/members", self._change, methods=["POST"]),
             Route("/operator/control/replace", self._replace, methods=["POST"]),
             Route("/operator/hosts/forget", self._forget, methods=["POST"]),
@@ -99,6 +102,21 @@
         view = await self._proposer.ask(ReadHolders(revision), READ_TIMEOUT_S)
         return _json(HoldersRow(view.revision, view.holders, view.lagging, view.silent))
 
+    async def _claim(self, http: HttpRequest) -> Response:
+        self._authorise(http)
+        workspace = WorkspaceId(http.query_params.get("workspace", ""))
+        key = RequestKey(http.query_params.get("key", ""))
+        find = FindClaim(workspace, key)
+        try:
+            claim = await self._proposer.propose(find, READ_TIMEOUT_S)
+        except CallerError as error:
+            if error.kind is not ErrorKind.UNKNOWN_REQUEST:
+                raise
+            return _json(None)
+        return _json(
+            ClaimRow(claim.state.value, claim.attempt, claim.node, claim.status)
+        )
+
     async def _change(self, http: HttpRequest) -> Response:
         self._authorise(http)
         body = await decode_json(http, MemberChange, MAX_BODY_BYTES)
