--- /dev/null
+++ b/bench/load/arrivals.py
@@ -0,0 +1,88 @@
+"""When requests arrive and what they ask, drawn from a scenario's seed."""
+
+from random import Random
+
+import msgspec
+
+from bench.load.scenario import LoadKind, Scenario, ServiceLoad
+
+__all__ = ["Arrival", "draw_arrivals"]
+
+VOCABULARY = 5000
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One request as it is meant to arrive.
+
+    Attributes
+    ----------
+    number : int
+        Its place in the run.
+    at_s : float
+        Intended time from the run's start, in seconds.
+    service : ServiceLoad
+        What it asks for.
+    workspace : str
+        Who asks.
+    prompt : str
+        Prompt or body.
+    tokens : int
+        Length of its answer.
+    """
+
+    number: int
+    at_s: float
+    service: ServiceLoad
+    workspace: str
+    prompt: str
+    tokens: int
+
+
+def draw_arrivals(scenario: Scenario) -> list[Arrival]:
+    """Draw a Poisson process of requests.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        Gives the seed, rate and parts.
+
+    Returns
+    -------
+    list of Arrival
+        In order of time; the same for the same scenario.
+    """
+    rng = Random(scenario.seed)
+    arrivals: list[Arrival] = []
+    at_s = rng.expovariate(_rate(scenario, 0.0))
+    while at_s < scenario.duration_s:
+        arrivals.append(_draw_one(scenario, rng, len(arrivals), at_s))
+        at_s += rng.expovariate(_rate(scenario, at_s))
+    return arrivals
+
+
+def _rate(scenario: Scenario, at_s: float) -> float:
+    late = at_s >= scenario.duration_s / 2
+    if scenario.kind is LoadKind.OVERLOAD and late:
+        return scenario.rate_per_s * scenario.overload_factor
+    return scenario.rate_per_s
+
+
+def _draw_one(scenario: Scenario, rng: Random, number: int, at_s: float) -> Arrival:
+    service = rng.choices(scenario.services, [one.part for one in scenario.services])[0]
+    parts = [one.part for one in scenario.workspaces]
+    workspace = rng.choices(scenario.workspaces, parts)[0].name
+    return Arrival(
+        number,
+        at_s,
+        service,
+        workspace,
+        _prompt(rng, workspace, service.prompt_words, number),
+        rng.randint(*service.tokens),
+    )
+
+
+def _prompt(rng: Random, workspace: str, words: int, number: int) -> str:
+    common = [f"{workspace}-{place}" for place in range(words // 2)]
+    own = [f"n{number}"]
+    own += [f"x{rng.randrange(VOCABULARY)}" for _ in range(words - len(common) - 1)]
+    return " ".join(common + own)
--- /dev/null
+++ b/bench/load/generator.py
@@ -0,0 +1,206 @@
+"""Sends requests at their intended times, whatever becomes of earlier ones.
+
+Latency is counted from the intended arrival, so that a stall of the generator
+or of the system is not left out. Refused callers come back when they were told.
+"""
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+import msgspec
+
+from bench.load.arrivals import Arrival
+
+__all__ = ["RequestResult", "Target", "send_all"]
+
+TIMEOUT_S = 10.0
+DEFAULT_PAUSE_S = 0.2
+DRAIN_S = 5.0
+#: Refusals after which a caller does not come back.
+FINAL_STATUSES = frozenset({400, 401, 404, 409, 422})
+
+
+@dataclass(slots=True)
+class RequestResult:
+    """What became of one request; times in seconds from the run's start.
+
+    Attributes
+    ----------
+    arrival : Arrival
+        The request.
+    first_s : float or None
+        When the first token came.
+    gaps_s : list of float
+        Times between tokens that followed each other.
+    ended_s : float or None
+        When the whole answer was there.
+    tokens : int
+        Tokens that came.
+    refusals : Counter
+        Refusals and broken connections by kind.
+    """
+
+    arrival: Arrival
+    first_s: float | None = None
+    gaps_s: list[float] = field(default_factory=list)
+    ended_s: float | None = None
+    tokens: int = 0
+    refusals: Counter = field(default_factory=Counter)
+    _events: int = 0
+    _last_s: float | None = None
+
+    @property
+    def first_token_s(self) -> float | None:
+        """Seconds from the intended arrival to the first token."""
+        return None if self.first_s is None else self.first_s - self.arrival.at_s
+
+    def take(self, now_s: float) -> None:
+        """Note one token."""
+        if self.first_s is None:
+            self.first_s = now_s
+        if self._last_s is not None:
+            self.gaps_s.append(now_s - self._last_s)
+        self._last_s = now_s
+        self.tokens += 1
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where requests go.
+
+    Attributes
+    ----------
+    hosts : callable
+        Returns the addresses for a service, tried in turn.
+    headers : callable
+        Returns the headers of a request.
+    path : callable
+        Returns the path of a request.
+    """
+
+    hosts: Callable[[Arrival], list[str]]
+    headers: Callable[[Arrival], dict[str, str]]
+    path: Callable[[Arrival], str]
+
+
+async def send_all(arrivals: list[Arrival], target: Target) -> list[RequestResult]:
+    """Send every request and return what became of them.
+
+    Parameters
+    ----------
+    arrivals : list of Arrival
+        In order of time.
+    target : Target
+        Where they go.
+
+    Returns
+    -------
+    list of RequestResult
+        In the order of `arrivals`; those not done some seconds after the last
+        arrival have no end.
+    """
+    results = [RequestResult(arrival) for arrival in arrivals]
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=512)
+    began = time.monotonic()
+    async with httpx.AsyncClient(
+        timeout=TIMEOUT_S, limits=limits, trust_env=False
+    ) as client:
+        with anyio.move_on_after(arrivals[-1].at_s + DRAIN_S):
+            async with anyio.create_task_group() as tasks:
+                for result in results:
+                    at = began + result.arrival.at_s
+                    await anyio.sleep(max(0.0, at - time.monotonic()))
+                    tasks.start_soon(_ask_until_whole, client, target, result, began)
+    return results
+
+
+async def _ask_until_whole(
+    client: httpx.AsyncClient, target: Target, result: RequestResult, began: float
+) -> None:
+    arrival = result.arrival
+    turn = arrival.number
+    while result.ended_s is None:
+        hosts = target.hosts(arrival)
+        host = hosts[turn % len(hosts)]
+        turn += 1
+        pause_s = DEFAULT_PAUSE_S
+        try:
+            pause_s = await _ask_once(client, target, host, result, began)
+        except httpx.HTTPError as error:
+            result.refusals[type(error).__name__] += 1
+        if pause_s is None:
+            return
+        if result.ended_s is None:
+            await anyio.sleep(pause_s)
+
+
+async def _ask_once(
+    client: httpx.AsyncClient,
+    target: Target,
+    host: str,
+    result: RequestResult,
+    began: float,
+) -> float | None:
+    """Return how long to wait before coming back, or None for never."""
+    arrival = result.arrival
+    headers = target.headers(arrival)
+    if result._events:
+        headers["Last-Event-ID"] = str(result._events)
+    async with client.stream(
+        "POST", f"http://{host}{target.path(arrival)}", content=_body(arrival),
+        headers=headers,
+    ) as response:  # fmt: skip
+        if response.is_error:
+            return await _note_refusal(response, result)
+        if not arrival.service.model:
+            await response.aread()
+            result.take(time.monotonic() - began)
+            result.ended_s = result.first_s
+            return 0.0
+        async for line in response.aiter_lines():
+            _take_line(line, result, time.monotonic() - began)
+    return DEFAULT_PAUSE_S
+
+
+def _body(arrival: Arrival) -> bytes:
+    if not arrival.service.model:
+        return arrival.prompt.encode()
+    return msgspec.json.encode(
+        {
+            "model": arrival.service.name,
+            "prompt": arrival.prompt,
+            "max_tokens": arrival.tokens,
+            "seed": arrival.number,
+            "stream": True,
+        }
+    )
+
+
+def _take_line(line: str, result: RequestResult, now_s: float) -> None:
+    if line.startswith("id: "):
+        result._events = int(line[len("id: ") :])
+    elif line == "data: [DONE]":
+        result.ended_s = now_s
+    elif line.startswith("event: "):
+        result.refusals[f"event {line.removeprefix('event: ')}"] += 1
+    elif line.startswith("data: ") and '"text":"' in line and '"text":""' not in line:
+        result.take(now_s)
+
+
+async def _note_refusal(
+    response: httpx.Response, result: RequestResult
+) -> float | None:
+    await response.aread()
+    try:
+        kind = response.json().get("kind", "")
+    except ValueError:
+        kind = f"status {response.status_code}"
+    result.refusals[kind] += 1
+    retry_after = response.headers.get("Retry-After")
+    if retry_after is None and response.status_code in FINAL_STATUSES:
+        return None
+    return float(retry_after) if retry_after else DEFAULT_PAUSE_S
--- /dev/null
+++ b/bench/load/run.py
@@ -0,0 +1,183 @@
+"""Runs one scenario, through the system and directly, on one group."""
+
+import tempfile
+import time
+from collections.abc import Callable
+from hashlib import sha256
+from pathlib import Path
+
+import anyio
+
+from bench.load.arrivals import Arrival, draw_arrivals
+from bench.load.generator import RequestResult, Target, send_all
+from bench.load.results import LoadResult, summarise
+from bench.load.scenario import LoadKind, Scenario
+from standins.group import Group, HostPlan, running_group
+
+__all__ = ["run_scenario"]
+
+#: Part of the run after which a wave of reclaims begins.
+WAVE_AFTER = 0.4
+NS_PER_S = 1_000_000_000
+#: Lets late journal entries and cancelled runs end between two runs.
+SETTLE_S = 0.5
+
+
+def run_scenario(scenario: Scenario) -> list[LoadResult]:
+    """Run a scenario and, with the same requests, its baseline.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        What to run.
+
+    Returns
+    -------
+    list of LoadResult
+        Of direct calls to the engines, and of calls through the system.
+    """
+    arrivals = draw_arrivals(scenario)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_group(Path(folder), _hosts(scenario)) as group,
+    ):
+        revision = group.change_settings(_settings(scenario), "load", "entry-1")
+        group.wait_revision(revision)
+        _start_upstreams(scenario, group)
+        group.wait_upstreams(len(group.upstreams))
+        direct = _measure(scenario, group, "direct", arrivals, _direct(group))
+        time.sleep(SETTLE_S)
+        system = _measure(scenario, group, "system", arrivals, _system(scenario, group))
+    return [direct, system]
+
+
+def _hosts(scenario: Scenario) -> list[HostPlan]:
+    zones = scenario.data_centres
+    plans = [
+        HostPlan(f"control-{number + 1}", zones[number % len(zones)], ("control",))
+        for number in range(scenario.control_hosts)
+    ]
+    plans += [
+        HostPlan(f"entry-{number + 1}", zones[number % len(zones)])
+        for number in range(scenario.entry_hosts)
+    ]
+    return plans
+
+
+def _settings(scenario: Scenario) -> list[dict]:
+    edits = [
+        {
+            "level": f"workspace/{one.name}",
+            "set": {"key_hashes": [sha256(_key(one.name).encode()).hexdigest()]},
+        }
+        for one in scenario.workspaces
+    ]
+    for service in scenario.services:
+        values = {"kind": "model"}
+        if not service.model:
+            values = {"kind": "plain", "idempotent": False}
+        edits.append({"level": f"service/{service.name}", "set": values})
+    return edits
+
+
+def _key(workspace: str) -> str:
+    return f"{workspace}-key"
+
+
+def _start_upstreams(scenario: Scenario, group: Group) -> None:
+    for service in scenario.services:
+        for number in range(service.runners):
+            zone = scenario.data_centres[number % len(scenario.data_centres)]
+            name = f"{service.name}-{number + 1}"
+            if service.model:
+                group.add_engine(
+                    name,
+                    service.name,
+                    zone,
+                    step_ms=service.step_ms,
+                    capacity=service.capacity,
+                    machine_class=service.machine_class,
+                    reclaim_ms=scenario.reclaim_ms,
+                )
+            else:
+                group.add_service(
+                    name,
+                    service.name,
+                    zone,
+                    work_ms=service.work_ms,
+                    reclaim_ms=scenario.reclaim_ms,
+                )
+
+
+def _system(scenario: Scenario, group: Group) -> Target:
+    hosts = group.entry_addresses
+
+    def headers(arrival: Arrival) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {_key(arrival.workspace)}",
+            "Idempotency-Key": f"{scenario.name}-{arrival.number}",
+            "Cranberryfield-Deadline-Ms": str(scenario.budget_ms),
+        }
+
+    def path(arrival: Arrival) -> str:
+        if arrival.service.model:
+            return "/v1/completions"
+        return f"/services/{arrival.service.name}/appointments"
+
+    return Target(lambda arrival: hosts, headers, path)
+
+
+def _direct(group: Group) -> Target:
+    def hosts(arrival: Arrival) -> list[str]:
+        return group.upstream_addresses(arrival.service.name)
+
+    def headers(arrival: Arrival) -> dict[str, str]:
+        return {"Cranberryfield-Run": f"direct-{arrival.number}"}
+
+    def path(arrival: Arrival) -> str:
+        return "/v1/completions" if arrival.service.model else "/appointments"
+
+    return Target(hosts, headers, path)
+
+
+def _measure(
+    scenario: Scenario,
+    group: Group,
+    path: str,
+    arrivals: list[Arrival],
+    target: Target,
+) -> LoadResult:
+    began = time.monotonic()
+    since_ns = time.time_ns()
+    wave = None
+    if scenario.kind is LoadKind.RECLAIM_WAVE and path == "system":
+        wave = _wave(scenario, group)
+    results = anyio.run(_drive, arrivals, target, wave)
+    journal = [one for one in group.journal() if one.at_ns >= since_ns]
+    return summarise(scenario, path, results, journal, time.monotonic() - began)
+
+
+async def _drive(
+    arrivals: list[Arrival], target: Target, wave: Callable | None
+) -> list[RequestResult]:
+    results: list[RequestResult] = []
+    async with anyio.create_task_group() as tasks:
+        if wave is not None:
+            tasks.start_soon(wave)
+        results = await send_all(arrivals, target)
+        tasks.cancel_scope.cancel()
+    return results
+
+
+def _wave(scenario: Scenario, group: Group) -> Callable:
+    """Reclaim half of the upstreams of the first data centre at once."""
+    zone = scenario.data_centres[0]
+    names = [name for name in group.upstreams if group.zone_of(name) == zone]
+    taken = names[: max(1, (len(names) + 1) // 2)]
+
+    async def run() -> None:
+        await anyio.sleep(WAVE_AFTER * scenario.duration_s)
+        for name in taken:
+            group.upstreams[name].terminate()
+
+    return run
--- a/standins/group.py
+++ b/standins/group.py
@@ -207,6 +207,18 @@
         self.upstreams[id] = process
         process.start()
 
+    def zone_of(self, upstream: str) -> str:
+        """Return the data centre of an upstream."""
+        return self._options[upstream][1].data_centre
+
+    def upstream_addresses(self, service: str) -> list[str]:
+        """Return the addresses of a service's upstreams."""
+        return [
+            f"127.0.0.1:{options.port}"
+            for _, options in self._options.values()
+            if options.service == service
+        ]
+
     def restart_upstream(self, id: str, **options) -> None:
         """End an upstream's process and start it with some options changed."""
         self.upstreams[id].kill()
--- a/standins/links.py
+++ b/standins/links.py
@@ -59,7 +59,7 @@
             return proxy
 
         shared = SharedPort(free_port(), owners, proxy_of)
-        self.portal.start_task_soon(shared.run)
+        self.portal.start_task(shared.run)
         return f"127.0.0.1:{shared.port}"
 
     def add_shared(self, source: str, target: str, target_port: int) -> None:
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -79,11 +79,12 @@
     owners: Callable[[], dict[str, int]]
     proxy_of: Callable[[str], FaultProxy]
 
-    async def run(self) -> None:
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Accept until cancelled."""
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
         )
+        task_status.started()
         await listener.serve(self._accept)
 
     async def _accept(self, client: SocketStream) -> None:
--- /dev/null
+++ b/standins/tests/test_links.py
@@ -0,0 +1,106 @@
+import os
+import socket
+import threading
+from contextlib import suppress
+
+import pytest
+
+from standins.links import running_links
+from standins.ports import owner_of_port
+from standins.processes import wait_until
+
+TIMEOUT_S = 5.0
+
+
+@pytest.fixture
+def echo():
+    """Port of a server that sends back all that it gets."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def answer(connection):
+            with connection:
+                while data := connection.recv(100):
+                    connection.sendall(data)
+
+        def accept():
+            while True:
+                try:
+                    connection, _ = server.accept()
+                except OSError:
+                    return
+                threading.Thread(target=answer, args=(connection,), daemon=True).start()
+
+        threading.Thread(target=accept, daemon=True).start()
+        yield server.getsockname()[1]
+        server.shutdown(socket.SHUT_RDWR)
+
+
+@pytest.fixture
+def links():
+    with running_links() as running:
+        yield running
+
+
+def dial(address):
+    host, port = address.split(":")
+    return socket.create_connection((host, int(port)), TIMEOUT_S)
+
+
+def says(connection, text):
+    connection.sendall(text)
+    return connection.recv(100)
+
+
+HELD = [("a", "b"), ("b", "a")]
+
+
+@pytest.mark.parametrize(("sender", "receiver"), HELD)
+def test_held_bytes_arrive_once_released(links, echo, sender, receiver):
+    with dial(links.open("a", "b", echo)) as connection:
+        links.hold(sender, receiver)
+        connection.sendall(b"x")
+        wait_until(lambda: links.held(sender, receiver) == 1, "held")
+        links.release()
+        assert connection.recv(100) == b"x"
+        assert links.sent(sender, receiver) == 1
+
+
+@pytest.mark.parametrize("fault", ["silence", "drop"])
+def test_lost_bytes_never_arrive(links, echo, fault):
+    address = links.open("a", "b", echo)
+    with dial(address) as connection:
+        assert says(connection, b"x") == b"x"
+        getattr(links, fault)("a", "b")
+        connection.sendall(b"y")
+        connection.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            connection.recv(100)
+    if fault == "silence":
+        with dial(address) as connection:
+            assert says(connection, b"z") == b"z"
+
+
+def test_cut_closes_and_refuses_until_healed(links, echo):
+    address = links.open("a", "b", echo)
+    with dial(address) as connection:
+        assert says(connection, b"x") == b"x"
+        links.cut("b", "a")
+        with suppress(ConnectionResetError):
+            assert connection.recv(100) == b""
+    with pytest.raises(ConnectionRefusedError):
+        dial(address)
+    links.heal()
+    with dial(address) as connection:
+        assert says(connection, b"x") == b"x"
+
+
+def test_shared_port_tells_who_dialled(links, echo):
+    address = links.share("b", echo, lambda: {"other": os.getppid(), "a": os.getpid()})
+    links.add_shared("a", "b", echo)
+    with dial(address) as connection:
+        assert says(connection, b"x") == b"x"
+        assert links.sent("a", "b") == 1
+        assert links.sent("other", "b") == 0
+        port = connection.getsockname()[1]
+        assert owner_of_port(port, {"a": os.getpid()}) == "a"
+        assert owner_of_port(port, {}) is None
