--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -46,7 +46,7 @@
     Attributes
     ----------
     sent : int
-        Bytes handed on.
+        Bytes handed on, or being handed on.
     held : int
         Bytes that wait now.
     """
@@ -187,8 +187,8 @@
                     else self.faults.drop_to_client
                 )
                 if not (pair.silenced or dropped):
-                    await sink.send(data)
                     traffic.sent += len(data)
+                    await sink.send(data)
         except (anyio.EndOfStream, anyio.ClosedResourceError):
             await self._wait_released(traffic, 0, to_target)
             if not pair.silenced:
