--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -9,6 +9,7 @@
 
 from cranberryfield.core.errors import ErrorKind, ProtocolError
 from cranberryfield.core.messages import (
+    claims,
     commands,
     consensus,
     control,
@@ -32,7 +33,7 @@
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 
-_MODULES = (commands, consensus, control, links, membership, settings)
+_MODULES = (claims, commands, consensus, control, links, membership, settings)
 _MESSAGE_TYPES = tuple(
     value
     for module in _MODULES
