--- a/packages/cranberryfield-core/src/cranberryfield/core/errors.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/errors.py
@@ -50,6 +50,7 @@
     OVER_LIMIT = "over_limit"
     QUEUE_FULL = "queue_full"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    CALLER_GONE = "caller_gone"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_FAILED = "upstream_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -108,6 +109,7 @@
     ErrorKind.OVER_LIMIT: Answer(429, _NO, True, 6),
     ErrorKind.QUEUE_FULL: Answer(503, _NO, True, 6),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, _UNKNOWN, True, 6),
+    ErrorKind.CALLER_GONE: Answer(499, _UNKNOWN, False, 7),
     ErrorKind.NO_UPSTREAM: Answer(503, _NO, True, 6),
     ErrorKind.UPSTREAM_FAILED: Answer(502, _UNKNOWN, True, 6),
     ErrorKind.OUTCOME_UNKNOWN: Answer(409, _UNKNOWN, False, 7),
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -14,6 +14,7 @@
     consensus,
     links,
     membership,
+    requests,
     settings,
 )
 from cranberryfield.core.messages.base import Message
@@ -32,7 +33,7 @@
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 
-_MODULES = (claims, commands, consensus, links, membership, settings)
+_MODULES = (claims, commands, consensus, links, membership, requests, settings)
 _MESSAGE_TYPES = tuple(
     value
     for module in _MODULES
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/answers.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/answers.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from cranberryfield.core.errors import CranberryfieldError
+from cranberryfield.core.errors import CallerError, CranberryfieldError, ErrorKind
 from cranberryfield.core.http import problem_of_error
 from cranberryfield.entry.dispatch.framing import DONE
 from cranberryfield.entry.requests.records import RequestRecord, RequestState
 
-__all__ = ["stream_events", "wait_until_ended", "whole_completion"]
+__all__ = ["lost_part", "stream_events", "wait_until_ended", "whole_completion"]
 
 
 async def wait_until_ended(record: RequestRecord) -> None:
@@ -43,11 +43,17 @@
         answer and an event of type ``error`` otherwise.
     """
     sent = after
+    epoch = record.epoch
     while True:
-        ready = record.events[sent:]
+        if record.epoch != epoch and not record.continues(sent, epoch):
+            yield _error_event(lost_part())
+            return
+        epoch = record.epoch
+        ready = record.events[sent : record.committed]
         if ready:
+            tag = record.tag.encode()
             yield b"".join(
-                _event(number, payload)
+                _event(number, tag, payload)
                 for number, payload in enumerate(ready, start=sent + 1)
             )
             sent += len(ready)
@@ -57,12 +63,21 @@
             yield _error_event(record.error)
             return
         else:
-            yield _event(sent + 1, DONE)
+            yield _event(sent + 1, record.tag.encode(), DONE)
             return
 
 
-def _event(number: int, payload: bytes) -> bytes:
-    return b"id: %d\ndata: %s\n\n" % (number, payload)
+def lost_part() -> CallerError:
+    """Return the refusal of a caller whose part of an answer is lost."""
+    return CallerError(
+        ErrorKind.KEY_EXPIRED,
+        "a part of the answer that was given is no longer kept; without "
+        "Last-Event-ID the request begins anew",
+    )
+
+
+def _event(number: int, tag: bytes, payload: bytes) -> bytes:
+    return b"id: %d-%b\ndata: %b\n\n" % (number, tag, payload)
 
 
 def _error_event(error: CranberryfieldError) -> bytes:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
@@ -17,28 +17,35 @@
 )
 from cranberryfield.core.http import (
     decode_json,
-    problem_response,
     read_body,
     require_key,
 )
-from cranberryfield.core.ids import RequestKey
+from cranberryfield.core.ids import RequestKey, WorkspaceId
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.settings.follow import SettingsSection
 from cranberryfield.entry.callers.answers import (
+    lost_part,
     stream_events,
-    wait_until_ended,
     whole_completion,
 )
+from cranberryfield.entry.callers.attendance import (
+    attended,
+    refusal_response,
+    wait_attended,
+)
 from cranberryfield.entry.callers.auth import workspace_of_key
 from cranberryfield.entry.callers.parse import (
     KEY_HEADER,
-    last_event_id,
+    LastEvent,
+    last_event,
     parse_completion,
     parse_service_call,
 )
 from cranberryfield.entry.callers.views import (
+    RequestView,
     is_settled_here,
     view_of_claim,
+    view_of_copy,
     view_of_record,
 )
 from cranberryfield.entry.membership import (
@@ -53,6 +60,7 @@
 from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.sharing import RecordSharing
 
 __all__ = ["CallerApi"]
 
@@ -79,6 +87,8 @@
         Runs requests.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
+    sharing : RecordSharing
+        Records of idempotent requests on other hosts.
     metrics : Metrics
         Counters and histograms.
     upstream_keys : tuple of str
@@ -99,6 +109,7 @@
         gossip: MembershipGossip,
         runner: RequestRunner,
         claims: ClaimKeeper,
+        sharing: RecordSharing,
         metrics: Metrics,
         upstream_keys: tuple[str, ...],
         is_ready: Callable[[], bool],
@@ -111,6 +122,7 @@
         self._gossip = gossip
         self._runner = runner
         self._claims = claims
+        self._sharing = sharing
         self._metrics = metrics
         self._upstream_keys = upstream_keys
         self._is_ready = is_ready
@@ -147,38 +159,52 @@
         workspace = workspace_of_key(http, tree)
         self._refuse_unless_ready(http)
         body = await read_body(http, MAX_ANY_BODY_BYTES)
-        after = last_event_id(http)
+        last = last_event(http)
         now = self._clock()
         request, stream = parse_completion(http, body, tree, workspace, now)
-        record = self._open(request)
+        if last.number and not request.has_caller_key:
+            raise CallerError(
+                ErrorKind.BAD_REQUEST, f"Last-Event-ID needs the header {KEY_HEADER}"
+            )
+        record = self._open(request, last.number > 0)
         if stream:
-            return await self._streamed(record, after)
-        await wait_until_ended(record)
+            return await self._streamed(http, record, last)
+        await wait_attended(http, record, lambda: False)
         self._observe_first_byte(record, now)
-        if record.state is RequestState.FAILED:
-            return problem_response(record.error)
+        if record.state is not RequestState.ANSWERED:
+            return refusal_response(record)
         chat = http.url.path.endswith("/chat/completions")
         return Response(whole_completion(record, chat), media_type=JSON)
 
-    def _open(self, request: Request) -> RequestRecord:
+    def _open(self, request: Request, is_resumed: bool = False) -> RequestRecord:
         record, is_new = self._records.open(request, self._clock())
         if is_new:
+            record.is_resumed = is_resumed
             self._tasks.start_soon(self._runner.run, record)
         return record
 
-    async def _streamed(self, record: RequestRecord, after: int) -> Response:
+    async def _streamed(
+        self, http: HttpRequest, record: RequestRecord, last: LastEvent
+    ) -> Response:
         started = self._clock()
-        while len(record.events) <= after and record.state is RequestState.RUNNING:
-            await record.wait_change()
+        after = last.number
+
+        def may_start() -> bool:
+            is_wrong = record.is_joined and not last.is_part_of(record)
+            return is_wrong or record.committed > after
+
+        await wait_attended(http, record, may_start)
         self._observe_first_byte(record, started)
-        if record.state is RequestState.FAILED and len(record.events) <= after:
-            return problem_response(record.error)
-        if after > len(record.events) + 1:
+        if record.committed <= after and record.state is not RequestState.ANSWERED:
+            return refusal_response(record)
+        if after > record.committed + 1:
             raise CallerError(
                 ErrorKind.BAD_REQUEST, "Last-Event-ID is past the answer's end"
             )
+        if not last.is_part_of(record):
+            raise lost_part()
         return StreamingResponse(
-            stream_events(record, min(after, len(record.events))),
+            attended(record, stream_events(record, min(after, record.committed))),
             media_type="text/event-stream",
             headers={"Cache-Control": "no-store"},
         )
@@ -199,9 +225,9 @@
         body = await read_body(http, MAX_ANY_BODY_BYTES)
         request = parse_service_call(http, body, tree, workspace, self._clock())
         record = self._open(request)
-        await wait_until_ended(record)
-        if record.state is RequestState.FAILED:
-            return problem_response(record.error)
+        await wait_attended(http, record, lambda: False)
+        if record.state is not RequestState.ANSWERED:
+            return refusal_response(record)
         outcome = record.outcome
         return Response(
             outcome.body, outcome.status, headers={"Content-Type": outcome.content_type}
@@ -214,9 +240,17 @@
         if record is not None and is_settled_here(record):
             view = view_of_record(key, record)
         else:
-            view = view_of_claim(key, await self._claims.find(workspace, key))
+            view = await self._find_elsewhere(workspace, key)
         return Response(msgspec.json.encode(view), media_type=JSON)
 
+    async def _find_elsewhere(
+        self, workspace: WorkspaceId, key: RequestKey
+    ) -> RequestView:
+        copy = await self._sharing.find(workspace, key)
+        if copy is not None:
+            return view_of_copy(key, copy)
+        return view_of_claim(key, await self._claims.find(workspace, key))
+
     async def _announce(self, http: HttpRequest) -> Response:
         require_key(http, self._upstream_keys)
         announcement = await decode_json(http, Announcement, MAX_ANNOUNCE_BYTES)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/parse.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/parse.py
@@ -1,6 +1,7 @@
 """Reads a caller's HTTP request into a `Request`."""
 
 import re
+from dataclasses import dataclass
 from typing import Annotated
 from uuid import uuid4
 
@@ -15,12 +16,14 @@
     SettingsTree,
     effective_settings,
 )
+from cranberryfield.entry.requests.records import RequestRecord
 from cranberryfield.entry.requests.request import Request, body_digest
 
 __all__ = [
     "KEY_HEADER",
     "CompletionBody",
-    "last_event_id",
+    "LastEvent",
+    "last_event",
     "parse_completion",
     "parse_service_call",
     "service_settings",
@@ -35,6 +38,7 @@
 MS_PER_S = 1000
 
 _KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_EVENT_ID = re.compile(r"([0-9]{1,9})(?:-([0-9a-f]{8})\.([0-9]{1,9}))?")
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -237,8 +241,34 @@
     return min(int(text), settings.request_timeout_ms) / MS_PER_S
 
 
-def last_event_id(http: HttpRequest) -> int:
-    """Return how many events the caller has already, 0 for none.
+@dataclass(frozen=True, slots=True)
+class LastEvent:
+    """The last event that a caller has.
+
+    Attributes
+    ----------
+    number : int
+        Its number; 0 for none.
+    run_tag : str or None
+        First letters of the run's name; None if the caller does not say.
+    epoch : int
+        Epoch in which it was given out.
+    """
+
+    number: int = 0
+    run_tag: str | None = None
+    epoch: int = 0
+
+    def is_part_of(self, record: RequestRecord) -> bool:
+        """Say whether the event is part of a record's answer."""
+        if self.run_tag is None or self.number == 0 or not record.request.idempotent:
+            return True
+        same_run = record.run.startswith(self.run_tag)
+        return same_run and record.continues(self.number, self.epoch)
+
+
+def last_event(http: HttpRequest) -> LastEvent:
+    """Return the last event that the caller has.
 
     Parameters
     ----------
@@ -247,15 +277,20 @@
 
     Returns
     -------
-    int
-        The number in ``Last-Event-ID``.
+    LastEvent
+        What ``Last-Event-ID`` says: an id as it was given out, or only the
+        event's number.
 
     Raises
     ------
     CallerError
-        Of kind ``bad_request`` if it is no number.
+        Of kind ``bad_request`` if it is neither.
     """
     text = http.headers.get(LAST_EVENT_HEADER, "0")
-    if not text.isascii() or not text.isdigit():
-        raise CallerError(ErrorKind.BAD_REQUEST, f"{LAST_EVENT_HEADER} is no number")
-    return int(text)
+    match = _EVENT_ID.fullmatch(text)
+    if match is None:
+        raise CallerError(
+            ErrorKind.BAD_REQUEST, f"{LAST_EVENT_HEADER} is no id of an event"
+        )
+    number, run_tag, epoch = match.groups()
+    return LastEvent(int(number), run_tag, int(epoch or 0))
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/views.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/views.py
@@ -7,14 +7,21 @@
 from cranberryfield.core.errors import CranberryfieldError, ErrorKind, WasRun
 from cranberryfield.core.ids import RequestKey
 from cranberryfield.core.messages.claims import ClaimState, ClaimView
+from cranberryfield.core.messages.requests import RecordCopy
 from cranberryfield.entry.requests.claims import refusal_of_claim
-from cranberryfield.entry.requests.records import Outcome, RequestRecord, RequestState
+from cranberryfield.entry.requests.records import (
+    EVENT_STREAM,
+    Outcome,
+    RequestRecord,
+    RequestState,
+)
 
 __all__ = [
     "OutcomeView",
     "RequestView",
     "is_settled_here",
     "view_of_claim",
+    "view_of_copy",
     "view_of_record",
 ]
 
@@ -76,6 +83,24 @@
     )
 
 
+def view_of_copy(key: RequestKey, copy: RecordCopy) -> RequestView:
+    """Show a record that another host runs or has run."""
+    view = RequestView(key, RequestState.RUNNING.value, events=len(copy.events))
+    end = copy.end
+    if end is None:
+        return view
+    if end.kind is not None:
+        failed = _failed_view(key, ErrorKind(end.kind), WasRun(end.was_run))
+        failed.events = len(copy.events)
+        return failed
+    view.state = RequestState.ANSWERED.value
+    whole = Outcome(200, EVENT_STREAM, b"\n".join(copy.events))
+    if end.status:
+        whole = Outcome(end.status, end.content_type, end.body)
+    view.outcome = _outcome_view(whole)
+    return view
+
+
 def view_of_claim(key: RequestKey, claim: ClaimView) -> RequestView:
     """Show a claim, of a request that any host may have run.
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/dispatch/dispatcher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/dispatch/dispatcher.py
@@ -90,7 +90,7 @@
         request = record.request
         path, body = request.path, _streaming_body(request.body)
         if record.events:
-            path = f"/runs/{request.run}/resume"
+            path = f"/runs/{record.run}/resume"
             body = _resume_body(record, body)
         try:
             async with self._client(request).stream(
@@ -99,7 +99,7 @@
                 content=body,
                 headers={
                     "Content-Type": "application/json",
-                    RUN_HEADER: request.run,
+                    RUN_HEADER: record.run,
                 },
             ) as response:
                 if response.status_code != STATUS_OK:
@@ -138,7 +138,7 @@
                 content=request.body,
                 headers={
                     "Content-Type": request.content_type,
-                    RUN_HEADER: request.run,
+                    RUN_HEADER: record.run,
                 },
                 timeout=httpx.Timeout(
                     max(0.001, request.deadline - self._clock()),
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/holders.py
@@ -0,0 +1,63 @@
+"""Which entry hosts hold the record of a request."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from cranberryfield.core.ids import DataCentre, NodeId, RequestKey, WorkspaceId
+
+__all__ = ["EntryHost", "choose_holders"]
+
+WEIGHT_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class EntryHost:
+    """A live entry host and its data centre."""
+
+    node: NodeId
+    data_centre: DataCentre
+
+
+def choose_holders(
+    hosts: Iterable[EntryHost], workspace: WorkspaceId, key: RequestKey
+) -> list[NodeId]:
+    """Choose the holder of a record and its backup.
+
+    Parameters
+    ----------
+    hosts : iterable of EntryHost
+        The live entry hosts.
+    workspace, key : str
+        Name of the request.
+
+    Returns
+    -------
+    list of NodeId
+        The holder, then the backup, which is in another data centre if any
+        host is. Fewer if there are fewer hosts.
+
+    Notes
+    -----
+    Rendezvous hashing: each host has a weight for the key and the heaviest
+    hold it. When one host comes or goes, one of the former two holders is
+    among the new two.
+
+    Examples
+    --------
+    >>> hosts = [EntryHost("a", "x"), EntryHost("b", "x"), EntryHost("c", "y")]
+    >>> len(choose_holders(hosts, "releve", "key-1"))
+    2
+    """
+
+    def weight(host: EntryHost) -> bytes:
+        text = f"{workspace} {key} {host.node}".encode()
+        return blake2b(text, digest_size=WEIGHT_BYTES).digest()
+
+    ranked = sorted(hosts, key=weight, reverse=True)
+    if not ranked:
+        return []
+    first, *others = ranked
+    distant = [host for host in others if host.data_centre != first.data_centre]
+    backups = (distant or others)[:1]
+    return [first.node, *(host.node for host in backups)]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -28,7 +28,17 @@
     GiveUp,
     after_attempt,
 )
-from cranberryfield.entry.requests.records import Outcome, RequestRecord, RequestState
+from cranberryfield.entry.requests.records import (
+    Outcome,
+    RequestRecord,
+    RequestState,
+    answer_digest,
+    end_of_answer,
+    end_of_error,
+)
+from cranberryfield.entry.requests.request import Request
+from cranberryfield.entry.requests.section import RecordsSection
+from cranberryfield.entry.requests.sharing import JoinedAs, RecordSharing
 from cranberryfield.entry.routing import Chooser, DispatchSection
 
 __all__ = ["RequestRunner"]
@@ -51,6 +61,10 @@
         Talks to upstreams.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
+    sharing : RecordSharing
+        Joins requests with a key over all entry hosts.
+    records : RecordsSection
+        Records of requests; told of their ends.
     metrics : Metrics
         Counters and histograms.
     clock : Clock
@@ -64,6 +78,8 @@
         gate: AdmissionGate,
         dispatcher: Dispatcher,
         claims: ClaimKeeper,
+        sharing: RecordSharing,
+        records: RecordsSection,
         metrics: Metrics,
         clock: Clock,
     ):
@@ -72,6 +88,8 @@
         self._gate = gate
         self._dispatcher = dispatcher
         self._claims = claims
+        self._sharing = sharing
+        self._records = records
         self._metrics = metrics
         self._clock = clock
 
@@ -83,27 +101,78 @@
         record : RequestRecord
             The request's record; changed in place.
         """
-        request = record.request
         started = self._clock()
-        admitted = False
         try:
-            async with self._gate.enter(request):
-                admitted = True
-                if request.idempotent:
-                    outcome = await self._run_attempts(record, None)
-                    record.finish(self._clock(), outcome)
-                else:
-                    await self._run_claimed(record)
+            await self._run_to_end(record)
         except CranberryfieldError as error:
-            if not admitted and not request.idempotent:
-                error = await self._claims.checked_refusal(request, error)
             record.fail(self._clock(), error)
         except Exception:
-            logger.exception("request failed", run=request.run)
+            logger.exception("request failed", run=record.run)
             fault = error_of_kind(ErrorKind.INTERNAL, "the request met a fault")
             record.fail(self._clock(), fault)
         self._note_end(record, started)
 
+    async def _run_to_end(self, record: RequestRecord) -> None:
+        request = record.request
+        if not request.idempotent:
+            await self._run_once(record)
+        elif request.has_caller_key:
+            await self._run_shared(record)
+        else:
+            await self._run_for_caller(record)
+
+    async def _run_for_caller(self, record: RequestRecord) -> None:
+        """Run a request that cannot be asked for again, while its caller waits."""
+        with anyio.CancelScope() as scope:
+            record.on_lost = scope.cancel
+            if record.is_lost:
+                scope.cancel()
+            outcome = await self._run_admitted(record)
+            record.finish(self._clock(), outcome)
+            return
+        raise UnavailableError(ErrorKind.CALLER_GONE, "the caller has gone")
+
+    async def _run_shared(self, record: RequestRecord) -> None:
+        """Run a request unless another host does, and go on if that one dies."""
+        while record.state is RequestState.RUNNING:
+            joined = await self._sharing.join(record)
+            if joined is JoinedAs.FOLLOWER:
+                await self._sharing.wait_followed(record)
+            elif joined is JoinedAs.RUNNER:
+                await self._run_kept(record)
+
+    async def _run_kept(self, record: RequestRecord) -> None:
+        with anyio.CancelScope() as scope:
+            record.on_lost = scope.cancel
+            try:
+                outcome = await self._run_admitted(record)
+                end = end_of_answer(outcome)
+            except CranberryfieldError as error:
+                end = end_of_error(error)
+            await self._sharing.keeper.end(record, end)
+            if not record.is_lost:
+                record.take_end(self._clock(), end)
+                return
+        self._metrics.count("taken_by_other_host")
+        record.drop_uncommitted()
+
+    async def _run_admitted(self, record: RequestRecord) -> Outcome | None:
+        async with self._gate.enter(record.request):
+            return await self._run_attempts(record, None)
+
+    async def _run_once(self, record: RequestRecord) -> None:
+        """Run a non-idempotent request under a claim."""
+        admitted = False
+        try:
+            async with self._gate.enter(record.request):
+                admitted = True
+                await self._run_claimed(record)
+        except CranberryfieldError as error:
+            if admitted:
+                raise
+            checked = await self._claims.checked_refusal(record.request, error)
+            raise checked from error
+
     def _note_end(self, record: RequestRecord, started: float) -> None:
         request = record.request
         labels = {"workspace": request.workspace, "priority": request.priority}
@@ -112,12 +181,13 @@
         if record.state is RequestState.FAILED:
             ending = f"refused_{record.error.kind.value}"
         self._metrics.count(ending, **labels)
+        self._records.note_end(record, self._clock())
 
     async def _run_claimed(self, record: RequestRecord) -> None:
         request = record.request
         claim = await self._claims.open(request)
         if isinstance(claim, ClaimView):
-            record.restore(self._clock(), _kept_answer(claim))
+            record.restore(self._clock(), await self._kept_answer(request, claim))
             return
         try:
             outcome = await self._run_attempts(record, claim)
@@ -133,6 +203,23 @@
         kept = outcome or record.as_outcome()
         await self._claims.close(request, claim, ClaimState.ANSWERED, kept)
         record.finish(self._clock(), outcome)
+        if len(kept.body) > request.settings.kept_answer_bytes:
+            self._sharing.keeper.hand_out(record)
+
+    async def _kept_answer(self, request: Request, view: ClaimView) -> Outcome:
+        if view.answer is not None:
+            return Outcome(view.status, view.content_type, view.answer)
+        copy = await self._sharing.find(request.workspace, request.key)
+        if copy is not None and copy.end is not None:
+            record = RequestRecord(request)
+            record.adopt(copy, copy.epoch)
+            record.take_end(self._clock(), copy.end)
+            outcome = record.as_outcome()
+            if answer_digest(outcome) == view.answer_digest:
+                return outcome
+        raise UnavailableError(
+            ErrorKind.ANSWER_TOO_LARGE, "the request has run; its answer is not kept"
+        )
 
     async def _run_attempts(
         self, record: RequestRecord, claim: HeldClaim | None
@@ -156,7 +243,7 @@
             )
             logger.info(
                 "attempt ended",
-                run=request.run,
+                run=record.run,
                 upstream=upstream.record.upstream,
                 result=end.result.value,
                 detail=end.detail,
@@ -193,11 +280,3 @@
             in_flight[name] -= 1
             if not in_flight[name]:
                 del in_flight[name]
-
-
-def _kept_answer(view: ClaimView) -> Outcome:
-    if view.answer is None:
-        raise UnavailableError(
-            ErrorKind.ANSWER_TOO_LARGE, "the request has run; its answer is not kept"
-        )
-    return Outcome(view.status, view.content_type, view.answer)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
@@ -23,6 +23,7 @@
 from cranberryfield.entry.requests.lifecycle import AttemptEnd, AttemptResult
 from cranberryfield.entry.requests.records import Outcome
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.section import RecordsSection
 from cranberryfield.entry.routing import DispatchSection
 
 SETTINGS = EffectiveSettings(kind=ServiceKind.PLAIN, idempotent=False)
@@ -104,6 +105,11 @@
         yield
 
 
+class NoSharing:
+    async def find(self, workspace, key):
+        return None
+
+
 class Host:
     def __init__(self, name, log, upstream, clock):
         self.clock = clock
@@ -115,6 +121,8 @@
             self.gate,
             upstream,
             self.claims,
+            NoSharing(),
+            RecordsSection(),
             Metrics(),
             clock,
         )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -12,6 +12,7 @@
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
+from cranberryfield.core.settings import effective_settings
 from cranberryfield.core.settings.follow import SettingsSection
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
@@ -20,8 +21,12 @@
 from cranberryfield.entry.membership.gossip import MembershipGossip
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.claims import ClaimKeeper
+from cranberryfield.entry.requests.held import HeldRecords
+from cranberryfield.entry.requests.holders import EntryHost
+from cranberryfield.entry.requests.keeping import RecordKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.sharing import RecordSharing
 from cranberryfield.entry.routing import DispatchSection, make_chooser
 from cranberryfield.entry.settings import SettingsFollower
 
@@ -49,6 +54,8 @@
         Connections to upstreams.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
+    sharing : RecordSharing
+        Records over all entry hosts.
     """
 
     def __init__(
@@ -58,12 +65,14 @@
         follower: SettingsFollower | None,
         dispatcher: Dispatcher,
         claims: ClaimKeeper,
+        sharing: RecordSharing,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
         self._claims = claims
+        self._sharing = sharing
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -118,13 +127,24 @@
         if follows_settings:
             follower = SettingsFollower(settings, mesh, control, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
-        runtime = cls(settings, records, follower, dispatcher, claims)
+        sharing = RecordSharing(
+            EntryHost(config.node_id, config.zone),
+            mesh,
+            records,
+            board.add(HeldRecords()),
+            lambda: effective_settings(settings.tree, None, None),
+            clock,
+        )
+        sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
+        runtime = cls(settings, records, follower, dispatcher, claims, sharing)
         runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
             dispatched,
             AdmissionGate(),
             dispatcher,
             claims,
+            sharing,
+            records,
             metrics,
             clock,
         )
@@ -135,6 +155,7 @@
             MembershipGossip(upstreams, mesh, clock),
             runner,
             claims,
+            sharing,
             metrics,
             config.upstream_keys,
             runtime.is_ready,
@@ -166,6 +187,7 @@
         """Follow settings and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._claims.run)
+            tasks.start_soon(self._sharing.run)
             if self._follower is not None:
                 tasks.start_soon(self._follower.run)
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -24,6 +24,8 @@
         Text of the events so far.
     events : int
         Number of the last event.
+    last_id : str
+        Its id.
     is_whole : bool
         Whether ``[DONE]`` came.
     refusals : list of str
@@ -34,6 +36,7 @@
 
     text: str = ""
     events: int = 0
+    last_id: str = "0"
     is_whole: bool = False
     refusals: list[str] = field(default_factory=list)
     status: int = 0
@@ -104,7 +107,7 @@
         headers={
             "Authorization": f"Bearer {workspace_key}",
             "Idempotency-Key": request_key,
-            "Last-Event-ID": str(answer.events),
+            "Last-Event-ID": answer.last_id,
             **headers,
         },
     ) as response:
@@ -112,29 +115,31 @@
         if response.is_error:
             answer.refusals.append((await _problem(response))["kind"])
             return
-        number, kind = 0, ""
+        id, kind = "0", ""
         async for line in response.aiter_lines():
             name, _, value = line.partition(": ")
             if name == "id":
-                number = int(value)
+                id = value
             elif name == "event":
                 kind = value
             elif name == "data":
-                _take_event(answer, number, kind, value)
+                _take_event(answer, id, kind, value)
                 on_event(answer)
                 kind = ""
 
 
-def _take_event(answer: Answer, number: int, kind: str, data: str) -> None:
+def _take_event(answer: Answer, id: str, kind: str, data: str) -> None:
     if kind:
         answer.refusals.append(msgspec.json.decode(data).get("kind", kind))
         return
+    number = int(id.partition("-")[0])
     if number != answer.events + 1:
         raise AssertionError(f"event {number} after {answer.events}")
     if data == "[DONE]":
         answer.is_whole = True
         return
     answer.events = number
+    answer.last_id = id
     answer.text += msgspec.json.decode(data)["choices"][0]["text"]
 
 
--- /dev/null
+++ b/tests/test_requests_records.py
@@ -0,0 +1,190 @@
+"""Answers that go on when their entry host is killed, frozen or changed."""
+
+import tempfile
+import uuid
+from contextlib import contextmanager
+from pathlib import Path
+
+import httpx
+import pytest
+
+from standins.fleets import HOSTS, RELEVE_KEY, fleet_settings
+from standins.group import running_group
+from standins.processes import wait_until
+from standins.tokens import CompletionRequest, answer_text
+
+TOKENS = 40
+BODY = {"model": "redacteur", "prompt": "crack", "max_tokens": TOKENS, "stream": True}
+TEXT = answer_text(CompletionRequest("redacteur", "crack", max_tokens=TOKENS))
+
+
+@pytest.fixture(scope="module")
+def group():
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_group(Path(folder), HOSTS) as running,
+    ):
+        revision = running.change_settings(fleet_settings(), "f", "entry-1")
+        running.wait_revision(revision)
+        for name in ("redacteur-1", "redacteur-2"):
+            running.add_engine(name, "redacteur", "fann", step_ms=20.0)
+        running.wait_upstreams(2)
+        yield running
+
+
+@contextmanager
+def answer(group, node, key, last_id="0", body=BODY):
+    headers = {"Authorization": f"Bearer {RELEVE_KEY}", "Last-Event-ID": last_id}
+    if key is not None:
+        headers["Idempotency-Key"] = key
+    with (
+        httpx.Client(timeout=20, trust_env=False) as client,
+        client.stream(
+            "POST",
+            f"http://{group.hosts[node].callers}/v1/completions",
+            json=body,
+            headers=headers,
+        ) as response,
+    ):
+        response.lines = response.iter_lines()
+        yield response
+
+
+def read_events(response, limit=None):
+    """Return ids and payloads, up to `limit` of them or to the end."""
+    assert response.status_code == 200, response.read()
+    events, number = [], ""
+    for line in response.lines:
+        name, _, value = line.partition(": ")
+        if name == "id":
+            number = value
+        if name == "data":
+            events.append((number, value))
+            if len(events) == limit:
+                break
+    return events
+
+
+def text_of(events):
+    chunks = [httpx.Response(200, content=data).json() for _, data in events]
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks)
+
+
+def check_whole(events):
+    """Check that these are all events of one run, in order, each once."""
+    numbers = [int(id.partition("-")[0]) for id, _ in events]
+    assert numbers == list(range(1, len(events) + 1))
+    assert events[-1][1] == "[DONE]"
+    assert text_of(events[:-1]) == TEXT
+    assert len({id.partition("-")[2].partition(".")[0] for id, _ in events}) == 1
+
+
+def entries_of(group, first_id):
+    tag = first_id.partition("-")[2].partition(".")[0]
+    return [entry for entry in group.journal() if entry.run.startswith(tag)]
+
+
+def events_of(entries):
+    return [entry.event for entry in entries if entry.event != "cancelled"]
+
+
+def restart(group, node):
+    group.hosts[node].process.kill()
+    group.hosts[node].process.start()
+    wait_until(lambda: group.status(node), f"{node} answers")
+    group.wait_upstreams(2)
+
+
+def test_every_host_attaches_to_the_one_run(group):
+    key = uuid.uuid4().hex
+    with answer(group, "entry-1", key) as first:
+        events = read_events(first, 5)
+        with answer(group, "entry-2", key, events[-1][0]) as second:
+            rest = read_events(second)
+        check_whole(events + rest)
+    with answer(group, "entry-3", key, events[-1][0]) as third:
+        assert read_events(third) == rest
+    with answer(group, "entry-3", key) as fourth:
+        assert read_events(fourth) == events + rest
+    assert events_of(entries_of(group, rest[0][0])) == ["started", "finished"]
+
+
+def test_other_body_is_refused_on_every_host(group):
+    key = uuid.uuid4().hex
+    with answer(group, "entry-1", key) as first:
+        read_events(first, 1)
+        for node in ("entry-2", "entry-3"):
+            with answer(group, node, key, body={**BODY, "prompt": "else"}) as other:
+                assert other.status_code == 422
+
+
+# Where the answer breaks off, and where the caller goes on.
+BREAKS = [("entry-1", "entry-2"), ("entry-3", "entry-1")]
+
+
+@pytest.mark.parametrize(("broken", "other"), BREAKS)
+def test_killed_host(group, broken, other):
+    key = uuid.uuid4().hex
+    with answer(group, broken, key) as first:
+        events = read_events(first, 20)
+        group.hosts[broken].process.kill()
+    with answer(group, other, key, events[-1][0]) as second:
+        events += read_events(second)
+    check_whole(events)
+    entries = entries_of(group, events[0][0])
+    assert events_of(entries) == ["started", "resumed", "finished"]
+    resumed = next(entry for entry in entries if entry.event == "resumed")
+    assert 20 <= resumed.tokens < TOKENS
+    restart(group, broken)
+
+
+def test_frozen_host_thawed_late_adds_nothing(group):
+    key = uuid.uuid4().hex
+    with answer(group, "entry-1", key) as first:
+        events = read_events(first, 10)
+        group.hosts["entry-1"].process.freeze()
+        with answer(group, "entry-2", key, events[-1][0]) as second:
+            rest = read_events(second)
+        check_whole(events + rest)
+        group.hosts["entry-1"].process.thaw()
+        late = list(first.lines)
+    # What the thawed host still gives out is part of the one answer too.
+    known = {data for _, data in events + rest}
+    payloads = [line[6:] for line in late if line.startswith("data: ")]
+    assert set(payloads) <= known
+    with answer(group, "entry-1", key, events[-1][0]) as again:
+        assert read_events(again) == rest
+
+
+def test_part_of_an_answer_that_nobody_keeps_is_not_begun_anew(group):
+    before = len(group.journal())
+    for last_id in ("7-0123abcd.0", "7"):
+        with answer(group, "entry-2", uuid.uuid4().hex, last_id) as response:
+            problem = response.read()
+        assert response.status_code == 410
+        assert b"key_expired" in problem
+    assert len(group.journal()) == before
+
+
+def test_request_without_a_key_is_cancelled_with_its_caller(group):
+    with answer(group, "entry-2", None) as response:
+        events = read_events(response, 3)
+    wait_until(
+        lambda: (
+            [one.event for one in entries_of(group, events[0][0])][-1:] == ["cancelled"]
+        ),
+        "the run is cancelled",
+    )
+
+
+def test_full_memory_refuses_truthfully(group):
+    edit = {"level": "system", "set": {"record_memory_bytes": 100}}
+    revision = group.change_settings([edit], uuid.uuid4().hex, "entry-1")
+    group.wait_revision(revision)
+    before = len(group.journal())
+    with answer(group, "entry-2", None) as response:
+        problem = httpx.Response(200, content=response.read()).json()
+    assert (response.status_code, problem["kind"]) == (503, "records_full")
+    assert (problem["was_run"], len(group.journal())) == ("no", before)
+    edit = {"level": "system", "unset": ["record_memory_bytes"]}
+    group.change_settings([edit], uuid.uuid4().hex, "entry-1")
