--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -4,20 +4,42 @@
 
 from cranberryfield.control.claims import ClaimTable, apply_claim_command
 from cranberryfield.control.claims.machine import ClaimCommand
-from cranberryfield.control.settings import SettingsState, apply_change
+from cranberryfield.control.settings import (
+    SettingsState,
+    adopt_tree,
+    apply_change,
+)
 from cranberryfield.core.errors import ErrorKind
+from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.base import Message
-from cranberryfield.core.messages.commands import ChangeSettings, Noop, Refused
+from cranberryfield.core.messages.commands import (
+    AdoptSettings,
+    ChangeSettings,
+    Noop,
+    RecordHosts,
+    Refused,
+)
 from cranberryfield.core.settings import effective_settings
 
 __all__ = ["ControlState", "apply_command"]
 
 
 class ControlState(msgspec.Struct, array_like=True):
-    """All that the log's entries add up to."""
+    """All that the log's entries add up to.
+
+    Attributes
+    ----------
+    settings : SettingsState
+        The settings tree and its history.
+    claims : ClaimTable
+        Non-idempotent requests.
+    hosts : dict
+        Entry hosts that must have every settings change, as keys.
+    """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
     claims: ClaimTable = msgspec.field(default_factory=ClaimTable)
+    hosts: dict[NodeId, bool] = msgspec.field(default_factory=dict)
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
@@ -38,6 +60,13 @@
     match command:
         case ChangeSettings():
             return apply_change(state.settings, command)
+        case AdoptSettings():
+            return adopt_tree(state.settings, command)
+        case RecordHosts(added, removed):
+            state.hosts.update(dict.fromkeys(added, True))
+            for node in removed:
+                state.hosts.pop(node, None)
+            return command
         case Noop():
             return command
     if isinstance(command, ClaimCommand):
--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
@@ -5,31 +5,25 @@
 from cranberryfield.core.errors import ControlError, ErrorKind
 from cranberryfield.core.ids import ChangeId, Revision
 from cranberryfield.core.messages.commands import (
+    AdoptSettings,
     ChangeSettings,
     LevelEdit,
     Refused,
     SettingsAccepted,
 )
+from cranberryfield.core.messages.settings import SettingsChange
 from cranberryfield.core.settings import (
     LevelState,
     SettingsTree,
+    SettingValue,
     check_tree,
     check_value,
     parse_level,
 )
 
-__all__ = ["SettingsChange", "SettingsState", "apply_change"]
+__all__ = ["SettingsState", "adopt_tree", "apply_change"]
 
-KEPT_CHANGES = 10_000
-
-
-class SettingsChange(msgspec.Struct, array_like=True):
-    """One accepted change, for the history."""
-
-    revision: Revision
-    change_id: ChangeId
-    author: str
-    edits: tuple[LevelEdit, ...]
+KEPT_CHANGES = 4_000
 
 
 class SettingsState(msgspec.Struct, array_like=True):
@@ -76,19 +70,76 @@
     try:
         tree = _edited(state.tree, change.edits, revision)
     except ControlError as error:
-        return Refused(error.kind.value, error.detail)
+        return Refused(error.kind.value, _with_winner(state, error, change))
     faults = check_tree(tree)
     if faults:
         return Refused(ErrorKind.INVALID_SETTING.value, "; ".join(faults))
-    state.tree = tree
     state.changes[change.change_id] = SettingsChange(
-        revision, change.change_id, change.author, change.edits
+        revision,
+        change.change_id,
+        change.author,
+        change.edits,
+        _replaced_values(state.tree, change.edits),
     )
+    state.tree = tree
     if len(state.changes) > KEPT_CHANGES:
         del state.changes[next(iter(state.changes))]
     return SettingsAccepted(revision)
 
 
+def adopt_tree(
+    state: SettingsState, command: AdoptSettings
+) -> SettingsAccepted | Refused:
+    """Take over a newer tree that the nodes have and a replaced group lost.
+
+    Parameters
+    ----------
+    state : SettingsState
+        Changed in place.
+    command : AdoptSettings
+        The tree.
+
+    Returns
+    -------
+    SettingsAccepted or Refused
+        The revision after it.
+    """
+    if command.revision <= state.tree.revision:
+        return Refused(ErrorKind.STALE_REVISION.value, "the group's tree is newer")
+    state.tree = SettingsTree(command.revision, command.levels)
+    return SettingsAccepted(command.revision)
+
+
+def _with_winner(
+    state: SettingsState, error: ControlError, change: ChangeSettings
+) -> str:
+    if error.kind is not ErrorKind.STALE_REVISION:
+        return error.detail
+    levels = {edit.level for edit in change.edits}
+    for winner in reversed(state.changes.values()):
+        edits = [edit for edit in winner.edits if edit.level in levels]
+        if edits:
+            values = {edit.level: edit.set_values for edit in edits}
+            return (
+                f"{error.detail}; changed by {winner.author} in "
+                f"{winner.change_id} (revision {winner.revision}): {values}"
+            )
+    return error.detail
+
+
+def _replaced_values(
+    tree: SettingsTree, edits: tuple[LevelEdit, ...]
+) -> dict[str, dict[str, SettingValue]]:
+    replaced: dict[str, dict[str, SettingValue]] = {}
+    for edit in edits:
+        level = tree.levels.get(edit.level)
+        old = level.values if level is not None else {}
+        names = (*edit.set_values, *edit.unset)
+        values = replaced.setdefault(edit.level, {})
+        values.update({name: old[name] for name in names if name in old})
+    return replaced
+
+
 def _edited(
     tree: SettingsTree, edits: tuple[LevelEdit, ...], revision: Revision
 ) -> SettingsTree:
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -12,6 +12,7 @@
     claims,
     commands,
     consensus,
+    control,
     links,
     membership,
     requests,
@@ -33,7 +34,16 @@
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 
-_MODULES = (claims, commands, consensus, links, membership, requests, settings)
+_MODULES = (
+    claims,
+    commands,
+    consensus,
+    control,
+    links,
+    membership,
+    requests,
+    settings,
+)
 _MESSAGE_TYPES = tuple(
     value
     for module in _MODULES
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
@@ -3,13 +3,16 @@
 from cranberryfield.core.ids import ChangeId, NodeId, Revision
 from cranberryfield.core.messages.base import Message, NestedRecord
 from cranberryfield.core.settings.schema import SettingValue
+from cranberryfield.core.settings.tree import LevelState
 
 __all__ = [
+    "AdoptSettings",
     "ChangeSettings",
     "LevelEdit",
     "Noop",
     "ProposalRedirected",
     "Propose",
+    "RecordHosts",
     "Refused",
     "SettingsAccepted",
 ]
@@ -65,6 +68,34 @@
     revision: Revision
 
 
+class AdoptSettings(Message):
+    """Takes over a tree that the nodes have and a replaced group lost.
+
+    Attributes
+    ----------
+    revision : Revision
+        Revision of the tree; without effect unless higher than the group's.
+    levels : dict
+        The whole tree.
+    """
+
+    revision: Revision
+    levels: dict[str, LevelState]
+
+
+class RecordHosts(Message):
+    """Notes which entry hosts must have every settings change.
+
+    Attributes
+    ----------
+    added, removed : tuple of NodeId
+        Hosts that began to follow, and hosts that are gone for good.
+    """
+
+    added: tuple[NodeId, ...]
+    removed: tuple[NodeId, ...] = ()
+
+
 class Refused(Message):
     """Result of a command that changed nothing.
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -93,7 +93,7 @@
                 tasks,
                 monotonic_clock,
                 rng,
-                follows_settings=control is None,
+                local_settings=control.on_follow if control is not None else None,
             )
             tasks.start_soon(entry.run)
         if control is not None:
@@ -112,7 +112,7 @@
 
 
 def _dial_all(config: DaemonConfig, mesh: Mesh, tasks: TaskGroup) -> None:
-    addresses = {member.mesh for member in config.control} | set(config.seeds)
+    addresses = {member.mesh for member in config.control}
     for address in sorted(addresses - {config.mesh}):
         tasks.start_soon(mesh.dial, address)
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/app.py
@@ -48,14 +48,8 @@
     view_of_copy,
     view_of_record,
 )
-from cranberryfield.entry.membership import (
-    Announcement,
-    Leave,
-    UpstreamsSection,
-    accept_announcement,
-    accept_leave,
-)
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import Announcement, Leave
+from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection, Request, RequestRecord
 from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import RequestState
@@ -77,12 +71,10 @@
     ----------
     settings : SettingsSection
         The settings in force.
-    upstreams : UpstreamsSection
-        The table of upstreams.
     records : RecordsSection
         The records of requests.
-    gossip : MembershipGossip
-        Passes announcements on.
+    leases : LeaseKeeper
+        Takes announcements in.
     runner : RequestRunner
         Runs requests.
     claims : ClaimKeeper
@@ -104,9 +96,8 @@
     def __init__(
         self,
         settings: SettingsSection,
-        upstreams: UpstreamsSection,
         records: RecordsSection,
-        gossip: MembershipGossip,
+        leases: LeaseKeeper,
         runner: RequestRunner,
         claims: ClaimKeeper,
         sharing: RecordSharing,
@@ -117,9 +108,8 @@
         clock: Clock,
     ):
         self._settings = settings
-        self._upstreams = upstreams
         self._records = records
-        self._gossip = gossip
+        self._leases = leases
         self._runner = runner
         self._claims = claims
         self._sharing = sharing
@@ -156,8 +146,9 @@
 
     async def _completion(self, http: HttpRequest) -> Response:
         tree = self._settings.tree
-        workspace = workspace_of_key(http, tree)
+        # Before the settings are known every key would look wrong.
         self._refuse_unless_ready(http)
+        workspace = workspace_of_key(http, tree)
         body = await read_body(http, MAX_ANY_BODY_BYTES)
         last = last_event(http)
         now = self._clock()
@@ -220,8 +211,9 @@
 
     async def _service_call(self, http: HttpRequest) -> Response:
         tree = self._settings.tree
-        workspace = workspace_of_key(http, tree)
+        # Before the settings are known every key would look wrong.
         self._refuse_unless_ready(http)
+        workspace = workspace_of_key(http, tree)
         body = await read_body(http, MAX_ANY_BODY_BYTES)
         request = parse_service_call(http, body, tree, workspace, self._clock())
         record = self._open(request)
@@ -254,14 +246,11 @@
     async def _announce(self, http: HttpRequest) -> Response:
         require_key(http, self._upstream_keys)
         announcement = await decode_json(http, Announcement, MAX_ANNOUNCE_BYTES)
-        record = accept_announcement(self._upstreams, announcement, self._clock())
-        self._gossip.publish(record)
-        return Response(status_code=204)
+        view = self._leases.announce(announcement)
+        return Response(msgspec.json.encode(view), media_type=JSON)
 
     async def _leave(self, http: HttpRequest) -> Response:
         require_key(http, self._upstream_keys)
         leave = await decode_json(http, Leave, MAX_ANNOUNCE_BYTES)
-        record = accept_leave(self._upstreams, leave, self._clock())
-        if record is not None:
-            self._gossip.publish(record)
+        self._leases.leave(leave)
         return Response(status_code=204)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/holders.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/holders.py
@@ -5,8 +5,10 @@
 from hashlib import blake2b
 
 from cranberryfield.core.ids import DataCentre, NodeId, RequestKey, WorkspaceId
+from cranberryfield.core.messages.membership import PeerState
+from cranberryfield.entry.membership import PeersSection
 
-__all__ = ["EntryHost", "choose_holders"]
+__all__ = ["EntryHost", "choose_holders", "entry_hosts"]
 
 WEIGHT_BYTES = 8
 
@@ -19,6 +21,29 @@
     data_centre: DataCentre
 
 
+def entry_hosts(section: PeersSection, own: EntryHost) -> list[EntryHost]:
+    """Return the entry hosts that may hold records.
+
+    Parameters
+    ----------
+    section : PeersSection
+        The table of entry hosts.
+    own : EntryHost
+        This host, which is always among them.
+
+    Returns
+    -------
+    list of EntryHost
+        Hosts that are not even suspected of being dead.
+    """
+    others = [
+        EntryHost(known.record.node, known.record.data_centre)
+        for node, known in section.peers.items()
+        if known.record.state is PeerState.ALIVE and node != own.node
+    ]
+    return [own, *others]
+
+
 def choose_holders(
     hosts: Iterable[EntryHost], workspace: WorkspaceId, key: RequestKey
 ) -> list[NodeId]:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/sharing.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/sharing.py
@@ -6,7 +6,6 @@
 import anyio
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.config import Role
 from cranberryfield.core.errors import (
     ANSWERS,
     CallerError,
@@ -66,8 +65,10 @@
 
     Parameters
     ----------
-    self_host : EntryHost
+    node : NodeId
         This process.
+    hosts : callable
+        Returns the live entry hosts, this one included.
     mesh : Mesh
         Links to other hosts.
     records : RecordsSection
@@ -82,15 +83,16 @@
 
     def __init__(
         self,
-        self_host: EntryHost,
+        node: NodeId,
+        hosts: Callable[[], list[EntryHost]],
         mesh: Mesh,
         records: RecordsSection,
         held: HeldRecords,
         settings: Callable[[], EffectiveSettings],
         clock: Clock,
     ):
-        self._host = self_host
-        self._node = self_host.node
+        self._node = node
+        self._hosts = hosts
         self._mesh = mesh
         self._records = records
         self._held = held
@@ -117,14 +119,6 @@
         holders = choose_holders(self._hosts(), request.workspace, request.key)
         return [node for node in holders if node != self._node]
 
-    def _hosts(self) -> list[EntryHost]:
-        peers = [
-            EntryHost(peer.node, peer.data_centre)
-            for peer in self._mesh.peers
-            if Role.ENTRY.value in peer.roles
-        ]
-        return [self._host, *peers]
-
     async def join(self, record: RequestRecord) -> JoinedAs:
         """Find out who runs a request, and become its runner if nobody does.
 
@@ -229,7 +223,8 @@
 
     async def _follow(self, record: RequestRecord, best: RecordCopy) -> bool:
         runner = best.runner
-        if runner == self._node or not self._mesh.is_linked(runner):
+        is_alive = any(host.node == runner for host in self._hosts())
+        if runner == self._node or not is_alive:
             return False
         request = record.request
         message = FollowRecord(request.workspace, request.key, best.run)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -13,22 +13,23 @@
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings import effective_settings
-from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import UpstreamsSection
-from cranberryfield.entry.membership.gossip import MembershipGossip
+from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.membership.gossip import TableGossip
+from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.held import HeldRecords
-from cranberryfield.entry.requests.holders import EntryHost
+from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
 from cranberryfield.entry.requests.keeping import RecordKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
 from cranberryfield.entry.routing import DispatchSection, make_chooser
-from cranberryfield.entry.settings import SettingsFollower
+from cranberryfield.entry.settings import LocalControl, SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
@@ -48,10 +49,16 @@
         The records of requests.
     api : CallerApi
         Endpoints for callers and upstreams.
-    follower : SettingsFollower or None
-        Follows settings; None where the control role does so.
+    follower : SettingsFollower
+        Follows settings.
+    clock : Clock
+        Monotonic time.
     dispatcher : Dispatcher
         Connections to upstreams.
+    gossip : TableGossip
+        Keeps the tables of entry hosts and upstreams.
+    leases : LeaseKeeper
+        Renews the leases of upstreams.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
     sharing : RecordSharing
@@ -62,8 +69,11 @@
         self,
         settings: SettingsSection,
         records: RecordsSection,
-        follower: SettingsFollower | None,
+        follower: SettingsFollower,
         dispatcher: Dispatcher,
+        clock: Clock,
+        gossip: TableGossip,
+        leases: LeaseKeeper,
         claims: ClaimKeeper,
         sharing: RecordSharing,
     ):
@@ -71,6 +81,9 @@
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
+        self._clock = clock
+        self._gossip = gossip
+        self._leases = leases
         self._claims = claims
         self._sharing = sharing
         self._stopping = False
@@ -87,7 +100,7 @@
         tasks: TaskGroup,
         clock: Clock,
         rng: Random,
-        follows_settings: bool,
+        local_settings: LocalControl | None,
     ) -> "EntryRuntime":
         """Build the role.
 
@@ -109,8 +122,9 @@
             Monotonic time.
         rng : random.Random
             Seeded generator.
-        follows_settings : bool
-            Whether settings come over the mesh.
+        local_settings : callable or None
+            Asks this process's own control role for settings; None without
+            that role.
 
         Returns
         -------
@@ -123,12 +137,18 @@
         dispatched = board.add(DispatchSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
-        follower = None
-        if follows_settings:
-            follower = SettingsFollower(settings, mesh, control, clock)
+        follower = SettingsFollower(
+            settings, mesh, config.node_id, control, local_settings, clock, rng
+        )
+        peers = board.add(PeersSection(config.node_id))
+        gossip = TableGossip(
+            peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
+        )
+        leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
         sharing = RecordSharing(
-            EntryHost(config.node_id, config.zone),
+            config.node_id,
+            lambda: entry_hosts(peers, EntryHost(config.node_id, config.zone)),
             mesh,
             records,
             board.add(HeldRecords()),
@@ -136,7 +156,17 @@
             clock,
         )
         sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
-        runtime = cls(settings, records, follower, dispatcher, claims, sharing)
+        runtime = cls(
+            settings,
+            records,
+            follower,
+            dispatcher,
+            clock,
+            gossip,
+            leases,
+            claims,
+            sharing,
+        )
         runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
             dispatched,
@@ -150,9 +180,8 @@
         )
         runtime.api = CallerApi(
             settings,
-            upstreams,
             records,
-            MembershipGossip(upstreams, mesh, clock),
+            leases,
             runner,
             claims,
             sharing,
@@ -166,7 +195,7 @@
 
     def is_ready(self) -> bool:
         """Say whether new requests are taken."""
-        return not self._stopping and self._settings.confirmed_at is not None
+        return not self._stopping and may_serve(self._settings, self._clock())
 
     def begin_stop(self) -> None:
         """Take no new requests from now on."""
@@ -184,13 +213,15 @@
                 await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings and renew claims until cancelled."""
+        """Follow settings and membership and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
-            if self._follower is not None:
-                tasks.start_soon(self._follower.run)
 
     async def close(self) -> None:
-        """Close connections to upstreams."""
+        """Tell the other entry hosts and close connections to upstreams."""
+        self._gossip.say_goodbye()
         await self._dispatcher.close()
