--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -9,10 +9,13 @@
 
 from cranberryfield.core.errors import ErrorKind, ProtocolError
 from cranberryfield.core.messages import (
+    claims,
     commands,
     consensus,
+    control,
     links,
     membership,
+    requests,
     settings,
 )
 from cranberryfield.core.messages.base import Message
@@ -31,7 +34,16 @@
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 
-_MODULES = (commands, consensus, links, membership, settings)
+_MODULES = (
+    claims,
+    commands,
+    consensus,
+    control,
+    links,
+    membership,
+    requests,
+    settings,
+)
 _MESSAGE_TYPES = tuple(
     value
     for module in _MODULES
@@ -72,6 +84,12 @@
     envelopes: tuple[Envelope, ...]
 
 
+class _Single(msgspec.Struct, frozen=True, array_like=True):
+    # msgspec keeps what it knows of a struct, but works out a union anew in
+    # each call; without this a message takes ten times as long to decode.
+    message: AnyMessage
+
+
 def encode_frame(envelopes: tuple[Envelope, ...]) -> bytes:
     """Encode a batch of envelopes.
 
@@ -116,7 +134,7 @@
     """
     if len(data) > MAX_FRAME_BYTES:
         raise ProtocolError(ErrorKind.PROTOCOL, "frame too large")
-    return _decode(data, _Frame).envelopes
+    return _convert(_load(data), _Frame).envelopes
 
 
 def encode_message(message: Message) -> bytes:
@@ -126,19 +144,28 @@
 
 def decode_message(data: bytes) -> Message:
     """Decode a single message from the log."""
-    return _decode(data, AnyMessage)
+    return _convert([_load(data)], _Single).message
 
 
 def _encode(value: msgspec.Struct) -> bytes:
     return cbor2.dumps(msgspec.to_builtins(value, builtin_types=(bytes,)))
 
 
-def _decode(data: bytes, kind):
+def _load(data: bytes) -> object:
     try:
-        return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
-    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as error:
-        raise ProtocolError(
-            ErrorKind.PROTOCOL, f"message cannot be read: {error}"
-        ) from error
+        return cbor2.loads(data)
+    except (cbor2.CBORError, ValueError) as error:
+        raise _unreadable(error) from error
     except RecursionError as error:
         raise ProtocolError(ErrorKind.PROTOCOL, "message nested too deep") from error
+
+
+def _convert(value: object, kind: type):
+    try:
+        return msgspec.convert(value, kind, builtin_types=(bytes,))
+    except (msgspec.ValidationError, ValueError) as error:
+        raise _unreadable(error) from error
+
+
+def _unreadable(error: Exception) -> ProtocolError:
+    return ProtocolError(ErrorKind.PROTOCOL, f"message cannot be read: {error}")
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -1,34 +1,26 @@
 """Runs one accepted request to its end, over as many attempts as it takes."""
 
-from uuid import uuid4
-
+import anyio
 import structlog
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import (
-    CallerError,
     CranberryfieldError,
     ErrorKind,
     UnavailableError,
     WasRun,
     error_of_kind,
 )
-from cranberryfield.core.ids import NodeId, UpstreamId
-from cranberryfield.core.messages.commands import (
-    ClaimState,
-    ClaimView,
-    CloseClaim,
-    OpenClaim,
-    RecordDispatch,
-)
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.messages.claims import ClaimState, ClaimView
 from cranberryfield.core.metrics import Metrics
-from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings import ServiceKind
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.dispatch import Dispatcher
 from cranberryfield.entry.membership import (
     KnownUpstream,
 )
+from cranberryfield.entry.requests.claims import ClaimKeeper, HeldClaim
 from cranberryfield.entry.requests.lifecycle import (
     AttemptEnd,
     AttemptResult,
@@ -36,32 +28,34 @@
     GiveUp,
     after_attempt,
 )
-from cranberryfield.entry.requests.records import Outcome, RequestRecord, RequestState
+from cranberryfield.entry.requests.records import (
+    Outcome,
+    RequestRecord,
+    RequestState,
+    answer_digest,
+    end_of_answer,
+    end_of_error,
+)
 from cranberryfield.entry.requests.request import Request
-from cranberryfield.entry.routing import AttemptObserver, Chooser, DispatchSection
+from cranberryfield.entry.requests.section import RecordsSection
+from cranberryfield.entry.requests.sharing import JoinedAs, RecordSharing
+from cranberryfield.entry.routing import (
+    AttemptObserver,
+    Chooser,
+    DispatchSection,
+    observe_nothing,
+)
 
 __all__ = ["RequestRunner"]
 
-CLAIM_TIMEOUT_S = 3.0
-
 logger = structlog.get_logger(__name__)
 
 
-class _HeldClaim:
-    """A claim that this node holds."""
-
-    def __init__(self, token: str, attempt: int):
-        self.token = token
-        self.attempt = attempt
-
-
 class RequestRunner:
     """What all requests of this node share.
 
     Parameters
     ----------
-    node : NodeId
-        This process.
     choose : Chooser
         Chooses the upstream of each attempt.
     dispatched : DispatchSection
@@ -70,8 +64,12 @@
         Admits requests.
     dispatcher : Dispatcher
         Talks to upstreams.
-    proposer : Proposer
-        Puts claims through the replicated log.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
+    sharing : RecordSharing
+        Joins requests with a key over all entry hosts.
+    records : RecordsSection
+        Records of requests; told of their ends.
     metrics : Metrics
         Counters and histograms.
     clock : Clock
@@ -82,22 +80,24 @@
 
     def __init__(
         self,
-        node: NodeId,
         choose: Chooser,
         dispatched: DispatchSection,
         gate: AdmissionGate,
         dispatcher: Dispatcher,
-        proposer: Proposer,
+        claims: ClaimKeeper,
+        sharing: RecordSharing,
+        records: RecordsSection,
         metrics: Metrics,
         clock: Clock,
-        observe: AttemptObserver,
+        observe: AttemptObserver = observe_nothing,
     ):
-        self._node = node
         self._choose = choose
         self._dispatched = dispatched
         self._gate = gate
         self._dispatcher = dispatcher
-        self._proposer = proposer
+        self._claims = claims
+        self._sharing = sharing
+        self._records = records
         self._metrics = metrics
         self._clock = clock
         self._observe = observe
@@ -110,22 +110,78 @@
         record : RequestRecord
             The request's record; changed in place.
         """
-        request = record.request
         started = self._clock()
         try:
-            async with self._gate.enter(request):
-                if request.idempotent:
-                    await self._run_attempts(record, None)
-                else:
-                    await self._run_claimed(record)
+            await self._run_to_end(record)
         except CranberryfieldError as error:
             record.fail(self._clock(), error)
         except Exception:
-            logger.exception("request failed", run=request.run)
+            logger.exception("request failed", run=record.run)
             fault = error_of_kind(ErrorKind.INTERNAL, "the request met a fault")
             record.fail(self._clock(), fault)
         self._note_end(record, started)
 
+    async def _run_to_end(self, record: RequestRecord) -> None:
+        request = record.request
+        if not request.idempotent:
+            await self._run_once(record)
+        elif request.has_caller_key:
+            await self._run_shared(record)
+        else:
+            await self._run_for_caller(record)
+
+    async def _run_for_caller(self, record: RequestRecord) -> None:
+        """Run a request that cannot be asked for again, while its caller waits."""
+        with anyio.CancelScope() as scope:
+            record.on_lost = scope.cancel
+            if record.is_lost:
+                scope.cancel()
+            outcome = await self._run_admitted(record)
+            record.finish(self._clock(), outcome)
+            return
+        raise UnavailableError(ErrorKind.CALLER_GONE, "the caller has gone")
+
+    async def _run_shared(self, record: RequestRecord) -> None:
+        """Run a request unless another host does, and go on if that one dies."""
+        while record.state is RequestState.RUNNING:
+            joined = await self._sharing.join(record)
+            if joined is JoinedAs.FOLLOWER:
+                await self._sharing.wait_followed(record)
+            elif joined is JoinedAs.RUNNER:
+                await self._run_kept(record)
+
+    async def _run_kept(self, record: RequestRecord) -> None:
+        with anyio.CancelScope() as scope:
+            record.on_lost = scope.cancel
+            try:
+                outcome = await self._run_admitted(record)
+                end = end_of_answer(outcome)
+            except CranberryfieldError as error:
+                end = end_of_error(error)
+            await self._sharing.keeper.end(record, end)
+            if not record.is_lost:
+                record.take_end(self._clock(), end)
+                return
+        self._metrics.count("taken_by_other_host")
+        record.drop_uncommitted()
+
+    async def _run_admitted(self, record: RequestRecord) -> Outcome | None:
+        async with self._gate.enter(record.request):
+            return await self._run_attempts(record, None)
+
+    async def _run_once(self, record: RequestRecord) -> None:
+        """Run a non-idempotent request under a claim."""
+        admitted = False
+        try:
+            async with self._gate.enter(record.request):
+                admitted = True
+                await self._run_claimed(record)
+        except CranberryfieldError as error:
+            if admitted:
+                raise
+            checked = await self._claims.checked_refusal(record.request, error)
+            raise checked from error
+
     def _note_end(self, record: RequestRecord, started: float) -> None:
         request = record.request
         labels = {"workspace": request.workspace, "priority": request.priority}
@@ -134,52 +190,49 @@
         if record.state is RequestState.FAILED:
             ending = f"refused_{record.error.kind.value}"
         self._metrics.count(ending, **labels)
+        self._records.note_end(record, self._clock())
 
     async def _run_claimed(self, record: RequestRecord) -> None:
         request = record.request
-        claim = await self._open_claim(record)
-        if claim is None:
+        claim = await self._claims.open(request)
+        if isinstance(claim, ClaimView):
+            record.restore(self._clock(), await self._kept_answer(request, claim))
             return
         try:
-            await self._run_attempts(record, claim)
+            outcome = await self._run_attempts(record, claim)
         except CranberryfieldError as error:
             unknown = error.was_run is not WasRun.NO
             state = ClaimState.UNKNOWN if unknown else ClaimState.RELEASED
-            await self._close_claim(request, claim, state, None)
+            await self._claims.close(request, claim, state)
+            raise
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await self._claims.close(request, claim, ClaimState.UNKNOWN)
             raise
+        kept = outcome or record.as_outcome()
+        await self._claims.close(request, claim, ClaimState.ANSWERED, kept)
+        record.finish(self._clock(), outcome)
+        if len(kept.body) > request.settings.kept_answer_bytes:
+            self._sharing.keeper.hand_out(record)
 
-    async def _open_claim(self, record: RequestRecord) -> _HeldClaim | None:
-        request = record.request
-        token = uuid4().hex
-        view = await self._proposer.propose(
-            OpenClaim(
-                request.workspace, request.key, request.digest, self._node, token
-            ),
-            CLAIM_TIMEOUT_S,
-        )
-        if view.granted:
-            return _HeldClaim(token, view.attempt)
-        if not view.same_body:
-            raise CallerError(
-                ErrorKind.KEY_REUSED, "the key stands for another request"
-            )
-        if view.state is ClaimState.ANSWERED:
-            kept = Outcome(view.status, view.content_type, view.answer)
-            record.restore(self._clock(), kept)
-            return None
-        if view.state is ClaimState.UNKNOWN:
-            raise UnavailableError(
-                ErrorKind.OUTCOME_UNKNOWN, "an earlier attempt may have run"
-            )
+    async def _kept_answer(self, request: Request, view: ClaimView) -> Outcome:
+        if view.answer is not None:
+            return Outcome(view.status, view.content_type, view.answer)
+        copy = await self._sharing.find(request.workspace, request.key)
+        if copy is not None and copy.end is not None:
+            record = RequestRecord(request)
+            record.adopt(copy, copy.epoch)
+            record.take_end(self._clock(), copy.end)
+            outcome = record.as_outcome()
+            if answer_digest(outcome) == view.answer_digest:
+                return outcome
         raise UnavailableError(
-            ErrorKind.KEY_BUSY,
-            f"the request is being run from {view.node}",
-            retry_after_s=1.0,
+            ErrorKind.ANSWER_TOO_LARGE, "the request has run; its answer is not kept"
         )
 
     async def _run_attempts(
-        self, record: RequestRecord, claim: _HeldClaim | None
-    ) -> None:
+        self, record: RequestRecord, claim: HeldClaim | None
+    ) -> Outcome | None:
         request = record.request
         tried: set[UpstreamId] = set()
         ran_before = False
@@ -187,10 +240,7 @@
         while True:
             upstream = self._choose(request, frozenset(tried), ran_before)
             tried.add(upstream.record.upstream)
-            if claim is not None:
-                await self._record_dispatch(request, claim, upstream)
-            end, outcome = await self._attempt(record, upstream)
-            self._observe(upstream, end)
+            end, outcome = await self._start_attempt(record, claim, upstream)
             attempts += 1
             ran_before = ran_before or end.result is AttemptResult.BROKEN
             step = after_attempt(
@@ -202,7 +252,7 @@
             )
             logger.info(
                 "attempt ended",
-                run=request.run,
+                run=record.run,
                 upstream=upstream.record.upstream,
                 result=end.result.value,
                 detail=end.detail,
@@ -212,16 +262,20 @@
                     step.kind, step.detail, was_run=step.was_run, retry_after_s=1.0
                 )
             if isinstance(step, Finish):
-                if claim is not None:
-                    kept = outcome or record.as_outcome()
-                    await self._close_claim(request, claim, ClaimState.ANSWERED, kept)
-                record.finish(self._clock(), outcome)
-                return
-            if claim is not None:
-                await self._close_claim(request, claim, ClaimState.RELEASED, None)
-                claim = await self._open_claim(record)
-                if claim is None:
-                    return
+                return outcome
+
+    async def _start_attempt(
+        self, record: RequestRecord, claim: HeldClaim | None, upstream: KnownUpstream
+    ) -> tuple[AttemptEnd, Outcome | None]:
+        if claim is not None:
+            may_start = await self._claims.record_dispatch(
+                record.request, claim, upstream
+            )
+            if not may_start:
+                return AttemptEnd(AttemptResult.NOT_RUN, "too late to start"), None
+        end, outcome = await self._attempt(record, upstream)
+        self._observe(upstream, end)
+        return end, outcome
 
     async def _attempt(
         self, record: RequestRecord, upstream: KnownUpstream
@@ -237,48 +291,3 @@
             in_flight[name] -= 1
             if not in_flight[name]:
                 del in_flight[name]
-
-    async def _record_dispatch(
-        self, request: Request, claim: _HeldClaim, upstream: KnownUpstream
-    ) -> None:
-        view = await self._proposer.propose(
-            RecordDispatch(
-                request.workspace,
-                request.key,
-                claim.attempt,
-                claim.token,
-                upstream.record.upstream,
-                upstream.record.incarnation,
-            ),
-            CLAIM_TIMEOUT_S,
-        )
-        if not isinstance(view, ClaimView) or not view.granted:
-            raise UnavailableError(
-                ErrorKind.KEY_BUSY, "another node took the request", retry_after_s=1.0
-            )
-
-    async def _close_claim(
-        self,
-        request: Request,
-        claim: _HeldClaim,
-        state: ClaimState,
-        outcome: Outcome | None,
-    ) -> None:
-        command = CloseClaim(
-            request.workspace, request.key, claim.attempt, claim.token, state
-        )
-        if outcome is not None:
-            command = CloseClaim(
-                request.workspace,
-                request.key,
-                claim.attempt,
-                claim.token,
-                state,
-                outcome.status,
-                outcome.content_type,
-                outcome.body,
-            )
-        try:
-            await self._proposer.propose(command, CLAIM_TIMEOUT_S)
-        except CranberryfieldError as error:
-            logger.warning("claim not closed", run=request.run, error=error.detail)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/__init__.py
@@ -2,7 +2,11 @@
 
 from cranberryfield.entry.routing.choose import DispatchSection, choose_upstream
 from cranberryfield.entry.routing.chooser import Chooser, make_chooser
-from cranberryfield.entry.routing.observe import AttemptObserver, make_observer
+from cranberryfield.entry.routing.observe import (
+    AttemptObserver,
+    make_observer,
+    observe_nothing,
+)
 from cranberryfield.entry.routing.prefix import PrefixSection
 
 __all__ = [
@@ -13,4 +17,5 @@
     "choose_upstream",
     "make_chooser",
     "make_observer",
+    "observe_nothing",
 ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -1,5 +1,6 @@
 """Builds the entry role from its parts."""
 
+from functools import partial
 from random import Random
 
 import anyio
@@ -12,17 +13,24 @@
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
-from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.settings import effective_settings
+from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
 from cranberryfield.entry.membership import PeersSection, UpstreamsSection
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
+from cranberryfield.entry.membership.peers import other_live_peers
 from cranberryfield.entry.membership.probing import UpstreamProber
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.claims import ClaimKeeper
+from cranberryfield.entry.requests.held import HeldRecords
+from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
+from cranberryfield.entry.requests.keeping import RecordKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.sharing import RecordSharing
 from cranberryfield.entry.routing import (
     DispatchSection,
     PrefixSection,
@@ -35,6 +43,8 @@
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Longest wait of a stop for the log to take the ends of claims, in seconds.
+CLOSE_WAIT_S = 10.0
 
 
 class EntryRuntime:
@@ -48,8 +58,10 @@
         The records of requests.
     api : CallerApi
         Endpoints for callers and upstreams.
-    follower : SettingsFollower or None
-        Follows settings; None where the control role does so.
+    follower : SettingsFollower
+        Follows settings.
+    clock : Clock
+        Monotonic time.
     dispatcher : Dispatcher
         Connections to upstreams.
     gossip : TableGossip
@@ -60,27 +72,37 @@
         Renews those whose home has fallen silent.
     cache_events : CacheEventReader
         Follows what engines have in their prefix caches.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
+    sharing : RecordSharing
+        Records over all entry hosts.
     """
 
     def __init__(
         self,
         settings: SettingsSection,
         records: RecordsSection,
-        follower: SettingsFollower | None,
+        follower: SettingsFollower,
         dispatcher: Dispatcher,
+        clock: Clock,
         gossip: TableGossip,
         leases: LeaseKeeper,
         prober: UpstreamProber,
         cache_events: CacheEventReader,
+        claims: ClaimKeeper,
+        sharing: RecordSharing,
     ):
         self._settings = settings
         self._records = records
         self._follower = follower
         self._dispatcher = dispatcher
+        self._clock = clock
         self._gossip = gossip
         self._leases = leases
         self._prober = prober
         self._cache_events = cache_events
+        self._claims = claims
+        self._sharing = sharing
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -95,7 +117,6 @@
         tasks: TaskGroup,
         clock: Clock,
         rng: Random,
-        follows_settings: bool,
     ) -> "EntryRuntime":
         """Build the role.
 
@@ -117,8 +138,6 @@
             Monotonic time.
         rng : random.Random
             Seeded generator.
-        follows_settings : bool
-            Whether settings come over the mesh.
 
         Returns
         -------
@@ -132,33 +151,54 @@
         prefixes = board.add(PrefixSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
-        follower = None
-        if follows_settings:
-            follower = SettingsFollower(settings, mesh, control, clock)
         peers = board.add(PeersSection(config.node_id))
+        follower = SettingsFollower(
+            settings,
+            mesh,
+            config.node_id,
+            control,
+            partial(other_live_peers, peers, clock),
+            clock,
+            rng,
+        )
         gossip = TableGossip(
             peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         prober = UpstreamProber.from_clock(upstreams, leases, clock)
         cache_events = CacheEventReader.from_sections(upstreams, prefixes)
+        claims = ClaimKeeper(config.node_id, proposer, clock)
+        sharing = RecordSharing(
+            config.node_id,
+            lambda: entry_hosts(peers, EntryHost(config.node_id, config.zone)),
+            mesh,
+            records,
+            board.add(HeldRecords()),
+            lambda: effective_settings(settings.tree, None, None),
+            clock,
+        )
+        sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
         runtime = cls(
             settings,
             records,
             follower,
             dispatcher,
+            clock,
             gossip,
             leases,
             prober,
             cache_events,
+            claims,
+            sharing,
         )
         runner = RequestRunner(
-            config.node_id,
             make_chooser(board, config.zone, clock, rng),
             dispatched,
             AdmissionGate(),
             dispatcher,
-            proposer,
+            claims,
+            sharing,
+            records,
             metrics,
             clock,
             make_observer(clock),
@@ -168,6 +208,8 @@
             records,
             leases,
             runner,
+            claims,
+            sharing,
             metrics,
             config.upstream_keys,
             runtime.is_ready,
@@ -178,31 +220,36 @@
 
     def is_ready(self) -> bool:
         """Say whether new requests are taken."""
-        return not self._stopping and self._settings.confirmed_at is not None
+        return not self._stopping and may_serve(self._settings, self._clock())
 
     def begin_stop(self) -> None:
         """Take no new requests from now on."""
         self._stopping = True
 
     async def wait_drained(self) -> None:
-        """Wait until no request is running here."""
+        """Wait until no request is running here and no claim is left open."""
         while any(
             record.state is RequestState.RUNNING
             for record in self._records.records.values()
         ):
             await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(CLOSE_WAIT_S):
+            while self._claims.unclosed:
+                await anyio.sleep(DRAIN_POLL_S)
 
     async def run(self) -> None:
-        """Follow settings and membership until cancelled."""
+        """Follow settings and membership and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._leases.run)
             tasks.start_soon(self._prober.run)
             tasks.start_soon(self._cache_events.run)
-            if self._follower is not None:
-                tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._claims.run)
+            tasks.start_soon(self._sharing.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
         self._gossip.say_goodbye()
+        await self._follower.leave()
         await self._dispatcher.close()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/settings/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Follows the settings that the control group commits."""
+"""Following the settings that the control hosts have committed."""
 
 from cranberryfield.entry.settings.follower import SettingsFollower
 
