Admit requests by fair shares when capacity is short

The gate knew only a fixed number of concurrent requests. Now bounded queues per service, start-time fair queueing by workspace, priorities inside a workspace, deadlines and spread times to come back.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -1,23 +1,75 @@
-"""Bounds the requests that run at once from this entry host."""
+"""Holds requests back until there is a place for them."""
 
-from collections.abc import AsyncIterator
+from collections import defaultdict
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from random import Random
 
-from cranberryfield.core.errors import ErrorKind, UnavailableError
-from cranberryfield.core.ids import ServiceName, WorkspaceId
+import anyio
+
+from cranberryfield.core.clock import Clock, monotonic_clock
+from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
+from cranberryfield.core.ids import ServiceName
+from cranberryfield.entry.admission.queue import (
+    QueueState,
+    Ticket,
+    admit_next,
+    drop_ticket,
+    enqueue,
+    release,
+)
 from cranberryfield.entry.requests.request import Request
+from cranberryfield.entry.retries.spread import spread_retry_after_s
+
+__all__ = ["AdmissionGate", "Places"]
+
+#: Places are counted again after this time while requests wait, in seconds.
+RECOUNT_S = 0.05
+UNLIMITED_PLACES = 1_000_000
+RATE_SMOOTHING = 0.05
+
+#: Returns how many requests of a service may run at once.
+Places = Callable[[ServiceName], int]
+
+
+def _unlimited(service: ServiceName) -> int:
+    return UNLIMITED_PLACES
 
-__all__ = ["AdmissionGate"]
 
-RETRY_AFTER_S = 1.0
-DRAINED_RETRY_AFTER_S = 30.0
+class _Waiting:
+    """A ticket and the request that waits for it."""
+
+    def __init__(self, ticket: Ticket):
+        self.ticket = ticket
+        self.decided = anyio.Event()
+        self.admitted = False
 
 
 class AdmissionGate:
-    """Counts running requests per workspace and service."""
+    """Queues of all services at this host.
+
+    Parameters
+    ----------
+    places : Places
+        Says how many requests of a service may run at once.
+    clock : Clock
+        Monotonic time.
+    rng : random.Random, optional
+        Seeded generator that spreads times to come back.
+    """
 
-    def __init__(self):
-        self._running: dict[tuple[WorkspaceId, ServiceName], int] = {}
+    def __init__(
+        self,
+        places: Places = _unlimited,
+        clock: Clock = monotonic_clock,
+        rng: Random | None = None,
+    ):
+        self._places = places
+        self._clock = clock
+        self._rng = rng or Random(0)
+        self._queues: dict[ServiceName, QueueState] = defaultdict(QueueState)
+        self._waiting: dict[Ticket, _Waiting] = {}
+        self._run_s: dict[ServiceName, float] = {}
 
     @asynccontextmanager
     async def enter(self, request: Request) -> AsyncIterator[None]:
@@ -26,7 +78,7 @@
         Parameters
         ----------
         request : Request
-            The request; its settings give the limit.
+            The request; its settings give the limits.
 
         Yields
         ------
@@ -36,28 +88,85 @@
         Raises
         ------
         UnavailableError
-            Of kind ``queue_full`` if there is no place; ``drained`` if operators
-            have taken the workspace or the service out of use.
+            Of kind ``queue_full`` if there is no room to wait, or
+            ``deadline_exceeded`` if no place came in time; never run.
         """
-        workspace, service = request.workspace, request.service
-        if request.settings.drained:
-            raise UnavailableError(
-                ErrorKind.DRAINED,
-                f"{workspace} at {service} takes no new requests",
-                retry_after_s=DRAINED_RETRY_AFTER_S,
-            )
-        name = (workspace, service)
-        running = self._running.get(name, 0)
-        if running >= request.settings.concurrency_limit:
-            raise UnavailableError(
-                ErrorKind.QUEUE_FULL,
-                f"{running} requests of {workspace} at {service} are running",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        self._running[name] = running + 1
+        waiting = _Waiting(_ticket(request))
+        queue = self._queues[request.service]
+        refused = enqueue(queue, waiting.ticket, request.settings.queue_limit)
+        self._waiting[waiting.ticket] = waiting
+        self._admit(request.service)
+        if refused is not None and not self._waiting[refused].admitted:
+            self._waiting[refused].decided.set()
         try:
+            await self._wait(request, waiting)
+            started = self._clock()
             yield
+            self._note_run(request.service, self._clock() - started)
         finally:
-            self._running[name] -= 1
-            if not self._running[name]:
-                del self._running[name]
+            del self._waiting[waiting.ticket]
+            if waiting.admitted:
+                release(queue, waiting.ticket)
+            else:
+                drop_ticket(queue, waiting.ticket)
+            self._admit(request.service)
+            if not queue.waiting and not queue.running:
+                self._queues.pop(request.service, None)
+
+    async def _wait(self, request: Request, waiting: _Waiting) -> None:
+        while not waiting.decided.is_set() and self._clock() < request.deadline:
+            left_s = request.deadline - self._clock()
+            with anyio.move_on_after(min(RECOUNT_S, left_s)):
+                await waiting.decided.wait()
+            if not waiting.decided.is_set():
+                self._admit(request.service)
+        if waiting.admitted:
+            return
+        if waiting.decided.is_set():
+            raise UnavailableError(
+                ErrorKind.QUEUE_FULL,
+                f"too many requests of {request.service} wait",
+                was_run=WasRun.NO,
+                retry_after_s=self._retry_after_s(request.service),
+            )
+        raise UnavailableError(
+            ErrorKind.DEADLINE_EXCEEDED,
+            "the deadline passed before there was a place",
+            was_run=WasRun.NO,
+            retry_after_s=self._retry_after_s(request.service),
+        )
+
+    def _admit(self, service: ServiceName) -> None:
+        queue = self._queues[service]
+        if not queue.waiting:
+            return
+        places = self._places(service)
+        while (ticket := admit_next(queue, places)) is not None:
+            waiting = self._waiting[ticket]
+            waiting.admitted = True
+            waiting.decided.set()
+
+    def _note_run(self, service: ServiceName, taken_s: float) -> None:
+        before = self._run_s.get(service, taken_s)
+        self._run_s[service] = before + RATE_SMOOTHING * (taken_s - before)
+
+    def _retry_after_s(self, service: ServiceName) -> float:
+        queue = self._queues[service]
+        run_s = self._run_s.get(service, 0.0)
+        places = max(1, queue.count_running())
+        backlog_s = run_s * queue.count_waiting() / places
+        return spread_retry_after_s(backlog_s, self._rng)
+
+
+def _ticket(request: Request) -> Ticket:
+    settings = request.settings
+    classes = settings.priority_classes
+    known = request.priority in classes
+    return Ticket(
+        request.workspace,
+        request.service,
+        classes.index(request.priority) if known else len(classes),
+        request.deadline,
+        settings.share,
+        settings.concurrency_limit,
+    )
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/tests/test_queue.py
@@ -0,0 +1,133 @@
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cranberryfield.core.messages.membership import LoadReport, UpstreamRecord
+from cranberryfield.entry.admission.places import service_places
+from cranberryfield.entry.admission.queue import (
+    QueueState,
+    Ticket,
+    admit_next,
+    drop_ticket,
+    enqueue,
+    release,
+)
+from cranberryfield.entry.membership import KnownUpstream
+
+
+def ticket(workspace="a", urgency=1, deadline=10.0, share=1.0, limit=1000):
+    return Ticket(workspace, "s", urgency, deadline, share, limit)
+
+
+def filled(tickets, queue_limit=1000):
+    state = QueueState()
+    for one in tickets:
+        enqueue(state, one, queue_limit)
+    return state
+
+
+ORDERS = [
+    ("first come", [{}, {}], [0, 1]),
+    ("more urgent first", [{"urgency": 2}, {"urgency": 0}], [1, 0]),
+    ("earlier deadline first", [{"deadline": 9.0}, {"deadline": 5.0}], [1, 0]),
+    (
+        "urgency counts only inside a workspace",
+        [{"urgency": 0}, {"urgency": 0}, {"workspace": "b", "urgency": 2}],
+        [0, 2, 1],
+    ),
+    (
+        "share counts",
+        [{}, {}, {"workspace": "b", "share": 2.0}, {"workspace": "b", "share": 2.0}],
+        [0, 2, 3, 1],
+    ),
+    ("limit of a workspace", [{"limit": 1}, {"limit": 1}, {"workspace": "b"}], [0, 2]),
+]
+
+
+@pytest.mark.parametrize(
+    ("fields", "order"), [row[1:] for row in ORDERS], ids=[row[0] for row in ORDERS]
+)
+def test_who_runs_next(fields, order):
+    tickets = [ticket(**one) for one in fields]
+    state = filled(tickets)
+    admitted = []
+    while (one := admit_next(state, 100)) is not None:
+        admitted.append(tickets.index(one))
+    assert admitted == order
+
+
+def test_no_more_run_than_there_are_places():
+    state = filled([ticket(), ticket()])
+    first = admit_next(state, 1)
+    assert admit_next(state, 1) is None
+    release(state, first)
+    assert admit_next(state, 1) is not None
+
+
+@pytest.mark.parametrize(
+    ("workspaces", "refused"),
+    [("aab", 1), ("abb", 2), ("aaab", 2), ("baaa", 3)],
+)
+def test_full_queue_refuses_the_workspace_with_most_waiting(workspaces, refused):
+    tickets = [ticket(name) for name in workspaces]
+    state = QueueState()
+    results = [enqueue(state, one, len(tickets) - 1) for one in tickets]
+    assert results[:-1] == [None] * (len(tickets) - 1)
+    assert results[-1] is tickets[refused]
+    drop_ticket(state, tickets[refused])
+    assert state.count_waiting() == len(tickets) - 1
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    st.dictionaries(
+        st.sampled_from("abcde"), st.sampled_from([0.5, 1.0, 2.0, 4.0]), min_size=2
+    ),
+    st.integers(1, 5),
+)
+def test_busy_workspaces_get_their_shares(shares, places):
+    state = QueueState()
+    running, count = [], Counter()
+    rounds = 200
+    for _ in range(rounds):
+        for name, share in shares.items():
+            while len(state.waiting.get(name, ())) < 3:
+                enqueue(state, ticket(name, share=share), 1000)
+        while (one := admit_next(state, places)) is not None:
+            running.append(one)
+            count[one.workspace] += 1
+        release(state, running.pop(0))
+    total, weight = sum(count.values()), sum(shares.values())
+    for name, share in shares.items():
+        due = total * share / weight
+        assert abs(count[name] - due) <= 1 + share / min(shares.values())
+
+
+def known(capacity=10, running=0, queued=0, name="u"):
+    load = LoadReport(running, queued)
+    record = UpstreamRecord(
+        name, 1, 0, "s", "d", "a:1", "m", (), capacity, 2000, load=load
+    )
+    return KnownUpstream(record, 0.0)
+
+
+PLACES = [
+    ("no upstream", [], {}, 3, 1),
+    ("alone", [known()], {}, 1, 11),
+    ("equal part while all are busy", [known(10, 11)], {"u": 1}, 3, 3),
+    ("less than it has when overcommitted", [known(10, 16)], {"u": 9}, 3, 6),
+    ("half of what is free", [known(10, 0)], {}, 5, 5),
+    ("own runs are not held against it", [known(10, 4)], {"u": 4}, 5, 7),
+    ("sum of upstreams", [known(), known(name="v")], {}, 1, 22),
+]
+
+
+@pytest.mark.parametrize(
+    ("fresh", "in_flight", "hosts", "places"),
+    [row[1:] for row in PLACES],
+    ids=[row[0] for row in PLACES],
+)
+def test_places_follow_the_capacity(fresh, in_flight, hosts, places):
+    assert service_places(fresh, in_flight, hosts) == places
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -16,6 +16,7 @@
 from cranberryfield.core.settings import effective_settings
 from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
+from cranberryfield.entry.admission.places import make_places
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
 from cranberryfield.entry.membership import PeersSection, UpstreamsSection
@@ -194,7 +195,7 @@
         runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
             dispatched,
-            AdmissionGate(),
+            AdmissionGate(make_places(board, clock), clock, rng),
             dispatcher,
             claims,
             sharing,
