--- /dev/null
+++ b/bench/measure_limits.py
@@ -0,0 +1,166 @@
+"""Three ways to hold one limit over all entry hosts, on the same requests."""
+
+from collections import deque
+from random import Random
+
+from bench.figures import Figure
+from cranberryfield.entry.limits.tokens import (
+    HostTokens,
+    KeeperTokens,
+    Taken,
+    lease_tokens,
+    next_token_s,
+    refill,
+    take_lease,
+    take_token,
+    tokens_wanted,
+)
+
+SEED = 29
+HOSTS = 9
+LIMIT_PER_S = 100.0
+DURATION_S = 60.0
+WINDOW_S = 1.0
+#: Part of the requests that come to the busiest host; the rest is even.
+SKEW = 0.6
+LOADS = (0.8, 2.0, 10.0)
+SUBINTERVALS = 10
+TARGET_UNDER = 0.05
+
+
+class EqualSplit:
+    """Each host has a bucket of an equal part."""
+
+    def __init__(self):
+        self.messages = 0
+        self._buckets = [KeeperTokens() for _ in range(HOSTS)]
+
+    def admit(self, host: int, now: float) -> bool:
+        """Decide on one request."""
+        bucket = self._buckets[host]
+        refill(bucket, LIMIT_PER_S / HOSTS, now)
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
+
+
+class TokenLeases:
+    """Hosts lease tokens from a keeper, as many as they have demand for."""
+
+    def __init__(self):
+        self.messages = 0
+        self._keeper = KeeperTokens()
+        self._hosts = [HostTokens() for _ in range(HOSTS)]
+
+    def admit(self, host: int, now: float) -> bool:
+        """Decide on one request."""
+        own = self._hosts[host]
+        taken = take_token(own, now)
+        if taken is not Taken.ASK:
+            return taken is Taken.ADMITTED
+        self.messages += 2
+        granted = lease_tokens(
+            self._keeper, LIMIT_PER_S, tokens_wanted(own), own.tokens, now
+        )
+        take_lease(own, granted, next_token_s(self._keeper, LIMIT_PER_S), now)
+        if not granted:
+            return False
+        own.tokens -= 1
+        return True
+
+
+class SubintervalWindows:
+    """Sliding windows of subintervals, as in the cited paper.
+
+    Each admitted request is written to the shared counts at once; each host
+    reads the counts of a subinterval once it has passed, and refuses alone.
+    """
+
+    def __init__(self):
+        self.messages = 0
+        self._step_s = WINDOW_S / SUBINTERVALS
+        self._shared: dict[int, int] = {}
+        self._local: list[dict[int, int]] = [{} for _ in range(HOSTS)]
+        self._read: list[int] = [-1] * HOSTS
+
+    def admit(self, host: int, now: float) -> bool:
+        """Decide on one request."""
+        current = int(now / self._step_s)
+        counts = self._local[host]
+        if self._read[host] != current:
+            self._read[host] = current
+            self.messages += 2
+            for past in range(current - SUBINTERVALS, current):
+                counts[past] = self._shared.get(past, 0)
+            for old in [place for place in counts if place < current - SUBINTERVALS]:
+                del counts[old]
+        overlap = 1 - (now / self._step_s - current)
+        total = sum(counts.get(current - back, 0) for back in range(SUBINTERVALS))
+        total += overlap * counts.get(current - SUBINTERVALS, 0)
+        if total >= LIMIT_PER_S * WINDOW_S:
+            return False
+        self.messages += 2
+        counts[current] = counts.get(current, 0) + 1
+        self._shared[current] = self._shared.get(current, 0) + 1
+        return True
+
+
+WAYS = {
+    "equal_split": EqualSplit,
+    "token_leases": TokenLeases,
+    "subinterval_windows": SubintervalWindows,
+}
+
+
+def _arrivals(load: float) -> list[tuple[float, int]]:
+    rng = Random(SEED)
+    found, at = [], 0.0
+    while at < DURATION_S:
+        at += rng.expovariate(load * LIMIT_PER_S)
+        busiest = int(at / 10) % HOSTS
+        host = busiest if rng.random() < SKEW else rng.randrange(HOSTS)
+        found.append((at, host))
+    return found
+
+
+def measure() -> list[Figure]:
+    """Run all ways at several loads in virtual time."""
+    return [
+        figure
+        for load in LOADS
+        for name, kind in WAYS.items()
+        for figure in _measure_way(name, kind(), load)
+    ]
+
+
+def _measure_way(name: str, way, load: float) -> list[Figure]:
+    arrivals = _arrivals(load)
+    window: deque[float] = deque()
+    admitted, most = 0, 0
+    for at, host in arrivals:
+        if way.admit(host, at):
+            admitted += 1
+            window.append(at)
+            while window[0] <= at - WINDOW_S:
+                window.popleft()
+            most = max(most, len(window))
+    possible = min(len(arrivals), LIMIT_PER_S * DURATION_S)
+    prefix = f"limits.{name}.load_{load:g}"
+    kept = name == "token_leases"
+    note = f"{HOSTS} hosts, {LIMIT_PER_S:g}/s, {SKEW:.0%} at one host, seed {SEED}"
+    return [
+        Figure(
+            f"{prefix}.over",
+            most / (LIMIT_PER_S * WINDOW_S) - 1,
+            "of a 1 s window",
+            note=note,
+        ),
+        Figure(
+            f"{prefix}.under",
+            max(0.0, 1 - admitted / possible),
+            "",
+            TARGET_UNDER if kept and load > 1 else None,
+        ),
+        Figure(f"{prefix}.messages", way.messages / len(arrivals), "a request"),
+    ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -1,7 +1,7 @@
 """Holds requests back until there is a place for them."""
 
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -32,6 +32,14 @@
 Places = Callable[[ServiceName], int]
 
 
+#: Raises `UnavailableError` for a request over a shared limit.
+LimitCheck = Callable[[Request], Awaitable[None]]
+
+
+async def _no_limit(request: Request) -> None:
+    return
+
+
 def _unlimited(service: ServiceName) -> int:
     return UNLIMITED_PLACES
 
@@ -56,6 +64,8 @@
         Monotonic time.
     rng : random.Random, optional
         Seeded generator that spreads times to come back.
+    check_limit : LimitCheck
+        Refuses requests over a limit that all hosts share.
     """
 
     def __init__(
@@ -63,10 +73,12 @@
         places: Places = _unlimited,
         clock: Clock = monotonic_clock,
         rng: Random | None = None,
+        check_limit: LimitCheck = _no_limit,
     ):
         self._places = places
         self._clock = clock
         self._rng = rng or Random(0)
+        self._check_limit = check_limit
         self._queues: dict[ServiceName, QueueState] = defaultdict(QueueState)
         self._waiting: dict[Ticket, _Waiting] = {}
         self._run_s: dict[ServiceName, float] = {}
@@ -88,9 +100,10 @@
         Raises
         ------
         UnavailableError
-            Of kind ``queue_full`` if there is no room to wait, or
-            ``deadline_exceeded`` if no place came in time; never run.
+            Of kind ``over_limit``, ``queue_full`` if there is no room to wait,
+            or ``deadline_exceeded`` if no place came in time; never run.
         """
+        await self._check_limit(request)
         waiting = _Waiting(_ticket(request))
         queue = self._queues[request.service]
         refused = enqueue(queue, waiting.ticket, request.settings.queue_limit)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/limits/__init__.py
@@ -0,0 +1,5 @@
+"""Limits on requests that hold over all entry hosts together."""
+
+from cranberryfield.entry.limits.shared import SharedLimits
+
+__all__ = ["SharedLimits"]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -19,7 +19,12 @@
 from cranberryfield.entry.admission.places import make_places
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.limits import SharedLimits
+from cranberryfield.entry.membership import (
+    PeersSection,
+    UpstreamsSection,
+    live_peers,
+)
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.membership.peers import other_live_peers
@@ -179,6 +184,13 @@
             clock,
         )
         sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
+        limits = SharedLimits(
+            config.node_id,
+            lambda: [one.node for one in live_peers(peers, clock())],
+            mesh,
+            clock,
+            rng,
+        )
         runtime = cls(
             settings,
             records,
@@ -195,7 +207,7 @@
         runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
             dispatched,
-            AdmissionGate(make_places(board, clock), clock, rng),
+            AdmissionGate(make_places(board, clock), clock, rng, limits.admit),
             dispatcher,
             claims,
             sharing,
--- a/tests/test_membership_leave.py
+++ b/tests/test_membership_leave.py
@@ -4,6 +4,7 @@
 import httpx
 import pytest
 
+from cranberryfield.entry.limits.tokens import BURST_S
 from standins.fleets import NOTARY_KEY, fleet_settings
 from standins.group import UPSTREAM_KEY, HostPlan, running_group
 from standins.processes import wait_until
@@ -16,6 +17,8 @@
 ]
 LEAVE_BOUND_NS = 3_000_000_000
 CALLS_AFTER_S = 3.5
+RATE_PER_S = 20.0
+LIMIT_TRIAL_S = 1.5
 
 
 @pytest.fixture(scope="module")
@@ -82,6 +85,29 @@
     assert not late
 
 
+def test_rate_limit_holds_over_all_hosts(group):
+    level = "workspace/notary"
+    edit = {"level": level, "set": {"rate_limit_per_s": RATE_PER_S}}
+    group.wait_revision(group.change_settings([edit], "limit", "entry-1"))
+    before = len(group.journal())
+    started = time.monotonic()
+    answers = []
+    while time.monotonic() < started + LIMIT_TRIAL_S:
+        answers += [book(group, host) for host in range(3)]
+    elapsed_s = time.monotonic() - started
+    unset = {"level": level, "unset": ["rate_limit_per_s"]}
+    group.wait_revision(group.change_settings([unset], "no limit", "entry-1"))
+    admitted = [one for one in answers if one.status_code == 200]
+    refused = [one for one in answers if one.status_code == 429]
+    assert len(admitted) + len(refused) == len(answers)
+    assert refused
+    assert len(admitted) <= RATE_PER_S * (elapsed_s + BURST_S) + 1
+    assert {one.json()["was_run"] for one in refused} == {"no"}
+    assert all(int(one.headers["Retry-After"]) >= 1 for one in refused)
+    runs = [one for one in group.journal()[before:] if one.event == "started"]
+    assert len(runs) == len(admitted)
+
+
 def test_crash_is_noticed_without_a_notice(group):
     group.upstreams["booking-2"].kill()
     assert {book(group, host).status_code for host in (0, 1, 2) * 5} == {200}
