--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/folder.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/folder.py
@@ -12,7 +12,7 @@
 from cranberryfield.core.ids import NodeId, ReplicaId
 from cranberryfield.core.messages.consensus import SEPARATOR
 
-__all__ = ["DataFolder"]
+__all__ = ["DataFolder", "is_folder_in_use"]
 
 IDENTITY_FILE = "identity"
 LOCK_FILE = "lock"
@@ -95,6 +95,31 @@
         self._lock.close()
 
 
+def is_folder_in_use(path: Path) -> bool:
+    """Say whether another process holds a data folder.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The folder; it need not exist, and nothing in it is changed.
+
+    Returns
+    -------
+    bool
+        Whether its lock is held now.
+    """
+    try:
+        lock = open(path / LOCK_FILE, "rb")  # noqa: SIM115 - closed below
+    except OSError:
+        return False
+    with lock:
+        try:
+            fcntl.flock(lock, fcntl.LOCK_SH | fcntl.LOCK_NB)
+        except OSError:
+            return True
+    return False
+
+
 def _read_identity(path: Path, group: str, node: NodeId) -> ReplicaId:
     file = path / IDENTITY_FILE
     if not file.exists():
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -22,6 +22,7 @@
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.membership.peers import other_live_peers
+from cranberryfield.entry.membership.probing import UpstreamProber
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.held import HeldRecords
@@ -30,7 +31,7 @@
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
-from cranberryfield.entry.routing import DispatchSection, make_chooser
+from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
 from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
@@ -65,6 +66,8 @@
         Claims of non-idempotent requests.
     sharing : RecordSharing
         Records over all entry hosts.
+    prober : UpstreamProber
+        Renews those whose home has fallen silent.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         leases: LeaseKeeper,
         claims: ClaimKeeper,
         sharing: RecordSharing,
+        prober: UpstreamProber,
     ):
         self._settings = settings
         self._records = records
@@ -88,6 +92,7 @@
         self._leases = leases
         self._claims = claims
         self._sharing = sharing
+        self._prober = prober
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -149,6 +154,7 @@
             peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
+        prober = UpstreamProber.from_clock(upstreams, leases, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
         sharing = RecordSharing(
             config.node_id,
@@ -170,6 +176,7 @@
             leases,
             claims,
             sharing,
+            prober,
         )
         runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
@@ -181,6 +188,7 @@
             records,
             metrics,
             clock,
+            make_observer(clock),
         )
         runtime.api = CallerApi(
             settings,
@@ -224,6 +232,7 @@
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
+            tasks.start_soon(self._prober.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -102,6 +102,7 @@
     crash: bool = False
     prompt_key: str = ""
     transcript: Transcript = field(init=False)
+    _last_id: str = "0"
     _thread: threading.Thread = field(init=False)
     _stopped: threading.Event = field(default_factory=threading.Event)
 
@@ -168,7 +169,7 @@
         return {
             "Authorization": f"Bearer {RELEVE_KEY}",
             "Idempotency-Key": self.key,
-            "Last-Event-ID": str(self.transcript.events),
+            "Last-Event-ID": self._last_id,
         }
 
     def _body(self) -> bytes:
@@ -210,21 +211,21 @@
                 response.read()
                 _note_refusal(attempt, response)
                 return
-            number, event = 0, ""
+            id, event = "0", ""
             for line in response.iter_lines():
                 name, _, value = line.partition(": ")
                 if name == "id":
-                    number = int(value)
+                    id = value
                 elif name == "event":
                     event = value
                 elif name == "data":
-                    self._take(number, event, value, attempt)
+                    self._take(id, event, value, attempt)
                     event = ""
         if attempt.end is End.OPEN:
             attempt.end = End.CUT
             attempt.error = "ended without an end"
 
-    def _take(self, number: int, event: str, data: str, attempt: Attempt) -> None:
+    def _take(self, id: str, event: str, data: str, attempt: Attempt) -> None:
         transcript = self.transcript
         if event:
             problem = msgspec.json.decode(data)
@@ -232,6 +233,7 @@
             attempt.was_run = problem.get("was_run", "")
             attempt.end = End.REFUSED if event == "error" else End.MOVED
             return
+        number = int(id.partition("-")[0])
         if number != transcript.events + 1:
             transcript.faults.append(f"event {number} after {transcript.events}")
         if data == "[DONE]":
@@ -239,6 +241,7 @@
             attempt.end = End.WHOLE
             return
         transcript.events = number
+        self._last_id = id
         transcript.event_ns.append(time.time_ns())
         transcript.text += msgspec.json.decode(data)["choices"][0]["text"]
 
