--- a/bench/load/generator.py
+++ b/bench/load/generator.py
@@ -42,6 +42,8 @@
         Tokens that came.
     refusals : Counter
         Refusals and broken connections by kind.
+    refused_s : list of float
+        Seconds that each refusal took.
     """
 
     arrival: Arrival
@@ -50,6 +52,7 @@
     ended_s: float | None = None
     tokens: int = 0
     refusals: Counter = field(default_factory=Counter)
+    refused_s: list[float] = field(default_factory=list)
     _events: int = 0
     _last_s: float | None = None
 
@@ -150,11 +153,13 @@
     headers = target.headers(arrival)
     if result._events:
         headers["Last-Event-ID"] = str(result._events)
+    asked = time.monotonic()
     async with client.stream(
         "POST", f"http://{host}{target.path(arrival)}", content=_body(arrival),
         headers=headers,
     ) as response:  # fmt: skip
         if response.is_error:
+            result.refused_s.append(time.monotonic() - asked)
             return await _note_refusal(response, result)
         if not arrival.service.model:
             await response.aread()
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -47,7 +47,7 @@
     table = Table(
         "scenario", "path", "whole", "first p50/p95 ms", "gap p50/p95 ms",
         "good/s", "halves good/s", "tokens/s", "recomputed", "cost", "per Mtoken",
-        "refusals",
+        "refusals", "refusal p95 ms",
     )  # fmt: skip
     for one in results:
         first, gap = one.first_token, one.token_gap
@@ -64,6 +64,7 @@
             f"{one.cost:.4f}",
             f"{one.cost_per_million_tokens:.2f}",
             _pairs(one.refusals),
+            f"{one.refusal.p95_ms:.0f}",
         )
     Console(width=180).print(table)
 
--- a/bench/load/results.py
+++ b/bench/load/results.py
@@ -43,6 +43,8 @@
         Requests that arrived, and that were answered whole.
     first_token, token_gap : Percentiles
         Latency from the intended arrival, and between tokens.
+    refusal : Percentiles
+        Time from asking to a refusal.
     goodput_per_s : float
         Whole answers a second that met the target of the first token.
     tokens_per_s : float
@@ -65,6 +67,7 @@
     whole: int
     first_token: Percentiles
     token_gap: Percentiles
+    refusal: Percentiles
     goodput_per_s: float
     tokens_per_s: float
     recomputed: dict[str, int]
@@ -149,6 +152,7 @@
         len(whole),
         Percentiles.from_seconds(first),
         Percentiles.from_seconds([gap for one in results for gap in one.gaps_s]),
+        Percentiles.from_seconds([took for one in results for took in one.refused_s]),
         _good(scenario, results) / scenario.duration_s,
         tokens / scenario.duration_s,
         recomputed_by_cause(journal),
