--- a/standins/journal.py
+++ b/standins/journal.py
@@ -74,6 +74,8 @@
 def read_journal(path: Path) -> list[Entry]:
     """Read all entries of a journal; none for a missing file.
 
+    An entry that is being written just now is left out.
+
     Parameters
     ----------
     path : pathlib.Path
@@ -86,6 +88,5 @@
     """
     if not path.exists():
         return []
-    return [
-        msgspec.json.decode(line, type=Entry) for line in path.read_bytes().splitlines()
-    ]
+    whole, _, _ = path.read_bytes().rpartition(b"\n")
+    return [msgspec.json.decode(line, type=Entry) for line in whole.splitlines()]
--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -66,11 +66,15 @@
 @app.default
 def main(
     *,
-    only: Annotated[str, Parameter(help="run scenarios whose name has this")] = "",
+    only: Annotated[
+        str, Parameter(help="run scenarios with a cell that has this")
+    ] = "",
     share: Annotated[int, Parameter(show=False)] = -1,
 ) -> int:
     """Run all cells, or some, and print one line for each."""
-    scenarios = [one for one in all_scenarios() if only in one.name]
+    scenarios = [
+        one for one in all_scenarios() if any(only in cell for cell in one.cells)
+    ]
     if share >= 0:
         _run_share(scenarios[share::WORKERS])
         return 0
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -69,13 +69,11 @@
     return f"{key} a crack in the wall"
 
 
-def expected_text(kind: RequestKind, key: str) -> str:
+def expected_text(kind: RequestKind, key: str, tokens: int = STREAM_TOKENS) -> str:
     """Return the one answer's text: of a completion, or a service's echo."""
     if not kind.is_completion:
         return _prompt(key)
-    return answer_text(
-        CompletionRequest(kind.service, _prompt(key), max_tokens=STREAM_TOKENS)
-    )
+    return answer_text(CompletionRequest(kind.service, _prompt(key), max_tokens=tokens))
 
 
 @dataclass(slots=True)
@@ -94,6 +92,10 @@
         Whether the request ends the engine that runs it.
     prompt_key : str
         Key whose prompt is sent, if it is not its own.
+    tokens : int
+        Length of a completion's answer.
+    read_timeout_s : float
+        Longest silence of a host, in seconds.
     """
 
     kind: RequestKind
@@ -101,6 +103,8 @@
     hosts: dict[str, str]
     crash: bool = False
     prompt_key: str = ""
+    tokens: int = STREAM_TOKENS
+    read_timeout_s: float = READ_TIMEOUT_S
     transcript: Transcript = field(init=False)
     _thread: threading.Thread = field(init=False)
     _stopped: threading.Event = field(default_factory=threading.Event)
@@ -109,7 +113,7 @@
         self.transcript = Transcript(
             self.key,
             self.kind.is_idempotent,
-            expected_text(self.kind, self.prompt_key or self.key),
+            expected_text(self.kind, self.prompt_key or self.key, self.tokens),
         )
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -125,7 +129,7 @@
         """Wait for the final answer; after the time, send no more."""
         self._thread.join(timeout_s)
         self._stopped.set()
-        self._thread.join(READ_TIMEOUT_S + CONNECT_TIMEOUT_S)
+        self._thread.join(self.read_timeout_s + CONNECT_TIMEOUT_S)
 
     @property
     def is_done(self) -> bool:
@@ -133,7 +137,7 @@
         return not self._thread.is_alive()
 
     def _run(self) -> None:
-        timeout = httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        timeout = httpx.Timeout(self.read_timeout_s, connect=CONNECT_TIMEOUT_S)
         with httpx.Client(timeout=timeout, trust_env=False) as client:
             for node, address in self._hosts_in_turn():
                 attempt = Attempt(node, time.time_ns())
@@ -177,7 +181,7 @@
         request = CompletionRequest(
             self.kind.service,
             _prompt(self.prompt_key or self.key),
-            max_tokens=STREAM_TOKENS,
+            max_tokens=self.tokens,
             stream=self.kind.is_streamed,
             crash=self.crash,
         )
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -19,7 +19,7 @@
 from tests.matrix.scene import FRONTS, Scene
 from tests.matrix.steps import STEPS, Step
 
-__all__ = ["CellResult", "Scenario", "request_scenarios"]
+__all__ = ["CellResult", "Scenario", "join_all", "request_scenarios"]
 
 CALLERS_TIMEOUT_S = 20.0
 THAW_AFTER_S = 6.0
@@ -99,18 +99,30 @@
 
 def _finish(scene: Scene) -> None:
     """Let callers end, thaw what is frozen, and let callers end again."""
-    _join_all(scene, THAW_AFTER_S)
+    join_all(scene, THAW_AFTER_S, stop=False)
     scene.thaw()
-    _join_all(scene, CALLERS_TIMEOUT_S)
-    for caller in scene.callers:
-        caller.finish(0.0)
+    join_all(scene, CALLERS_TIMEOUT_S)
     scene.settle()
 
 
-def _join_all(scene: Scene, timeout_s: float) -> None:
+def join_all(scene: Scene, timeout_s: float, *, stop: bool = True) -> None:
+    """Wait for the callers' final answers, and then let them ask no more.
+
+    Parameters
+    ----------
+    scene : Scene
+        Whose callers.
+    timeout_s : float
+        Longest wait for all of them, in seconds.
+    stop : bool
+        Whether those without one are to end.
+    """
     deadline = time.monotonic() + timeout_s
     for caller in scene.callers:
         caller.join(max(0.0, deadline - time.monotonic()))
+    if stop:
+        for caller in scene.callers:
+            caller.finish(0.0)
 
 
 def _judge(
--- a/tests/matrix/special_cells.py
+++ b/tests/matrix/special_cells.py
@@ -6,15 +6,18 @@
 from standins.group import Group
 from standins.processes import wait_until
 from tests.matrix.callers import Caller, RequestKind
-from tests.matrix.cells import CellResult, Scenario
+from tests.matrix.cells import CellResult, Scenario, join_all
 from tests.matrix.checks import (
     check_leaving,
     check_not_run,
     check_once,
+    check_planned_stop,
     check_prefix,
     check_whole,
 )
+from tests.matrix.faults import FAULTS
 from tests.matrix.scene import FRONTS, Scene, upstreams_of
+from tests.matrix.steps import STEPS
 
 __all__ = ["special_scenarios"]
 
@@ -28,6 +31,9 @@
 LOAD_AFTER_LEAVE_S = 4.5
 LOAD_PAUSE_S = 0.05
 LATE_RECLAIM_MS = 6000
+#: Over 4 s at the matrix's step time.
+LONG_TOKENS = 360
+LONG_READ_TIMEOUT_S = 12.0
 
 
 def special_scenarios() -> list[Scenario]:
@@ -36,9 +42,54 @@
     rows = [_scenario("mid-answer/crash-request", kind, _crash) for kind in kinds]
     leaving = (RequestKind.PLAIN, RequestKind.BOOKING)
     rows += [_scenario("any/leave-under-load", kind, _leave) for kind in leaving]
+    long = (RequestKind.STREAMED, RequestKind.PLAIN)
+    every = (*long, RequestKind.STREAMED_ONCE, RequestKind.PLAIN_ONCE)
+    rows.append(_long_scenario("reclaim-upstream", long))
+    rows.append(_long_scenario("reclaim-front", every))
+    rows.append(_long_scenario("stop-front", every))
     return rows
 
 
+def _long_scenario(fault: str, kinds: tuple[RequestKind, ...]) -> Scenario:
+    """Answers that take longer than the notice of a reclaim."""
+    name = f"mid-answer/{fault}-long"
+
+    def run(group: Group, turn: int) -> list[CellResult]:
+        scene = Scene(group, FRONTS[turn % len(FRONTS)])
+        key = f"long.{fault}.{scene.since_ns}"
+        scene.callers = [
+            Caller(
+                kind,
+                f"{key}.{kind.value}",
+                _in_turn(scene),
+                tokens=LONG_TOKENS,
+                read_timeout_s=LONG_READ_TIMEOUT_S,
+            )
+            for kind in kinds
+        ]
+        results = [CellResult(f"{name}/{kind.value}") for kind in kinds]
+        try:
+            STEPS["mid-answer"].reach(scene)
+            FAULTS[fault].inject(scene)
+        except TimeoutError as error:
+            results[0].wrong.append(str(error))
+        join_all(scene, CELL_TIMEOUT_S)
+        scene.settle()
+        journal = scene.journal()
+        for caller, result in zip(scene.callers, results, strict=True):
+            mine = [caller.transcript]
+            result.wrong += check_whole(mine)
+            result.wrong += check_prefix(mine)
+            result.wrong += check_not_run(mine, journal)
+            result.wrong += check_once(mine, journal)
+            result.wrong += check_leaving(journal)
+            result.wrong += check_planned_stop(mine, scene.stops)
+        scene.repair()
+        return results
+
+    return Scenario(name, tuple(f"{name}/{kind.value}" for kind in kinds), run)
+
+
 def _scenario(name: str, kind: RequestKind, judge: Callable) -> Scenario:
     cell = f"{name}/{kind.value}"
 
