--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -117,8 +117,8 @@
         )
 
     def is_linked(self, node: NodeId) -> bool:
-        """Say whether there is an open link to `node`."""
-        return bool(self._links.get(node))
+        """Say whether there is an open link to `node`, or it is this process."""
+        return node == self._hello.node or bool(self._links.get(node))
 
     def learn_address(self, node: NodeId, address: str) -> None:
         """Remember the mesh address of a peer, for links opened on demand."""
@@ -188,8 +188,11 @@
         """Send a request to `node` and return its reply.
 
         A link is opened if there is none and the address is known; the time
-        for that counts towards `timeout_s`. See `Link.request`.
+        for that counts towards `timeout_s`. A request to this process itself
+        is handled without a link. See `Link.request`.
         """
+        if node == self._hello.node:
+            return await self._handle_own(message, timeout_s)
         deadline = anyio.current_time() + timeout_s
         if not self._links.get(node):
             await self._wait_opened(node, timeout_s)
@@ -229,6 +232,17 @@
         with scope:
             await self.dial(self._addresses[node])
 
+    async def _handle_own(self, message: Message, timeout_s: float) -> Message:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise UnavailableError(ErrorKind.NOT_READY, "no handler here")
+        reply = handler(self._hello.node, message)
+        if not isinstance(reply, Awaitable):
+            return reply
+        with anyio.move_on_after(timeout_s):
+            return await reply
+        raise UnavailableError(ErrorKind.NOT_READY, "no reply in time")
+
     async def listen(self, address: str, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Accept links until cancelled.
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/peers.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/peers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cranberryfield.core.clock import Clock
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.membership import PeerRecord, PeerState
@@ -15,6 +16,7 @@
     "forget_peers",
     "live_peers",
     "merge_peer",
+    "other_live_peers",
     "own_record",
     "suspect_peer",
 ]
@@ -163,3 +165,9 @@
             and now < known.changed_at + SUSPICION_S
         )
     ]
+
+
+def other_live_peers(section: PeersSection, clock: Clock) -> list[NodeId]:
+    """Return the ids of the entry hosts held to be alive, but this one."""
+    records = live_peers(section, clock())
+    return [record.node for record in records if record.node != section.own]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/settings/follower.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/settings/follower.py
@@ -1,16 +1,16 @@
 """Keeps the settings of an entry host at the highest committed revision."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 import anyio
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.config import Role
 from cranberryfield.core.errors import CranberryfieldError
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import Mesh
-from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.messages.control import ForgetHost
 from cranberryfield.core.messages.settings import (
     AskPeerSettings,
     FollowSettings,
@@ -26,10 +26,7 @@
 )
 from cranberryfield.core.settings.slices import SliceSource, next_slice
 
-__all__ = ["LocalControl", "SettingsFollower"]
-
-#: Asks the control role of the same process.
-LocalControl = Callable[[NodeId, FollowSettings], SettingsSnapshot]
+__all__ = ["SettingsFollower"]
 
 CONFIRM_INTERVAL_S = 1.0
 UNCONFIRMED_INTERVAL_S = 0.2
@@ -56,8 +53,8 @@
         This process.
     control : tuple of NodeId
         The control hosts.
-    local : callable or None
-        Asks this process's own control role; None without that role.
+    peers : callable
+        Returns the other entry hosts held to be alive.
     clock : Clock
         Monotonic time.
     rng : random.Random
@@ -70,7 +67,7 @@
         mesh: Mesh,
         node: NodeId,
         control: tuple[NodeId, ...],
-        local: LocalControl | None,
+        peers: Callable[[], list[NodeId]],
         clock: Clock,
         rng: Random,
     ):
@@ -78,20 +75,19 @@
         self._mesh = mesh
         self._node = node
         self._control = control
-        self._local = local
         self._clock = clock
         self._rng = rng
         self._leader: NodeId | None = None
-        self._peers: set[NodeId] = set()
+        self._left = False
+        self._peers = peers
         self._reached_at: dict[NodeId, float] = {}
         self._slices = SliceSource()
         mesh.handle(SettingsDelta, self._on_delta)
         mesh.handle(AskPeerSettings, self._on_ask)
-        mesh.watch_links(self._on_link)
 
     async def run(self) -> None:
-        """Ask for settings again and again, until cancelled."""
-        while True:
+        """Ask for settings again and again, until cancelled or `leave`."""
+        while not self._left:
             confirmed = await self._ask_control()
             if self._unconfirmed_s() > ASK_PEERS_AFTER_S:
                 await self._ask_peers()
@@ -99,6 +95,15 @@
                 CONFIRM_INTERVAL_S if confirmed else UNCONFIRMED_INTERVAL_S
             )
 
+    async def leave(self) -> None:
+        """Tell the leader that changes need not reach this host any more."""
+        self._left = True
+        if self._leader is None:
+            return
+        with suppress(CranberryfieldError):
+            request = ForgetHost(self._node)
+            await self._mesh.request(self._leader, request, REQUEST_TIMEOUT_S)
+
     def _unconfirmed_s(self) -> float:
         confirmed_at = self._section.confirmed_at
         return float("inf") if confirmed_at is None else self._clock() - confirmed_at
@@ -108,7 +113,8 @@
         asked: set[NodeId] = set()
         hint = self._leader
         while True:
-            waiting = [node for node in (hint, *self._control) if node is not None]
+            linked = [node for node in self._control if self._mesh.is_linked(node)]
+            waiting = [node for node in (hint, *linked) if node is not None]
             left = [node for node in waiting if node not in asked]
             if not left:
                 return False
@@ -146,17 +152,13 @@
         return reply
 
     async def _request(self, node: NodeId, request) -> SettingsSnapshot | None:
-        if node == self._node:
-            return self._local(node, request) if self._local is not None else None
-        if not self._mesh.is_linked(node):
-            return None
         try:
             return await self._mesh.request(node, request, REQUEST_TIMEOUT_S)
         except CranberryfieldError:
             return None
 
     async def _ask_peers(self) -> None:
-        peers = sorted(node for node in self._peers if self._mesh.is_linked(node))
+        peers = self._peers()
         chosen = self._rng.sample(peers, min(PEERS_PER_ROUND, len(peers)))
         async with anyio.create_task_group() as tasks:
             for node in chosen:
@@ -176,10 +178,6 @@
             at = sent_at - reply.age_ms / MS_PER_S
             confirm(self._section, reply.revision, at)
 
-    def _on_link(self, peer: Hello, is_open: bool) -> None:
-        if is_open and Role.ENTRY.value in peer.roles and peer.node != self._node:
-            self._peers.add(peer.node)
-
     def _on_ask(self, sender: NodeId, message: AskPeerSettings) -> SettingsSnapshot:
         tree = self._section.tree
         part = next_slice(self._slices, tree, message, None)
