--- a/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
@@ -217,6 +217,10 @@
         Where its peers answer operators.
     resident_kib : int
         Memory of the process, in KiB.
+    cpu_s : float
+        Processor time of the process since its start, in seconds.
+    mesh_sent_bytes, mesh_received_bytes : int
+        Payload on its links to other processes since its start.
     """
 
     node: str
@@ -229,6 +233,9 @@
     control: ControlView | None = None
     addresses: tuple[NodeAddress, ...] = ()
     resident_kib: int = 0
+    cpu_s: float = 0.0
+    mesh_sent_bytes: int = 0
+    mesh_received_bytes: int = 0
 
 
 class HistoryRow(msgspec.Struct):
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
@@ -132,7 +132,7 @@
     async def _status(self, http: HttpRequest) -> Response:
         self._authorise(http)
         ready = self._ready() if self._ready is not None else True
-        return _json(report_status(self._config, self._board, self._mesh.peers, ready))
+        return _json(report_status(self._config, self._board, self._mesh, ready))
 
     async def _upstreams(self, http: HttpRequest) -> Response:
         self._authorise(http)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
@@ -1,5 +1,6 @@
 """Builds what operators are shown from the sections of the blackboard."""
 
+import time
 from collections import Counter
 from resource import getpagesize
 
@@ -7,6 +8,7 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.ids import RequestKey, WorkspaceId
+from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.membership import PeerState
 from cranberryfield.core.operators.views import (
@@ -49,7 +51,7 @@
 
 
 def report_status(
-    config: DaemonConfig, board: Blackboard, peers: list[Hello], ready: bool
+    config: DaemonConfig, board: Blackboard, mesh: Mesh, ready: bool
 ) -> StatusView:
     """Describe this process.
 
@@ -59,8 +61,8 @@
         Its configuration.
     board : Blackboard
         Its sections.
-    peers : list of Hello
-        Processes that it has links to.
+    mesh : Mesh
+        Its links to other processes.
     ready : bool
         Whether it takes new requests.
 
@@ -71,7 +73,7 @@
     """
     is_entry = Role.ENTRY in config.roles
     known = board.read(UpstreamsSection).upstreams if is_entry else ()
-    linked = sorted(peers, key=lambda peer: peer.node)
+    linked = sorted(mesh.peers, key=lambda peer: peer.node)
     return StatusView(
         config.node,
         tuple(role.value for role in config.roles),
@@ -83,6 +85,8 @@
         _control_view(config, board),
         _addresses(board, linked, is_entry),
         resident_kib(),
+        time.process_time(),
+        *mesh.traffic_bytes,
     )
 
 
