--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_held.py
@@ -0,0 +1,146 @@
+"""Holders of records: who is chosen, and what they answer."""
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from cranberryfield.core.messages.requests import (
+    EpochStart,
+    FindRecord,
+    OpenRecord,
+    ProgressItem,
+    RecordEnd,
+    TakeRecord,
+)
+from cranberryfield.entry.requests.held import (
+    HeldRecords,
+    drop_expired,
+    find_held,
+    open_held,
+    take_held,
+    take_progress,
+)
+from cranberryfield.entry.requests.holders import EntryHost, choose_holders
+
+NAME = ("releve", "key-1")
+LIMIT = 10_000
+WHOLE = RecordEnd(None)
+
+
+def opening(node="e1", run="r1", name=NAME):
+    return OpenRecord(*name, b"d", run, node)
+
+
+def taking(epoch, node="e2", run="r1"):
+    return TakeRecord(*NAME, b"d", run, epoch, node)
+
+
+def gaining(offset, events, epoch=0, runner="e1", run="r1", end=None, starts=()):
+    return ProgressItem(*NAME, b"d", run, epoch, runner, starts, offset, events, end)
+
+
+FIND = FindRecord(*NAME)
+AB, C = (b"a", b"b"), (b"c",)
+
+# Messages, then what the last one gives: a length, or granted, known, epoch
+# and events.
+HISTORIES = [
+    ("new", [opening()], (True, False, 0, ())),
+    ("not known", [FIND], (False, False, 0, ())),
+    ("known", [opening(), opening("e2")], (False, True, 0, ())),
+    ("gains", [opening(), gaining(0, AB), gaining(2, C)], 3),
+    ("gains unopened", [gaining(0, AB)], 2),
+    ("resent", [gaining(0, AB), gaining(0, AB)], 2),
+    ("gap", [gaining(0, AB), gaining(3, C)], -1),
+    ("gap at the start", [gaining(1, C)], -1),
+    ("taken", [gaining(0, AB), taking(1)], (True, True, 1, AB)),
+    ("taken, resent", [gaining(0, AB), taking(1), taking(1)], (True, True, 1, AB)),
+    (
+        "two take it",
+        [gaining(0, AB), taking(1), taking(1, "e3")],
+        (False, True, 1, AB),
+    ),
+    ("old runner", [gaining(0, AB), taking(1), gaining(2, C)], -2),
+    (
+        "new runner had less",
+        [gaining(0, AB), gaining(2, C), gaining(2, (b"x",), 1, "e2"), FIND],
+        (False, True, 1, (b"a", b"b", b"x")),
+    ),
+    ("other run", [gaining(0, AB), gaining(0, C, run="r2")], -2),
+    (
+        "other run after the end",
+        [gaining(0, AB, end=WHOLE), gaining(0, C, run="r2")],
+        1,
+    ),
+    ("taken, ended", [gaining(0, AB, end=WHOLE), taking(1)], (True, True, 1, AB)),
+    ("no memory", [gaining(0, (b"x" * LIMIT,))], -3),
+]  # fmt: skip
+
+
+def apply(section, message, limit=LIMIT):
+    match message:
+        case OpenRecord():
+            return open_held(section, message, 0.0, limit)
+        case TakeRecord():
+            return take_held(section, message, 0.0)
+        case ProgressItem():
+            return take_progress(section, message, 0.0, limit)
+    return find_held(section, message)
+
+
+def size_of(held):
+    end = len(held.end.body) if held.end else 0
+    return 512 + sum(map(len, held.events)) + end
+
+
+@pytest.mark.parametrize(
+    ("messages", "expected"),
+    [row[1:] for row in HISTORIES],
+    ids=[row[0] for row in HISTORIES],
+)
+def test_history(messages, expected):
+    section = HeldRecords()
+    result = [apply(section, message) for message in messages][-1]
+    if isinstance(result, int):
+        assert result == expected
+    else:
+        seen = (result.granted, result.is_known, result.epoch, result.events)
+        assert seen == expected
+    assert section.used_bytes == sum(map(size_of, section.records.values()))
+
+
+def test_memory_is_made_by_forgetting_ended_records_only():
+    section = HeldRecords()
+    apply(section, gaining(0, AB, end=WHOLE))
+    others = [opening(name=("releve", f"key-{number}")) for number in range(2, 5)]
+    answers = [apply(section, one, 512 * 3 + 100) for one in others]
+    assert [one.granted for one in answers] == [True, True, True]
+    assert not apply(section, FIND).is_known
+    refused = apply(section, opening(name=("releve", "key-9")), 512 * 3 + 100)
+    assert (refused.granted, refused.is_known) == (False, False)
+    drop_expired(section, 100.0, 50.0)
+    assert (section.used_bytes, len(section.records)) == (0, 0)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    zones=strategies.lists(strategies.sampled_from("xyz"), min_size=2, max_size=9),
+    gone=strategies.integers(0, 8),
+    key=strategies.text(min_size=1, max_size=8),
+)
+def test_a_holder_stays_when_one_host_goes(zones, gone, key):
+    hosts = [EntryHost(f"e{place}", zone) for place, zone in enumerate(zones)]
+    before = choose_holders(hosts, "w", key)
+    zone_of = {host.node: host.data_centre for host in hosts}
+    assert len(before) == 2
+    if len(set(zones)) > 1:
+        assert zone_of[before[0]] != zone_of[before[1]]
+    del hosts[gone % len(hosts)]
+    after = choose_holders(hosts, "w", key)
+    assert set(before) & set(after)
+
+
+def test_starts_travel_with_progress():
+    section = HeldRecords()
+    starts = (EpochStart(1, 2),)
+    apply(section, gaining(0, AB, 1, "e2", starts=starts))
+    assert apply(section, FIND).starts == starts
