--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/__init__.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/__init__.py
@@ -1,7 +1,14 @@
 """The data folder: identity, lock, segments of the log, and the snapshot."""
 
-from cranberryfield.control.storage.folder import DataFolder
+from cranberryfield.control.storage.folder import DataFolder, is_folder_in_use
 from cranberryfield.control.storage.journal import Journal, LoadedLog
 from cranberryfield.control.storage.snapshots import SnapshotHead, SnapshotStore
 
-__all__ = ["DataFolder", "Journal", "LoadedLog", "SnapshotHead", "SnapshotStore"]
+__all__ = [
+    "DataFolder",
+    "Journal",
+    "LoadedLog",
+    "SnapshotHead",
+    "SnapshotStore",
+    "is_folder_in_use",
+]
