Bound retries per service and spread refused callers

The setting retry_budget was not applied: a refused request was tried up to 8 times. Retries after attempts that were not run now cost budget; what follows a reclaim or a crash is free.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -129,7 +129,10 @@
     async def _wait(self, request: Request, waiting: _Waiting) -> None:
         while not waiting.decided.is_set() and self._clock() < request.deadline:
             left_s = request.deadline - self._clock()
-            with anyio.move_on_after(min(RECOUNT_S, left_s)):
+            # All who wait together count the places this often.
+            count = self._queues[request.service].count_waiting()
+            recount_s = RECOUNT_S * max(1, count)
+            with anyio.move_on_after(min(recount_s, left_s)):
                 await waiting.decided.wait()
             if not waiting.decided.is_set():
                 self._admit(request.service)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/retries/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/retries/__init__.py
@@ -1,5 +1,15 @@
 """Bounds retries and tells refused callers when to come back."""
 
+from cranberryfield.entry.retries.budget import (
+    RetrySection,
+    note_first_attempt,
+    take_retry,
+)
 from cranberryfield.entry.retries.spread import spread_retry_after_s
 
-__all__ = ["spread_retry_after_s"]
+__all__ = [
+    "RetrySection",
+    "note_first_attempt",
+    "spread_retry_after_s",
+    "take_retry",
+]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/retries/spread.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/retries/spread.py
@@ -4,7 +4,7 @@
 
 __all__ = ["spread_retry_after_s"]
 
-MIN_RETRY_AFTER_S = 0.5
+MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 30.0
 
 
@@ -12,7 +12,8 @@
     """Return a time to come back, different for each refused caller.
 
     Callers that are refused together would return together. The time is
-    spread evenly over once to twice the time for which there is work.
+    spread evenly over once to three times that for which there is work: the
+    header has whole seconds only.
 
     Parameters
     ----------
@@ -28,8 +29,8 @@
 
     Examples
     --------
-    >>> 2.0 <= spread_retry_after_s(2.0, Random(1)) <= 4.0
+    >>> 2.0 <= spread_retry_after_s(2.0, Random(1)) <= 6.0
     True
     """
     base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, backlog_s))
-    return base_s * (1.0 + rng.random())
+    return base_s * (1.0 + 2.0 * rng.random())
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/chooser.py
@@ -16,7 +16,14 @@
     fresh_upstreams,
     usable_upstreams,
 )
+from cranberryfield.entry.membership.section import has_lease
 from cranberryfield.entry.requests.request import Request
+from cranberryfield.entry.retries import (
+    RetrySection,
+    note_first_attempt,
+    spread_retry_after_s,
+    take_retry,
+)
 from cranberryfield.entry.routing.choose import (
     Dispatch,
     DispatchSection,
@@ -59,12 +66,15 @@
     Returns
     -------
     Chooser
-        Raises `UnavailableError` of kind ``no_upstream`` without candidates.
+        Raises `UnavailableError` of kind ``no_upstream`` without candidates, or
+        ``upstream_failed`` when the service's retry budget is spent. What an
+        upstream that has left or crashed did not finish costs no budget.
     """
     settings = board.read(SettingsSection)
     upstreams = board.read(UpstreamsSection)
     dispatched = board.read(DispatchSection)
     prefixes = board.read(PrefixSection)
+    retries = board.read(RetrySection)
     model = RoutingModel()
 
     drained_at: tuple[SettingsTree | None, frozenset[UpstreamId]] = (None, frozenset())
@@ -87,6 +97,25 @@
             return PromptPrefix()
         return prompt_prefix(request.body)
 
+    def check_budget(
+        request: Request, tried: frozenset[UpstreamId], ran_before: bool
+    ) -> None:
+        if not tried:
+            ratio = request.settings.retry_budget
+            note_first_attempt(retries, request.service, ratio)
+            return
+        now = clock()
+        known = (upstreams.upstreams.get(name) for name in tried)
+        left = any(one is None or not has_lease(one, now) for one in known)
+        if ran_before or left or take_retry(retries, request.service):
+            return
+        raise UnavailableError(
+            ErrorKind.UPSTREAM_FAILED,
+            f"the upstreams of {request.service} refuse too many requests",
+            was_run=WasRun.NO,
+            retry_after_s=spread_retry_after_s(NO_UPSTREAM_RETRY_S, rng),
+        )
+
     def choose(
         request: Request, tried: frozenset[UpstreamId], ran_before: bool
     ) -> KnownUpstream:
@@ -97,11 +126,12 @@
             for known in fresh_upstreams(upstreams, request.service, now)
             if known.record.upstream not in drained
         ]
-        candidates = usable_upstreams(candidates, now)
         untried = [one for one in candidates if one.record.upstream not in tried]
+        candidates = usable_upstreams(untried or candidates, now)
+        check_budget(request, tried, ran_before)
         prefix = prefix_of(request)
         chosen = choose_upstream(
-            untried or candidates,
+            candidates,
             dispatched,
             prefixes,
             prefix,
@@ -115,7 +145,7 @@
                 ErrorKind.NO_UPSTREAM,
                 f"no upstream of {request.service} is in service",
                 was_run=WasRun.UNKNOWN if ran_before else WasRun.NO,
-                retry_after_s=NO_UPSTREAM_RETRY_S,
+                retry_after_s=spread_retry_after_s(NO_UPSTREAM_RETRY_S, rng),
             )
         upstream = chosen.known.record.upstream
         note_own_dispatch(dispatched, upstream, Dispatch(now, chosen.prefill_tokens))
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -37,6 +37,7 @@
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
+from cranberryfield.entry.retries import RetrySection
 from cranberryfield.entry.routing import (
     DispatchSection,
     PrefixSection,
@@ -155,6 +156,7 @@
         records = board.add(RecordsSection())
         dispatched = board.add(DispatchSection())
         prefixes = board.add(PrefixSection())
+        board.add(RetrySection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
         peers = board.add(PeersSection(config.node_id))
