Refuse at once without upstreams, and count places by what can serve

Requests waited in the queue while long runs ended on a leaving upstream and no other was left. Without a fresh upstream they now go through to the routing, which refuses; runs that end on leaving or drained upstreams take no place of the others. The mesh's TLS contexts get a module of their own.

--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -1,6 +1,5 @@
 """All links of one process: listening, dialling, and handing messages over."""
 
-import ssl
 from collections.abc import Awaitable, Callable
 from hmac import compare_digest
 
@@ -20,6 +19,7 @@
 )
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh.link import Link
+from cranberryfield.core.mesh.tls import client_tls, server_tls
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.codec import (
     MAX_FRAME_BYTES,
@@ -266,7 +266,7 @@
                 ping_interval=PING_INTERVAL_S,
                 ping_timeout=PING_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
-                ssl=_server_tls(self._tls),
+                ssl=server_tls(self._tls),
             ),
         ):
             task_status.started()
@@ -301,7 +301,7 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
             close_timeout=CLOSE_TIMEOUT_S,
-            ssl=_client_tls(self._tls),
+            ssl=client_tls(self._tls),
             proxy=None,
         ) as connection:
             await connection.send(self._greeting())
@@ -402,21 +402,3 @@
             reply = Failure(ErrorKind.INTERNAL.value, "the handler failed")
         if reply is not None:
             link.send(Envelope(EnvelopeKind.REPLY, envelope.call, reply))
-
-
-def _server_tls(files: TlsFiles | None) -> ssl.SSLContext | None:
-    if files is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(files.certificate, files.private_key)
-    context.load_verify_locations(files.authority)
-    context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
-def _client_tls(files: TlsFiles | None) -> ssl.SSLContext | None:
-    if files is None:
-        return None
-    context = ssl.create_default_context(cafile=files.authority)
-    context.load_cert_chain(files.certificate, files.private_key)
-    return context
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/tls.py
@@ -0,0 +1,27 @@
+"""Mutual TLS between processes of the system."""
+
+import ssl
+
+from cranberryfield.core.config.daemon import TlsFiles
+
+__all__ = ["client_tls", "server_tls"]
+
+
+def server_tls(files: TlsFiles | None) -> ssl.SSLContext | None:
+    """Return the context that demands a certificate; None without files."""
+    if files is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(files.certificate, files.private_key)
+    context.load_verify_locations(files.authority)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def client_tls(files: TlsFiles | None) -> ssl.SSLContext | None:
+    """Return the context that shows a certificate; None without files."""
+    if files is None:
+        return None
+    context = ssl.create_default_context(cafile=files.authority)
+    context.load_cert_chain(files.certificate, files.private_key)
+    return context
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -10,6 +10,7 @@
 from cranberryfield.core.clock import Clock, monotonic_clock
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.ids import ServiceName
+from cranberryfield.entry.admission.places import UNLIMITED_PLACES
 from cranberryfield.entry.admission.queue import (
     QueueState,
     Ticket,
@@ -25,7 +26,6 @@
 
 #: Places are counted again after this time while requests wait, in seconds.
 RECOUNT_S = 0.05
-UNLIMITED_PLACES = 1_000_000
 RATE_SMOOTHING = 0.05
 
 #: Returns how many requests of a service may run at once.
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/places.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/places.py
@@ -5,6 +5,8 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.ids import ServiceName, UpstreamId
+from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.settings.tree import upstream_is_drained
 from cranberryfield.entry.membership import (
     KnownUpstream,
     PeersSection,
@@ -14,11 +16,12 @@
 )
 from cranberryfield.entry.routing.choose import DispatchSection
 
-__all__ = ["make_places", "service_places"]
+__all__ = ["UNLIMITED_PLACES", "make_places", "service_places"]
 
 #: Places given out beyond the capacity, so that a batch is never short of work.
 OVERCOMMIT = 1.1
-#: Without any upstream a few requests go on, to be refused by the routing.
+#: Without any upstream requests go on at once, to be refused by the routing.
+UNLIMITED_PLACES = 1_000_000
 MIN_PLACES = 1
 
 
@@ -43,7 +46,7 @@
         the other hosts leave theirs unused.
     """
     if not fresh:
-        return MIN_PLACES
+        return UNLIMITED_PLACES
     capacity = sum(known.record.capacity for known in fresh)
     own = sum(in_flight.get(known.record.upstream, 0) for known in fresh)
     others = 0
@@ -62,11 +65,34 @@
     upstreams = board.read(UpstreamsSection)
     peers = board.read(PeersSection)
     dispatched = board.read(DispatchSection)
+    settings = board.read(SettingsSection)
 
     def places(service: ServiceName) -> int:
         now = clock()
-        fresh = fresh_upstreams(upstreams, service, now)
+        fresh = [
+            known
+            for known in fresh_upstreams(upstreams, service, now)
+            if not upstream_is_drained(settings.tree, known.record.upstream)
+        ]
         hosts = len(live_peers(peers, now))
-        return service_places(fresh, dispatched.in_flight, hosts)
+        ending = _runs_elsewhere(upstreams, dispatched, service, fresh)
+        return ending + service_places(fresh, dispatched.in_flight, hosts)
 
     return places
+
+
+def _runs_elsewhere(
+    upstreams: UpstreamsSection,
+    dispatched: DispatchSection,
+    service: ServiceName,
+    fresh: list[KnownUpstream],
+) -> int:
+    """Count runs on upstreams that leave; they take no place of the others."""
+    usable = {known.record.upstream for known in fresh}
+    return sum(
+        count
+        for upstream, count in dispatched.in_flight.items()
+        if upstream not in usable
+        and (known := upstreams.upstreams.get(upstream)) is not None
+        and known.record.service == service
+    )
