Refuse what is drained at the gate again

The rewritten gate had lost the check of the setting drained for services and workspaces; tests/test_client_commands.py showed it (two failures).

--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -132,15 +132,7 @@
         self._addresses.pop(node, None)
 
     def keep_standing(self, nodes: frozenset[NodeId]) -> None:
-        """Keep links open to exactly these peers, from this side.
-
-        Links to others stay until they are idle.
-
-        Parameters
-        ----------
-        nodes : frozenset of NodeId
-            Peers with a known address.
-        """
+        """Keep links open to exactly these peers, from this side."""
         if self._tasks is None:
             return
         for node in self._standing.keys() - nodes:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -27,6 +27,8 @@
 #: Places are counted again after this time while requests wait, in seconds.
 RECOUNT_S = 0.05
 RATE_SMOOTHING = 0.05
+#: What operators take out of use is asked for again after this time at least.
+DRAINED_S = 15.0
 
 #: Returns how many requests of a service may run at once.
 Places = Callable[[ServiceName], int]
@@ -100,9 +102,17 @@
         Raises
         ------
         UnavailableError
-            Of kind ``over_limit``, ``queue_full`` if there is no room to wait,
-            or ``deadline_exceeded`` if no place came in time; never run.
+            Of kind ``drained`` if operators have taken the workspace or the
+            service out of use, ``over_limit``, ``queue_full`` if there is no
+            room to wait, or ``deadline_exceeded`` if no place came in time;
+            never run.
         """
+        if request.settings.drained:
+            raise UnavailableError(
+                ErrorKind.DRAINED,
+                f"{request.workspace} at {request.service} takes no new requests",
+                retry_after_s=spread_retry_after_s(DRAINED_S, self._rng),
+            )
         await self._check_limit(request)
         waiting = _Waiting(_ticket(request))
         queue = self._queues[request.service]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/tests/test_gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/tests/test_gate.py
@@ -26,6 +26,7 @@
 
 REFUSALS = [
     ("passed deadline", {"deadline": 0.0}, ErrorKind.DEADLINE_EXCEEDED),
+    ("taken out of use", {"drained": True}, ErrorKind.DRAINED),
     ("no room to wait", {"queue_limit": 0}, ErrorKind.QUEUE_FULL),
 ]
 
