--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -15,6 +15,7 @@
     control,
     links,
     membership,
+    requests,
     settings,
 )
 from cranberryfield.core.messages.base import Message
@@ -33,7 +34,16 @@
 FRAME_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 
-_MODULES = (claims, commands, consensus, control, links, membership, settings)
+_MODULES = (
+    claims,
+    commands,
+    consensus,
+    control,
+    links,
+    membership,
+    requests,
+    settings,
+)
 _MESSAGE_TYPES = tuple(
     value
     for module in _MODULES
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -17,6 +17,7 @@
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.ids import Incarnation, NodeId
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.control import ReadTraffic, TrafficView
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
@@ -75,6 +76,7 @@
     board = Blackboard()
     board.add(SettingsSection())
     mesh = Mesh(_hello(config), config.mesh_key, config.tls)
+    mesh.handle(ReadTraffic, lambda sender, message: TrafficView(*mesh.traffic_bytes))
     metrics = Metrics.from_config(config.statsd, config.node)
     members = tuple(NodeId(member.node) for member in config.control)
     proposer = Proposer(mesh, members, monotonic_clock)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -13,6 +13,7 @@
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
+from cranberryfield.core.settings import effective_settings
 from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.callers import CallerApi
@@ -23,8 +24,12 @@
 from cranberryfield.entry.membership.peers import other_live_peers
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.claims import ClaimKeeper
+from cranberryfield.entry.requests.held import HeldRecords
+from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
+from cranberryfield.entry.requests.keeping import RecordKeeper
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.sharing import RecordSharing
 from cranberryfield.entry.routing import DispatchSection, make_chooser
 from cranberryfield.entry.settings import SettingsFollower
 
@@ -58,6 +63,8 @@
         Renews the leases of upstreams.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
+    sharing : RecordSharing
+        Records over all entry hosts.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         gossip: TableGossip,
         leases: LeaseKeeper,
         claims: ClaimKeeper,
+        sharing: RecordSharing,
     ):
         self._settings = settings
         self._records = records
@@ -79,6 +87,7 @@
         self._gossip = gossip
         self._leases = leases
         self._claims = claims
+        self._sharing = sharing
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -141,8 +150,26 @@
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
+        sharing = RecordSharing(
+            config.node_id,
+            lambda: entry_hosts(peers, EntryHost(config.node_id, config.zone)),
+            mesh,
+            records,
+            board.add(HeldRecords()),
+            lambda: effective_settings(settings.tree, None, None),
+            clock,
+        )
+        sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
         runtime = cls(
-            settings, records, follower, dispatcher, clock, gossip, leases, claims
+            settings,
+            records,
+            follower,
+            dispatcher,
+            clock,
+            gossip,
+            leases,
+            claims,
+            sharing,
         )
         runner = RequestRunner(
             make_chooser(board, config.zone, clock, rng),
@@ -150,6 +177,8 @@
             AdmissionGate(),
             dispatcher,
             claims,
+            sharing,
+            records,
             metrics,
             clock,
         )
@@ -159,6 +188,7 @@
             leases,
             runner,
             claims,
+            sharing,
             metrics,
             config.upstream_keys,
             runtime.is_ready,
@@ -193,6 +223,7 @@
             tasks.start_soon(self._leases.run)
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
+            tasks.start_soon(self._sharing.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
--- a/standins/control_client.py
+++ b/standins/control_client.py
@@ -44,7 +44,7 @@
     portal : anyio.from_thread.BlockingPortal
         Reaches the client's event loop.
     mesh : Mesh
-        Links to the control hosts.
+        Links to all hosts.
     proposer : Proposer
         Finds the leader.
     """
@@ -57,12 +57,27 @@
         """Put a command through the log."""
         return self.portal.call(self.proposer.propose, command, timeout_s)
 
+    def propose_all(self, commands: list[Message]) -> list[Message]:
+        """Put commands through the log, all at once and in any order."""
+        return self.portal.call(self._propose_all, commands)
+
+    async def _propose_all(self, commands: list[Message]) -> list[Message]:
+        results: list[Message] = []
+
+        async def propose(command: Message) -> None:
+            results.append(await self.proposer.propose(command, TIMEOUT_S))
+
+        async with anyio.create_task_group() as tasks:
+            for command in commands:
+                tasks.start_soon(propose, command)
+        return results
+
     def ask(self, request: Message, timeout_s: float = TIMEOUT_S) -> Message:
         """Ask the leader."""
         return self.portal.call(self.proposer.ask, request, timeout_s)
 
     def ask_node(self, node: str, request: Message) -> Message:
-        """Ask one control host."""
+        """Ask one host."""
         return self.portal.call(self._ask_linked, NodeId(node), request)
 
     async def _ask_linked(self, node: NodeId, request: Message) -> Message:
@@ -84,18 +99,19 @@
     Yields
     ------
     ControlClient
-        Dialling the control hosts.
+        Dialling all hosts.
     """
-    control = {
-        NodeId(node): host.mesh
+    control = tuple(
+        NodeId(node)
         for node, host in group.hosts.items()
         if "control" in host.plan.roles
-    }
+    )
     with start_blocking_portal() as portal:
         mesh = make_mesh("control-client")
-        proposer = Proposer(mesh, tuple(control), monotonic_clock)
+        proposer = Proposer(mesh, control, monotonic_clock)
         dials = [
-            portal.start_task_soon(mesh.dial, address) for address in control.values()
+            portal.start_task_soon(mesh.dial, host.mesh)
+            for host in group.hosts.values()
         ]
         try:
             yield ControlClient(portal, mesh, proposer)
--- a/tests/test_control_settings.py
+++ b/tests/test_control_settings.py
@@ -30,11 +30,13 @@
         self.client = client
         self.limit = 0
 
-    def change(self, timeout_s=15.0):
+    def command(self):
         self.limit += 1
         edit = LevelEdit("system", None, {"queue_limit": self.limit})
-        command = ChangeSettings(uuid.uuid4().hex, "test", (edit,))
-        return self.client.propose(command, timeout_s).revision
+        return ChangeSettings(uuid.uuid4().hex, "test", (edit,))
+
+    def change(self, timeout_s=15.0):
+        return self.client.propose(self.command(), timeout_s).revision
 
     def revision(self, node):
         return (self.group.status(node) or {}).get("settings_revision", -1)
@@ -130,8 +132,8 @@
     cluster.part(["entry-1", stale])
     cluster.wait_ready(["entry-1"], False)
     before = cluster.revision("entry-1")
-    for _ in range(MISSED_CHANGES):
-        revision = cluster.change()
+    commands = [cluster.command() for _ in range(MISSED_CHANGES)]
+    revision = max(one.revision for one in cluster.client.propose_all(commands))
     process = cluster.group.hosts["entry-1"].process
     process.kill()
     process.start()
