--- a/packages/cranberryfield-control/src/cranberryfield/control/operations.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/operations.py
@@ -41,7 +41,7 @@
 POLL_S = 0.02
 CHANGE_TIMEOUT_S = 10.0
 #: Time without a leader before a group may be replaced, in seconds.
-LEADERLESS_S = 3.0
+LEADERLESS_S = 2.0
 MAX_HISTORY = 500
 
 
--- a/tests/test_control_log.py
+++ b/tests/test_control_log.py
@@ -5,6 +5,7 @@
 
 import httpx
 import pytest
+import yaml
 
 from cranberryfield.core.errors import CranberryfieldError, ErrorKind
 from cranberryfield.core.messages.commands import ChangeSettings, LevelEdit
@@ -17,7 +18,7 @@
 )
 from standins.control_client import running_client
 from standins.group import HostPlan, running_group
-from standins.processes import Process, wait_until
+from standins.processes import Process, free_port, wait_until
 
 CONTROL = ["control-1", "control-2", "control-3"]
 HOSTS = [
@@ -150,7 +151,7 @@
     with pytest.raises(CranberryfieldError) as caught:
         group.client.propose(
             ChangeSettings("c", "t", (LevelEdit("system", None, {"queue_limit": 8}),)),
-            2.0,
+            1.2,
         )
     assert caught.value.kind is ErrorKind.NO_QUORUM
     host = group.hosts["entry-1"]
@@ -214,7 +215,10 @@
 
 
 def test_two_processes_on_one_folder(shared):
-    config = shared.folder / "control-1.yaml"
+    config = shared.folder / "second.yaml"
+    first = yaml.safe_load((shared.folder / "control-1.yaml").read_text())
+    ports = {name: f"127.0.0.1:{free_port()}" for name in ("mesh_bind", "callers")}
+    config.write_text(yaml.safe_dump({**first, **ports}))
     second = Process(
         "second", ["cranberryfield.daemon", "--config", str(config)], shared.folder
     )
