Carry out orders to engines so that a deposed leader's have no effect

An order is committed before it is sent, sent only once all earlier orders of its engine were seen carried out, and repeated under its id by a successor. What a deposed leader sends late is then a repetition, also on engines that ignore fencing numbers. Ruled out: waiting out the lease alone, which a process frozen after its check outlives.

--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -4,6 +4,7 @@
 
 from cranberryfield.control.claims import ClaimTable, apply_claim_command
 from cranberryfield.control.claims.machine import ClaimCommand
+from cranberryfield.control.orders import OrdersState, apply_order_command
 from cranberryfield.control.settings import (
     SettingsState,
     adopt_tree,
@@ -19,6 +20,7 @@
     RecordHosts,
     Refused,
 )
+from cranberryfield.core.messages.orders import ConfirmOrder, PlaceOrder
 from cranberryfield.core.settings import effective_settings
 
 __all__ = ["ControlState", "apply_command"]
@@ -35,11 +37,14 @@
         Non-idempotent requests.
     hosts : dict
         Entry hosts that must have every settings change, as keys.
+    orders : OrdersState
+        Orders to engines.
     """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
     claims: ClaimTable = msgspec.field(default_factory=ClaimTable)
     hosts: dict[NodeId, bool] = msgspec.field(default_factory=dict)
+    orders: OrdersState = msgspec.field(default_factory=OrdersState)
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
@@ -67,6 +72,8 @@
             for node in removed:
                 state.hosts.pop(node, None)
             return command
+        case PlaceOrder() | ConfirmOrder():
+            return apply_order_command(state.orders, command)
         case Noop():
             return command
     if isinstance(command, ClaimCommand):
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/orders/machine.py
@@ -0,0 +1,119 @@
+"""Applies order commands to the orders of each engine."""
+
+import msgspec
+
+from cranberryfield.core.errors import ErrorKind
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.messages.commands import Refused
+from cranberryfield.core.messages.orders import (
+    ConfirmOrder,
+    OrderAction,
+    OrderPlaced,
+    PlaceOrder,
+)
+
+__all__ = ["EngineOrders", "OrdersState", "PlacedOrder", "apply_order_command"]
+
+MAX_WAITING_PER_ENGINE = 64
+KEPT_REQUESTS = 1_000
+
+
+class PlacedOrder(msgspec.Struct, frozen=True, array_like=True):
+    """One order that waits to be carried out."""
+
+    order_id: str
+    action: OrderAction
+    name: str
+
+
+class EngineOrders(msgspec.Struct, array_like=True):
+    """The orders of one engine.
+
+    Attributes
+    ----------
+    address : str
+        Its ``IP:PORT``.
+    checks_fencing : bool
+        Whether it refuses old fencing numbers.
+    placed : int
+        Number of orders placed so far.
+    waiting : list of PlacedOrder
+        Those not confirmed yet, oldest first.
+    """
+
+    address: str
+    checks_fencing: bool
+    placed: int = 0
+    waiting: list[PlacedOrder] = msgspec.field(default_factory=list)
+
+
+class OrdersState(msgspec.Struct, array_like=True):
+    """All engines that were ever ordered, and the latest requests."""
+
+    engines: dict[UpstreamId, EngineOrders] = msgspec.field(default_factory=dict)
+    requests: dict[str, str] = msgspec.field(default_factory=dict)
+
+
+def apply_order_command(
+    state: OrdersState, command: PlaceOrder | ConfirmOrder
+) -> OrderPlaced | Refused | ConfirmOrder:
+    """Apply one committed command.
+
+    Parameters
+    ----------
+    state : OrdersState
+        Changed in place.
+    command : PlaceOrder or ConfirmOrder
+        The command; a resend has no further effect.
+
+    Returns
+    -------
+    OrderPlaced, Refused or ConfirmOrder
+        The result.
+
+    Examples
+    --------
+    >>> state = OrdersState()
+    >>> order = PlaceOrder("r", "e1", "127.0.0.1:1", OrderAction.LOAD_MODEL, "m")
+    >>> apply_order_command(state, order).order_id
+    'e1-1'
+    >>> apply_order_command(state, order).order_id
+    'e1-1'
+    >>> done = apply_order_command(state, ConfirmOrder("e1", "e1-1"))
+    >>> state.engines["e1"].waiting
+    []
+    """
+    if isinstance(command, ConfirmOrder):
+        _confirm(state, command)
+        return command
+    return _place(state, command)
+
+
+def _place(state: OrdersState, command: PlaceOrder) -> OrderPlaced | Refused:
+    known = state.requests.get(command.request_id)
+    if known is not None:
+        return OrderPlaced(known)
+    engine = state.engines.setdefault(
+        command.upstream, EngineOrders(command.address, command.checks_fencing)
+    )
+    if len(engine.waiting) >= MAX_WAITING_PER_ENGINE:
+        return Refused(
+            ErrorKind.QUEUE_FULL.value, f"too many orders wait for {command.upstream}"
+        )
+    engine.address = command.address
+    engine.checks_fencing = command.checks_fencing
+    engine.placed += 1
+    order_id = f"{command.upstream}-{engine.placed}"
+    engine.waiting.append(PlacedOrder(order_id, command.action, command.name))
+    state.requests[command.request_id] = order_id
+    if len(state.requests) > KEPT_REQUESTS:
+        del state.requests[next(iter(state.requests))]
+    return OrderPlaced(order_id)
+
+
+def _confirm(state: OrdersState, command: ConfirmOrder) -> None:
+    engine = state.engines.get(command.upstream)
+    if engine is not None:
+        engine.waiting = [
+            order for order in engine.waiting if order.order_id != command.order_id
+        ]
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -39,6 +39,7 @@
 )
 from cranberryfield.control.machine import ControlState, apply_command
 from cranberryfield.control.operations import Operations
+from cranberryfield.control.orders.issuer import OrderIssuer
 from cranberryfield.control.proposals import ProposalQueue
 from cranberryfield.control.reads import ReadQueue
 from cranberryfield.control.storage import SnapshotHead
@@ -114,6 +115,7 @@
         self._followers = Followers(
             section, board.read(SettingsSection), mesh, self.propose, clock
         )
+        self._issuer = OrderIssuer(section, self.propose, clock)
         self._operations = Operations(
             section,
             self._joining,
@@ -175,6 +177,7 @@
                 tasks.start_soon(self._joining.run)
                 tasks.start_soon(self._compactor.run)
                 tasks.start_soon(self._followers.run)
+                tasks.start_soon(self._issuer.run)
                 while True:
                     await self._wait_for_work()
                     actions = self._step_all()
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -15,6 +15,7 @@
     control,
     links,
     membership,
+    orders,
     requests,
     settings,
 )
@@ -41,6 +42,7 @@
     control,
     links,
     membership,
+    orders,
     requests,
     settings,
 )
--- /dev/null
+++ b/tests/test_control_orders.py
@@ -0,0 +1,146 @@
+"""Orders to engines of both kinds, with a leader deposed in mid-order (I8)."""
+
+import anyio
+import pytest
+from anyio.from_thread import start_blocking_portal
+
+from cranberryfield.core.messages.orders import OrderAction, PlaceOrder
+from standins.control_client import running_client
+from standins.engine import Fencing
+from standins.group import HostPlan, running_group
+from standins.processes import free_port, wait_until
+
+CONTROL = ["control-1", "control-2", "control-3"]
+HOSTS = [
+    *(HostPlan(node, "plateau", ("control",)) for node in CONTROL),
+    HostPlan("entry-1", "plateau"),
+]
+ENGINES = {"checking": Fencing.CHECK, "ignoring": Fencing.IGNORE}
+
+
+class LateFirst:
+    """Forwards connections to an engine; holds the first one until released."""
+
+    def __init__(self, target_port):
+        self.port = free_port()
+        self.held = False
+        self.released = False
+        self.delivered = False
+        self._target_port = target_port
+
+    async def run(self, *, task_status):
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        )
+        task_status.started()
+        await listener.serve(self._forward)
+
+    async def _forward(self, client):
+        is_first = not self.held
+        self.held = True
+        try:
+            request = await client.receive()
+            while is_first and not self.released:
+                await anyio.sleep(0.01)
+            async with await anyio.connect_tcp(
+                "127.0.0.1", self._target_port
+            ) as engine:
+                await engine.send(request)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._copy, client, engine)
+                    async for data in engine:
+                        self.delivered = self.delivered or is_first
+                        await client.send(data)
+                    tasks.cancel_scope.cancel()
+        except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+            return
+
+    async def _copy(self, source, sink):
+        # What the sender gave up still reaches the receiver.
+        try:
+            async for data in source:
+                await sink.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+
+def engine_port(group, name):
+    known = group.known_upstreams("entry-1")
+    return next(int(u["address"].split(":")[1]) for u in known if u["upstream"] == name)
+
+
+def leader_of(group, nodes=CONTROL):
+    found = []
+
+    def find():
+        for node in nodes:
+            view = group.status(node)
+            if view and view["control"]["role"] == "leader":
+                found.append(node)
+        return bool(found)
+
+    wait_until(find, "a leader")
+    return found[-1]
+
+
+def place(client, engine, address, name):
+    order = PlaceOrder(
+        f"{engine}-{name}",
+        engine,
+        address,
+        OrderAction.LOAD_MODEL,
+        name,
+        ENGINES[engine] is Fencing.CHECK,
+    )
+    return client.propose(order).order_id
+
+
+def orders_in(group, engine):
+    """Return id and fencing number of each order that had an effect."""
+    return [
+        (entry.detail.split()[0], int(entry.detail.split()[1]))
+        for entry in group.journal()
+        if entry.upstream == engine and entry.event == "order"
+    ]
+
+
+@pytest.fixture(scope="module")
+def group(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("orders")
+    with running_group(folder, HOSTS) as group:
+        for name, fencing in ENGINES.items():
+            group.add_engine(name, "redacteur", "plateau", fencing=fencing)
+        group.wait_upstreams(len(ENGINES))
+        yield group
+
+
+@pytest.mark.parametrize("engine", ENGINES)
+def test_a_deposed_leader_in_mid_order_has_no_effect(group, engine):
+    late = LateFirst(engine_port(group, engine))
+    address = f"127.0.0.1:{late.port}"
+    with start_blocking_portal() as portal, running_client(group) as client:
+        portal.start_task(late.run)
+        first = place(client, engine, address, "first")
+        wait_until(lambda: late.held, "an order is under way")
+        deposed = leader_of(group)
+        group.hosts[deposed].process.freeze()
+        leader_of(group, [node for node in CONTROL if node != deposed])
+        second = place(client, engine, address, "second")
+        wait_until(
+            lambda: [id for id, _ in orders_in(group, engine)] == [first, second],
+            "the successor has carried out both",
+        )
+        before = orders_in(group, engine)
+        late.released = True
+        group.hosts[deposed].process.thaw()
+        wait_until(lambda: late.delivered, "the late order arrives")
+        third = place(client, engine, address, "third")
+        wait_until(
+            lambda: third in [id for id, _ in orders_in(group, engine)], "the third"
+        )
+        portal.call(portal.stop, True)
+    after = orders_in(group, engine)
+    assert after[: len(before)] == before
+    assert [id for id, _ in after] == [first, second, third]
+    terms = [term for _, term in after]
+    assert terms == sorted(terms)
