--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/replica.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/replica.py
@@ -37,7 +37,7 @@
         covers clocks that run at different rates.
     """
 
-    heartbeat_s: float = 0.15
+    heartbeat_s: float = 0.2
     election_min_s: float = 0.6
     election_max_s: float = 1.2
     lease_ratio: float = 0.9
--- a/packages/cranberryfield-control/src/cranberryfield/control/orders/issuer.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/orders/issuer.py
@@ -17,6 +17,7 @@
 __all__ = ["OrderIssuer"]
 
 POLL_S = 0.05
+IDLE_POLL_S = 0.2
 RETRY_S = 0.5
 
 logger = structlog.get_logger(__name__)
@@ -59,7 +60,7 @@
             while True:
                 if self._section.replica.role is ReplicaRole.LEADER:
                     self._issue_due(http, tasks)
-                await anyio.sleep(POLL_S)
+                await anyio.sleep(POLL_S if self._in_flight else IDLE_POLL_S)
 
     def _issue_due(self, http: httpx.AsyncClient, tasks: TaskGroup) -> None:
         replica = self._section.replica
