Check only what a change touches, and push the first change too

Applying a change checked the whole tree: 99 ms with 4,220 levels, so that a batch of changes held up heartbeats.

The client for orders is made with the first order; it held 2 MB before.

--- a/packages/cranberryfield-control/src/cranberryfield/control/followers.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/followers.py
@@ -131,7 +131,7 @@
         removed = tuple(name for name in before.levels if name not in tree.levels)
         delta = SettingsDelta(before.revision, tree.revision, changed, removed)
         for node in self._hosts:
-            if before.revision and self._is_heard(node):
+            if self._is_heard(node):
                 self._mesh.send(node, delta)
 
     def _on_follow(self, sender: NodeId, message: FollowSettings) -> SettingsSnapshot:
--- a/packages/cranberryfield-control/src/cranberryfield/control/orders/issuer.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/orders/issuer.py
@@ -53,6 +53,8 @@
 
     async def run(self) -> None:
         """Issue orders until cancelled."""
+        while not self._section.state.orders.engines:
+            await anyio.sleep(IDLE_POLL_S)
         async with (
             httpx.AsyncClient(timeout=ORDER_TIMEOUT_S, trust_env=False) as http,
             anyio.create_task_group() as tasks,
--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/machine.py
@@ -71,7 +71,8 @@
         tree = _edited(state.tree, change.edits, revision)
     except ControlError as error:
         return Refused(error.kind.value, _with_winner(state, error, change))
-    faults = check_tree(tree)
+    changed = frozenset(edit.level for edit in change.edits)
+    faults = check_tree(tree, changed)
     if faults:
         return Refused(ErrorKind.INVALID_SETTING.value, "; ".join(faults))
     state.changes[change.change_id] = SettingsChange(
--- a/packages/cranberryfield-control/src/cranberryfield/control/settings/tests/test_machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/settings/tests/test_machine.py
@@ -1,3 +1,5 @@
+from random import Random
+
 import pytest
 
 from cranberryfield.control.followers import removed_levels
@@ -8,7 +10,7 @@
     difference,
     history,
 )
-from cranberryfield.control.settings.machine import KEPT_CHANGES
+from cranberryfield.control.settings.machine import KEPT_CHANGES, _edited
 from cranberryfield.core.errors import ControlError
 from cranberryfield.core.messages.commands import (
     AdoptSettings,
@@ -18,7 +20,7 @@
     SettingsAccepted,
 )
 from cranberryfield.core.messages.settings import FollowSettings
-from cranberryfield.core.settings import LevelState, SettingsTree
+from cranberryfield.core.settings import LevelState, SettingsTree, check_tree
 from cranberryfield.core.settings.follow import SettingsSection, take_changes
 from cranberryfield.core.settings.slices import SliceSource, next_slice
 
@@ -135,6 +137,33 @@
     ]
 
 
+RANDOM_EDITS = [
+    ("system", {"default_priority": "batch"}),
+    ("system", {"priority_classes": ["standard"]}),
+    ("service/s", {"kind": "plain"}),
+    ("service/s", {"default_priority": "interactive"}),
+    ("workspace/w", {"default_priority": "batch"}),
+    ("workspace/w/service/s", {"default_priority": "interactive"}),
+    ("workspace/w/service/t", {"queue_limit": 1}),
+    ("service/t", {"kind": "model"}),
+]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_looking_at_what_changed_finds_what_the_whole_check_finds(seed):
+    rng, state = Random(seed), SettingsState()
+    for number in range(60):
+        level, values = rng.choice(RANDOM_EDITS)
+        removes = rng.random() < 0.4
+        one = edit(level, unset=tuple(values)) if removes else edit(level, values)
+        before = state.tree
+        result = change(state, str(number), one)
+        assert check_tree(state.tree) == []
+        if isinstance(result, Refused):
+            assert state.tree is before
+            assert check_tree(_edited(before, (one,), before.revision + 1))
+
+
 def fetch(state, section, source):
     """Fetch what a node lacks, slice by slice; return the number of slices."""
     levels, request, count = {}, FollowSettings(section.tree.revision), 0
--- a/packages/cranberryfield-core/src/cranberryfield/core/settings/tree.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/settings/tree.py
@@ -151,13 +151,16 @@
     return bool(level is not None and level.values.get("drained", False))
 
 
-def check_tree(tree: SettingsTree) -> list[str]:
+def check_tree(tree: SettingsTree, changed: frozenset[str] | None = None) -> list[str]:
     """Find what in a whole tree cannot work together.
 
     Parameters
     ----------
     tree : SettingsTree
         A tree in which each single value fits the schema.
+    changed : frozenset of str, optional
+        Levels in which it differs from a sound tree; only these and the levels
+        that inherit from them are looked at.
 
     Returns
     -------
@@ -174,6 +177,8 @@
     """
     found = []
     for name in tree.levels:
+        if changed is not None and not _inherits(name, changed):
+            continue
         level = parse_level(name)
         if level.kind is LevelKind.WORKSPACE_SERVICE:
             if f"service/{level.service}" not in tree.levels:
@@ -191,3 +196,11 @@
                 "is not among priority_classes"
             )
     return found
+
+
+def _inherits(name: str, changed: frozenset[str]) -> bool:
+    """Say whether a level is among those changed or inherits from one."""
+    if name in changed or "system" in changed:
+        return True
+    workspace, separator, service = name.partition("/service/")
+    return bool(separator) and (workspace in changed or f"service/{service}" in changed)
