Report a change only once half of the entry hosts have it

In the first seconds of a partition the leader still counted hosts that it had lost, and reported a change that the cut-off majority of entry hosts never saw while it went on serving. A change is now reported once half of the hosts have it; hosts without a confirmation reach more than half, so that one of them has it. No host is added while half are out of reach.

--- a/packages/cranberryfield-control/src/cranberryfield/control/followers.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/followers.py
@@ -22,6 +22,7 @@
     AdoptSettings,
     ChangeSettings,
     RecordHosts,
+    SettingsAccepted,
 )
 from cranberryfield.core.messages.control import HoldersView
 from cranberryfield.core.messages.settings import (
@@ -48,6 +49,9 @@
 #: Time for hosts to report what a replaced group lost, in seconds.
 ADOPTION_S = 3.0
 POLL_S = 0.05
+#: Longest wait for hosts to have a committed change, in seconds.
+HELD_WAIT_S = 0.8
+HELD_POLL_S = 0.005
 REGISTER_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 1.0
 
@@ -227,8 +231,48 @@
             adopted_at = replica.leader_since + ADOPTION_S
             if self._ahead is not None or self._clock() < adopted_at:
                 return False
-        heard = sum(self._is_heard(node) for node in state.hosts)
-        return heard * 2 >= len(state.hosts)
+        return self._reaches_half()
+
+    def _reaches_half(self) -> bool:
+        hosts = self._section.state.hosts
+        return sum(map(self._is_heard, hosts)) * 2 >= len(hosts)
+
+    async def wait_held(self, result: Message) -> None:
+        """Return once half of the entry hosts have a committed change in force.
+
+        A host that is cut off from control serves only while it reaches more
+        than half of them, so that it then meets one that has the change.
+
+        Parameters
+        ----------
+        result : Message
+            Result of a command; others than accepted changes are not held up.
+
+        Raises
+        ------
+        ControlError
+            Of kind ``no_quorum`` if too few hosts have the change in time. It
+            is committed, and the same change sent again is accepted once they
+            have it.
+        """
+        if not isinstance(result, SettingsAccepted):
+            return
+        with anyio.move_on_after(HELD_WAIT_S):
+            while not self._is_held(result.revision):
+                await anyio.sleep(HELD_POLL_S)
+            return
+        raise ControlError(
+            ErrorKind.NO_QUORUM,
+            f"revision {result.revision} is not in force on half of the entry "
+            "hosts yet; send the same change again to see it accepted",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _is_held(self, revision: Revision) -> bool:
+        hosts = self._section.state.hosts
+        known = [self._hosts[node] for node in hosts if node in self._hosts]
+        held = sum(host.revision >= revision for host in known)
+        return held * 2 >= len(hosts)
 
     async def run(self) -> None:
         """Keep the list of entry hosts in the log until cancelled."""
@@ -245,6 +289,9 @@
         now = self._clock()
         since = self._section.replica.leader_since
         added = [node for node in self._hosts if node not in known]
+        if not self._reaches_half():
+            # The others may serve by the old number of hosts.
+            added = []
         removed = []
         for node in known:
             host = self._hosts.get(node)
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -349,4 +349,6 @@
     async def _on_propose(self, sender: NodeId, message: Propose) -> Message:
         command = decode_message(message.command)
         await self._followers.wait_writable(command)
-        return await self.propose(message.command)
+        result = await self.propose(message.command)
+        await self._followers.wait_held(result)
+        return result
