--- a/bench/load/generator.py
+++ b/bench/load/generator.py
@@ -53,7 +53,7 @@
     tokens: int = 0
     refusals: Counter = field(default_factory=Counter)
     refused_s: list[float] = field(default_factory=list)
-    _events: int = 0
+    _last_id: str = ""
     _last_s: float | None = None
 
     @property
@@ -151,8 +151,8 @@
     """Return how long to wait before coming back, or None for never."""
     arrival = result.arrival
     headers = target.headers(arrival)
-    if result._events:
-        headers["Last-Event-ID"] = str(result._events)
+    if result._last_id:
+        headers["Last-Event-ID"] = result._last_id
     asked = time.monotonic()
     async with client.stream(
         "POST", f"http://{host}{target.path(arrival)}", content=_body(arrival),
@@ -187,7 +187,7 @@
 
 def _take_line(line: str, result: RequestResult, now_s: float) -> None:
     if line.startswith("id: "):
-        result._events = int(line[len("id: ") :])
+        result._last_id = line.removeprefix("id: ")
     elif line == "data: [DONE]":
         result.ended_s = now_s
     elif line.startswith("event: "):
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -13,6 +13,7 @@
     check_planned_stop,
     check_prefix,
     check_refusals,
+    check_traced,
     check_whole,
 )
 from tests.matrix.faults import FAULTS, Fault
@@ -136,6 +137,7 @@
         *check_prefix(mine),
         *check_not_run(mine, journal),
         *check_once(mine, journal),
+        *check_traced(mine, journal),
         *check_leaving(journal),
         *check_planned_stop(accepted, scene.stops),
         *check_orders(journal),
--- a/tests/matrix/checks.py
+++ b/tests/matrix/checks.py
@@ -24,6 +24,7 @@
     "check_planned_stop",
     "check_prefix",
     "check_refusals",
+    "check_traced",
     "check_whole",
 ]
 
@@ -127,6 +128,16 @@
     return wrong
 
 
+def check_traced(transcripts: list[Transcript], journal: list[Entry]) -> list[str]:
+    """Check that each answer's run is in a journal, so that no check is void."""
+    return [
+        f"traced {one.key}: an answer without a run in any journal"
+        for one in transcripts
+        if one.is_whole
+        and not any(_is_run(entry) for entry in _of_key(journal, one.key))
+    ]
+
+
 def check_leaving(journal: list[Entry]) -> list[str]:
     """I5: an upstream gets no new work later than 3 s after its leave."""
     left = {
--- a/tests/matrix/test_checks.py
+++ b/tests/matrix/test_checks.py
@@ -79,6 +79,8 @@
      (caller(WHOLE), [run("started", 2), run("resumed", 3, "v")]), {}, 1),
     ("I4 idempotent", "once",
      (caller(WHOLE, idempotent=True), [run("started", 2), run("started", 3)]), {}, 0),
+    ("traced", "traced", (caller(WHOLE), [run("started", 2)]), {}, 0),
+    ("not traced", "traced", (caller(WHOLE), [run("started", 2, key="kk")]), {}, 1),
     ("I5 in time", "leaving", ([run("leaving", 1), run("refused", 3.9)],), {}, 0),
     ("I5 late", "leaving", ([run("leaving", 1), run("started", 4.1)],), {}, 1),
     ("I5 late and refused", "leaving", ([run("leaving", 1), run("refused", 4.1)],), {},
