--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/preflight.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/preflight.py
@@ -9,6 +9,7 @@
 import ssl
 from pathlib import Path
 
+from cranberryfield.control.storage import is_folder_in_use
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.config.daemon import split_address
 from cranberryfield.core.errors import (
@@ -80,6 +81,8 @@
         return [_storage_error(f"data_folder: {existing} is not a folder")]
     if not os.access(existing, os.W_OK | os.X_OK):
         return [_storage_error(f"data_folder: {existing} cannot be written")]
+    if is_folder_in_use(folder):
+        return [_storage_error(f"{folder}: another process holds the folder")]
     return []
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -39,7 +39,7 @@
 from cranberryfield.entry.requests.request import Request
 from cranberryfield.entry.requests.section import RecordsSection
 from cranberryfield.entry.requests.sharing import JoinedAs, RecordSharing
-from cranberryfield.entry.routing import Chooser, DispatchSection
+from cranberryfield.entry.routing import AttemptObserver, Chooser, DispatchSection
 
 __all__ = ["RequestRunner"]
 
@@ -69,6 +69,8 @@
         Counters and histograms.
     clock : Clock
         Monotonic time.
+    observe : AttemptObserver
+        Told how each attempt ended.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         records: RecordsSection,
         metrics: Metrics,
         clock: Clock,
+        observe: AttemptObserver,
     ):
         self._choose = choose
         self._dispatched = dispatched
@@ -92,6 +95,7 @@
         self._records = records
         self._metrics = metrics
         self._clock = clock
+        self._observe = observe
 
     async def run(self, record: RequestRecord) -> None:
         """Run a request and put its end into the record.
@@ -232,6 +236,7 @@
             upstream = self._choose(request, frozenset(tried), ran_before)
             tried.add(upstream.record.upstream)
             end, outcome = await self._start_attempt(record, claim, upstream)
+            self._observe(upstream, end)
             attempts += 1
             ran_before = ran_before or end.result is AttemptResult.BROKEN
             step = after_attempt(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
@@ -125,6 +125,7 @@
             RecordsSection(),
             Metrics(),
             clock,
+            lambda upstream, end: None,
         )
 
     async def book(self):
--- a/tests/matrix/table.py
+++ b/tests/matrix/table.py
@@ -20,4 +20,4 @@
 
 def all_scenarios() -> list[Scenario]:
     """Return every scenario, in the order of the table."""
-    return request_scenarios() + special_scenarios() + control_scenarios()
+    return special_scenarios() + request_scenarios() + control_scenarios()
