Give no port twice, and let a worker outlive a group that did not start

Ports are drawn at random and bound later; with some 40 a group the same one was drawn twice in about one start of 25 by reckoning, and one start of a group was seen to lack an upstream for 30 s, which ended its worker: appended/cut-tail did not run.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -17,12 +17,19 @@
 #: Below the ports that operating systems give to outgoing connections.
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a port on 127.0.0.1 that nobody listens on now."""
+    """Return a port on 127.0.0.1 that nobody listens on now.
+
+    No port is returned twice, as it may not have been bound yet.
+    """
     while True:
         port = randint(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with socket.socket() as probe:
             if probe.connect_ex(("127.0.0.1", port)) == 0:
                 continue
--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -32,17 +32,25 @@
     """Run scenarios, in a group of their own after one that broke it."""
     left = list(enumerate(scenarios))
     while left:
-        with matrix_group() as group:
-            while left:
-                turn, scenario = left.pop(0)
-                began = time.monotonic()
-                results = _run_one(scenario, group, turn)
-                spent_s = time.monotonic() - began
-                for result in results:
-                    _print_result(result, spent_s)
-                if scenario.own_group or any("Error" in w for r in results
-                                             for w in r.wrong):  # fmt: skip
-                    break
+        try:
+            with matrix_group() as group:
+                _run_until_broken(group, left)
+        except TimeoutError as error:
+            _, scenario = left.pop(0)
+            for cell in scenario.cells:
+                _print_result(CellResult(cell, [f"no group: {error}"]), 0.0)
+
+
+def _run_until_broken(group: Group, left: list[tuple[int, Scenario]]) -> None:
+    while left:
+        turn, scenario = left.pop(0)
+        began = time.monotonic()
+        results = _run_one(scenario, group, turn)
+        for result in results:
+            _print_result(result, time.monotonic() - began)
+        is_broken = any("Error" in what for one in results for what in one.wrong)
+        if scenario.own_group or is_broken:
+            return
 
 
 def _print_result(result: CellResult, spent_s: float) -> None:
