--- /dev/null
+++ b/bench/measure_control.py
@@ -0,0 +1,322 @@
+"""Measures the control group: claims, settings in force, elections, rest."""
+
+import os
+import statistics
+import tempfile
+import time
+import uuid
+from contextlib import contextmanager
+from pathlib import Path
+
+import anyio
+import httpx
+
+from bench.figures import Figure
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.messages.claims import OpenClaim
+from cranberryfield.core.messages.commands import ChangeSettings, LevelEdit
+from cranberryfield.core.messages.control import ReadHolders, ReadTraffic
+from cranberryfield.core.proposals import Proposer
+from standins.control_client import ControlClient, make_mesh, running_client
+from standins.group import Group, HostPlan, running_group
+from standins.processes import wait_until
+
+__all__ = ["measure"]
+
+CONTROL = [f"control-{number}" for number in (1, 2, 3)]
+CLAIMS = 20_000
+CONCURRENT_CLAIMS = 32
+CHANGES = 20
+MISSED_CHANGES = 500
+ELECTIONS = 4
+REST_S = 6.0
+REST_ENTRY_HOSTS = (3, 6, 9)
+TIMEOUT_S = 15.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+TARGET_CLAIMS_PER_S = 2000
+TARGET_CLAIM_P95_S = 0.020
+TARGET_IN_FORCE_S = 1.0
+TARGET_RESTART_S = 2.0
+TARGET_ELECTION_S = 2.0
+TARGET_REST_BYTES_PER_S = 6000
+TARGET_REST_CORE = 0.026
+TARGET_REST_BYTES = 64e6
+
+
+def _plans(entry_hosts: int) -> list[HostPlan]:
+    control = [HostPlan(node, "plateau", ("control",)) for node in CONTROL]
+    entry = [
+        HostPlan(f"entry-{number + 1}", "plateau") for number in range(entry_hosts)
+    ]
+    return control + entry
+
+
+@contextmanager
+def _group(entry_hosts: int):
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        running_group(Path(folder), _plans(entry_hosts)) as group,
+        running_client(group) as client,
+    ):
+        wait_until(
+            lambda: len(client.ask(ReadHolders(0)).holders) == entry_hosts,
+            "all entry hosts follow",
+        )
+        yield group, client
+
+
+def _change(client: ControlClient, limit: int) -> int:
+    edit = LevelEdit("system", None, {"queue_limit": limit})
+    change = ChangeSettings(uuid.uuid4().hex, "bench", (edit,))
+    return client.propose(change).revision
+
+
+def _percentile(values: list[float], percent: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
+
+
+async def _claim_load(addresses: dict[NodeId, str]) -> tuple[float, list[float]]:
+    mesh = make_mesh("bench-load")
+    latencies: list[float] = []
+    async with anyio.create_task_group() as dials:
+        for address in addresses.values():
+            dials.start_soon(mesh.dial, address)
+        while not all(mesh.is_linked(node) for node in addresses):
+            await anyio.sleep(0.01)
+        proposer = Proposer(mesh, tuple(addresses), monotonic_clock)
+        await proposer.propose(_claim("first"), TIMEOUT_S)
+        started = time.perf_counter()
+        async with anyio.create_task_group() as load:
+            for worker in range(CONCURRENT_CLAIMS):
+                load.start_soon(_claim_often, proposer, worker, latencies)
+        elapsed_s = time.perf_counter() - started
+        dials.cancel_scope.cancel()
+    return elapsed_s, latencies
+
+
+async def _claim_often(proposer: Proposer, worker: int, latencies: list[float]) -> None:
+    for number in range(CLAIMS // CONCURRENT_CLAIMS):
+        started = time.perf_counter()
+        await proposer.propose(_claim(f"{worker}-{number}"), TIMEOUT_S)
+        latencies.append(time.perf_counter() - started)
+
+
+def _claim(key: str) -> OpenClaim:
+    digest = b"d" * 32
+    return OpenClaim("notary", key, digest, "bench-load", "session", key, 600_000)
+
+
+def _measure_claims() -> list[Figure]:
+    with _group(0) as (group, _):
+        addresses = {NodeId(node): group.hosts[node].mesh for node in CONTROL}
+        elapsed_s, latencies = anyio.run(_claim_load, addresses)
+    note = f"{CONCURRENT_CLAIMS} at a time, one client process, synced"
+    return [
+        Figure(
+            "control.claims_per_s",
+            len(latencies) / elapsed_s,
+            "1/s",
+            TARGET_CLAIMS_PER_S,
+            True,
+            note,
+        ),
+        Figure(
+            "control.claim_p95",
+            _percentile(latencies, 95),
+            "s",
+            TARGET_CLAIM_P95_S,
+            note=note,
+        ),
+        Figure("control.claim_p50", _percentile(latencies, 50), "s", note=note),
+    ]
+
+
+def _measure_settings() -> list[Figure]:
+    with _group(9) as (group, client):
+        times = [_time_in_force(client, limit) for limit in range(1, CHANGES + 1)]
+        restart_s = _time_restart(group, client)
+        elections = [_time_election(group, client) for _ in range(ELECTIONS)]
+    return [
+        Figure(
+            "settings.in_force_p50",
+            statistics.median(times),
+            "s",
+            TARGET_IN_FORCE_S,
+            note=f"{CHANGES} changes, 9 entry hosts, read back through the leader",
+        ),
+        Figure("settings.in_force_max", max(times), "s", 4.0),
+        Figure(
+            "settings.restart",
+            restart_s,
+            "s",
+            TARGET_RESTART_S,
+            note=f"from the start of a process that missed {MISSED_CHANGES} changes",
+        ),
+        Figure(
+            "control.election_max",
+            max(elections),
+            "s",
+            TARGET_ELECTION_S,
+            note=f"{ELECTIONS} leaders killed; until a change is accepted",
+        ),
+        Figure("control.election_p50", statistics.median(elections), "s"),
+    ]
+
+
+def _time_in_force(client: ControlClient, limit: int) -> float:
+    started = time.perf_counter()
+    revision = _change(client, limit)
+    while len(client.ask(ReadHolders(revision)).holders) < 9:
+        time.sleep(0.005)
+    return time.perf_counter() - started
+
+
+def _time_restart(group: Group, client: ControlClient) -> float:
+    process = group.hosts["entry-1"].process
+    process.kill()
+    for limit in range(MISSED_CHANGES):
+        revision = _change(client, limit)
+    started = time.perf_counter()
+    process.start()
+    url = f"http://{group.hosts['entry-1'].callers}/healthz/ready"
+    wait_until(lambda: _is_ready(url), "the restarted host is ready")
+    elapsed_s = time.perf_counter() - started
+    if group.status("entry-1")["settings_revision"] < revision:
+        raise RuntimeError("a host was ready with old settings")
+    return elapsed_s
+
+
+def _is_ready(url: str) -> bool:
+    try:
+        return httpx.get(url, trust_env=False).is_success
+    except httpx.HTTPError:
+        return False
+
+
+def _leader(group: Group) -> str:
+    found: list[str] = []
+
+    def find() -> bool:
+        for node in CONTROL:
+            view = group.status(node)
+            if view and view["control"]["role"] == "leader":
+                found.append(node)
+        return bool(found)
+
+    wait_until(find, "a leader")
+    return found[-1]
+
+
+def _time_election(group: Group, client: ControlClient) -> float:
+    leader = _leader(group)
+    process = group.hosts[leader].process
+    process.kill()
+    started = time.perf_counter()
+    _change(client, 1)
+    elapsed_s = time.perf_counter() - started
+    process.start()
+    wait_until(
+        lambda: (view := group.status(leader)) and view["control"]["leader"],
+        "the killed host follows",
+    )
+    return elapsed_s
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def _memory_bytes(pid: int) -> int:
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def _bytes_by_node(group: Group, client: ControlClient) -> dict[str, int]:
+    views = {node: client.ask_node(node, ReadTraffic()) for node in group.hosts}
+    return {node: view.sent + view.received for node, view in views.items()}
+
+
+def _measure_rest(entry_hosts: int) -> dict[str, dict[str, float]]:
+    """Return bytes a second, cores and memory of three kinds of node at rest."""
+    with _group(entry_hosts) as (group, client):
+        _change(client, 1)
+        leader = _leader(group)
+        time.sleep(1.0)
+        pids = {node: host.process.pid for node, host in group.hosts.items()}
+        cpu_before = {node: _cpu_s(pid) for node, pid in pids.items()}
+        bytes_before = _bytes_by_node(group, client)
+        started = time.perf_counter()
+        time.sleep(REST_S)
+        elapsed_s = time.perf_counter() - started
+        bytes_after = _bytes_by_node(group, client)
+        kinds = {
+            "leader": [leader],
+            "follower": [node for node in CONTROL if node != leader],
+            "entry": [node for node in pids if node not in CONTROL],
+        }
+        return {
+            kind: {
+                "bytes_per_s": statistics.mean(
+                    (bytes_after[node] - bytes_before[node]) / elapsed_s
+                    for node in nodes
+                ),
+                "cores": statistics.mean(
+                    (_cpu_s(pids[node]) - cpu_before[node]) / elapsed_s
+                    for node in nodes
+                ),
+                "memory": statistics.mean(_memory_bytes(pids[node]) for node in nodes),
+            }
+            for kind, nodes in kinds.items()
+        }
+
+
+def _slope(sizes: tuple[int, ...], values: list[float]) -> float:
+    return statistics.linear_regression(sizes, values).slope
+
+
+def _measure_slopes() -> list[Figure]:
+    rests = [_measure_rest(size) for size in REST_ENTRY_HOSTS]
+    targets = {
+        "bytes_per_s": ("B/s", TARGET_REST_BYTES_PER_S),
+        "cores": ("core", TARGET_REST_CORE),
+        "memory": ("B", TARGET_REST_BYTES),
+    }
+    sizes = ", ".join(map(str, REST_ENTRY_HOSTS))
+    figures = []
+    for kind in ("leader", "follower", "entry"):
+        for name, (unit, target) in targets.items():
+            values = [rest[kind][name] for rest in rests]
+            figures.append(
+                Figure(
+                    f"rest.{kind}.{name}",
+                    values[-1],
+                    unit,
+                    target,
+                    note=f"3 control and {REST_ENTRY_HOSTS[-1]} entry hosts, "
+                    f"{REST_S:g} s, payload on the mesh",
+                )
+            )
+            figures.append(
+                Figure(
+                    f"rest.{kind}.{name}_per_entry_host",
+                    _slope(REST_ENTRY_HOSTS, values),
+                    f"{unit} per host",
+                    note=f"slope over {sizes} entry hosts",
+                )
+            )
+    return figures
+
+
+def measure() -> list[Figure]:
+    """Measure the control group.
+
+    Returns
+    -------
+    list of Figure
+        Throughput, times and what a node spends at rest.
+    """
+    return [*_measure_claims(), *_measure_settings(), *_measure_slopes()]
--- a/packages/cranberryfield-control/src/cranberryfield/control/followers.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/followers.py
@@ -75,6 +75,8 @@
     tuple of str or None
         The levels; None if the changes since then are not all kept.
     """
+    if revision >= state.tree.revision:
+        return ()
     kept = [one for one in state.changes.values() if one.revision > revision]
     if len(kept) != state.tree.revision - revision:
         return None
