--- a/standins/group.py
+++ b/standins/group.py
@@ -219,6 +219,15 @@
             if options.service == service
         ]
 
+    def upstream_port(self, upstream: str) -> int:
+        """Return the port that an upstream binds."""
+        return self._options[upstream][1].port
+
+    def remove_upstream(self, upstream: str) -> None:
+        """End an upstream's process for good; its journal stays."""
+        self.upstreams.pop(upstream).kill()
+        del self._options[upstream]
+
     def restart_upstream(self, id: str, **options) -> None:
         """End an upstream's process and start it with some options changed."""
         self.upstreams[id].kill()
--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -1,11 +1,13 @@
 """Runs the matrix: ``python -m tests.matrix [--only TEXT]``."""
 
+import logging
 import subprocess
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Annotated
 
+import structlog
 from cyclopts import App, Parameter
 
 from standins.group import Group
@@ -84,6 +86,10 @@
         one for one in all_scenarios() if any(only in cell for cell in one.cells)
     ]
     if share >= 0:
+        # The client of the control group logs in this process.
+        structlog.configure(
+            wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+        )
         _run_share(scenarios[share::WORKERS])
         return 0
     with ThreadPoolExecutor(WORKERS) as pool:
@@ -95,8 +101,9 @@
 def _conclude(scenarios: list[Scenario], lines: list[str]) -> int:
     verdicts = {}
     for line in lines:
-        verdict, cell, *_ = line.split(" ")
-        verdicts[cell] = verdict
+        if line.startswith((f"{PASS} ", f"{FAIL} ")):
+            verdict, cell, *_ = line.split(" ")
+            verdicts[cell] = verdict
     entries = read_known_red()
     failed = 0
     for cell in (cell for scenario in scenarios for cell in scenario.cells):
