--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -1,11 +1,13 @@
 """Runs the matrix: ``python -m tests.matrix [--only TEXT]``."""
 
+import logging
 import subprocess
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Annotated
 
+import structlog
 from cyclopts import App, Parameter
 
 from standins.group import Group
@@ -32,17 +34,25 @@
     """Run scenarios, in a group of their own after one that broke it."""
     left = list(enumerate(scenarios))
     while left:
-        with matrix_group() as group:
-            while left:
-                turn, scenario = left.pop(0)
-                began = time.monotonic()
-                results = _run_one(scenario, group, turn)
-                spent_s = time.monotonic() - began
-                for result in results:
-                    _print_result(result, spent_s)
-                if scenario.own_group or any("Error" in w for r in results
-                                             for w in r.wrong):  # fmt: skip
-                    break
+        try:
+            with matrix_group() as group:
+                _run_until_broken(group, left)
+        except TimeoutError as error:
+            _, scenario = left.pop(0)
+            for cell in scenario.cells:
+                _print_result(CellResult(cell, [f"no group: {error}"]), 0.0)
+
+
+def _run_until_broken(group: Group, left: list[tuple[int, Scenario]]) -> None:
+    while left:
+        turn, scenario = left.pop(0)
+        began = time.monotonic()
+        results = _run_one(scenario, group, turn)
+        for result in results:
+            _print_result(result, time.monotonic() - began)
+        is_broken = any("Error" in what for one in results for what in one.wrong)
+        if scenario.own_group or is_broken:
+            return
 
 
 def _print_result(result: CellResult, spent_s: float) -> None:
@@ -76,6 +86,10 @@
         one for one in all_scenarios() if any(only in cell for cell in one.cells)
     ]
     if share >= 0:
+        # The client of the control group logs in this process.
+        structlog.configure(
+            wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+        )
         _run_share(scenarios[share::WORKERS])
         return 0
     with ThreadPoolExecutor(WORKERS) as pool:
@@ -87,8 +101,9 @@
 def _conclude(scenarios: list[Scenario], lines: list[str]) -> int:
     verdicts = {}
     for line in lines:
-        verdict, cell, *_ = line.split(" ")
-        verdicts[cell] = verdict
+        if line.startswith((f"{PASS} ", f"{FAIL} ")):
+            verdict, cell, *_ = line.split(" ")
+            verdicts[cell] = verdict
     entries = read_known_red()
     failed = 0
     for cell in (cell for scenario in scenarios for cell in scenario.cells):
