Move runs off leaving upstreams and silent connections, stop crashing requests

Cause: runs were cut at their upstream's reclaim and processed again; silence was noticed after a fixed 10 s; a crashing request was retried everywhere.

Change: one watch over all attempts decides by measured token gap; KV caches are exported and imported; requests in flight in a crash are marked on all hosts, suspects take turns on an upstream, and the second crash is final.

Ruled out: freeing a suspect's place after some tokens; the innocent one was refused with the culprit in the test.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
@@ -53,6 +53,8 @@
     ----------
     home : NodeId
         Entry host at which the upstream announces itself.
+    leave_ms : int
+        For one that leaves, time from its notice to its end, in milliseconds.
     """
 
     upstream: UpstreamId
@@ -68,6 +70,7 @@
     leaving: bool = False
     load: LoadReport = LoadReport()
     home: NodeId = NodeId("")
+    leave_ms: int = 0
 
 
 class UpstreamUpdate(Message):
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/requests.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/requests.py
@@ -1,18 +1,29 @@
 """Messages about the records of requests, between entry hosts."""
 
-from cranberryfield.core.ids import NodeId, RequestKey, RunId, WorkspaceId
+from cranberryfield.core.ids import (
+    Incarnation,
+    NodeId,
+    RequestKey,
+    RunId,
+    UpstreamId,
+    WorkspaceId,
+)
 from cranberryfield.core.messages.base import Message, NestedRecord
 
 __all__ = [
+    "CrashNoted",
     "EpochStart",
     "FindRecord",
     "FollowRecord",
+    "LeavePlace",
     "OpenRecord",
+    "PlaceTaken",
     "ProgressItem",
     "ProgressTaken",
     "RecordCopy",
     "RecordEnd",
     "RecordProgress",
+    "TakePlace",
     "TakeRecord",
 ]
 
@@ -112,6 +123,56 @@
     end: RecordEnd | None = None
 
 
+class CrashNoted(Message):
+    """Requests that were in flight when an upstream crashed.
+
+    Attributes
+    ----------
+    upstream, incarnation
+        What crashed.
+    fingerprints : tuple of bytes
+        The requests.
+    age_ms : int
+        How long ago the sender noticed, in milliseconds.
+    """
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+    fingerprints: tuple[bytes, ...]
+    age_ms: int = 0
+
+
+class TakePlace(Message):
+    """Asks whether a suspected request may run on an upstream.
+
+    Attributes
+    ----------
+    upstream : UpstreamId
+        The upstream.
+    fingerprint : bytes
+        The request.
+    keep_ms : int
+        For how long other suspects are to stay away, in milliseconds.
+    """
+
+    upstream: UpstreamId
+    fingerprint: bytes
+    keep_ms: int
+
+
+class PlaceTaken(Message):
+    """Reply to a `TakePlace`."""
+
+    granted: bool
+
+
+class LeavePlace(Message):
+    """Says that other suspects may run on an upstream again."""
+
+    upstream: UpstreamId
+    fingerprint: bytes
+
+
 class ProgressItem(NestedRecord):
     """What one record has gained.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/settings/schema.py
@@ -78,6 +78,13 @@
         Retries allowed per first attempt, as a ratio.
     silence_factor : float
         A stream silent for this many token gaps is abandoned.
+    silence_floor_ms : int
+        Shortest silence for which a stream is abandoned, in milliseconds.
+    reclaim_margin_ms : int
+        How long before an upstream goes its runs are moved, in milliseconds.
+    entry_reclaim_ms : int
+        Time from the notice to the end of a reclaimed entry host, in
+        milliseconds.
     first_token_target_ms, token_gap_target_ms : int
         Latency targets at the 95th percentile, in milliseconds.
     key_hashes : tuple of str
@@ -106,6 +113,9 @@
     claim_lease_ms: Milliseconds = 3_000
     claim_holder_lease_ms: Milliseconds = 6_000
     retry_budget: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
+    silence_floor_ms: Milliseconds = 2_000
+    reclaim_margin_ms: Milliseconds = 800
+    entry_reclaim_ms: Milliseconds = 2_000
     silence_factor: Annotated[float, msgspec.Meta(ge=2, le=1000)] = 8.0
     first_token_target_ms: Milliseconds = 340
     token_gap_target_ms: Milliseconds = 28
@@ -140,6 +150,9 @@
     "claim_holder_lease_ms": _SYSTEM_ONLY,
     "retry_budget": _SERVICE_WIDE,
     "silence_factor": _SERVICE_WIDE,
+    "silence_floor_ms": _SERVICE_WIDE,
+    "reclaim_margin_ms": _SERVICE_WIDE,
+    "entry_reclaim_ms": _SYSTEM_ONLY,
     "share": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
     "rate_limit_per_s": _WORKSPACE_ONLY | {LevelKind.WORKSPACE_SERVICE},
     "key_hashes": _WORKSPACE_ONLY,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/dispatch/dispatcher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/dispatch/dispatcher.py
@@ -4,8 +4,10 @@
 import msgspec
 
 from cranberryfield.core.clock import Clock
+from cranberryfield.core.ids import RunId
 from cranberryfield.entry.dispatch.framing import DONE, EventSplitter
 from cranberryfield.entry.membership import KnownUpstream
+from cranberryfield.entry.requests.attempts import Attempt, KvMove
 from cranberryfield.entry.requests.lifecycle import AttemptEnd, AttemptResult
 from cranberryfield.entry.requests.records import Outcome, RequestRecord
 from cranberryfield.entry.requests.request import Request
@@ -14,6 +16,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 10.0
+MOVE_TIMEOUT_S = 0.5
 RUN_HEADER = "Cranberryfield-Run"
 STATUS_OK = 200
 #: Statuses by which an upstream says that it has not started the run.
@@ -70,30 +73,29 @@
     def _client(self, request: Request) -> httpx.AsyncClient:
         return self._pooled if request.idempotent else self._fresh
 
-    async def run_completion(
-        self, record: RequestRecord, upstream: KnownUpstream
-    ) -> AttemptEnd:
+    async def run_completion(self, attempt: Attempt) -> AttemptEnd:
         """Run a completion, from where the record's events end.
 
         Parameters
         ----------
-        record : RequestRecord
-            Gains the events that arrive.
-        upstream : KnownUpstream
-            The engine.
+        attempt : Attempt
+            Its record gains the events that arrive, its upstream is the
+            engine. Whoever watches the attempt bounds its silence.
 
         Returns
         -------
         AttemptEnd
             How the attempt ended.
         """
+        record, upstream = attempt.record, attempt.upstream
         request = record.request
+        client = self._fresh if attempt.needs_fresh else self._client(request)
         path, body = request.path, _streaming_body(request.body)
-        if record.events:
+        if record.events or attempt.has_kv:
             path = f"/runs/{record.run}/resume"
             body = _resume_body(record, body)
         try:
-            async with self._client(request).stream(
+            async with client.stream(
                 "POST",
                 f"http://{upstream.record.address}{path}",
                 content=body,
@@ -101,15 +103,66 @@
                     "Content-Type": "application/json",
                     RUN_HEADER: record.run,
                 },
+                timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
             ) as response:
                 if response.status_code != STATUS_OK:
                     return _refusal(response.status_code)
-                return await _collect_events(record, response)
+                attempt.was_answered = True
+                return await _collect_events(attempt, response, self._clock)
         except _NOT_WRITTEN as error:
             return AttemptEnd(AttemptResult.NOT_RUN, _describe(error))
         except httpx.HTTPError as error:
             return AttemptEnd(AttemptResult.BROKEN, _describe(error))
 
+    async def move_kv(
+        self, run: RunId, source: KnownUpstream, target: KnownUpstream
+    ) -> KvMove:
+        """Move a run's KV cache from one engine to another, which ends it there.
+
+        Parameters
+        ----------
+        run : RunId
+            The run.
+        source, target : KnownUpstream
+            The engines; the same one to go on over another connection.
+
+        Returns
+        -------
+        KvMove
+            Whether the target has the cache, and whether the source answered.
+        """
+        address = source.record.address
+        try:
+            exported = await self._fresh.post(
+                f"http://{address}/runs/{run}/export", timeout=MOVE_TIMEOUT_S
+            )
+        except httpx.HTTPError:
+            return KvMove.UNREACHABLE
+        if exported.status_code != STATUS_OK:
+            return KvMove.NOT_MOVED
+        address = target.record.address
+        try:
+            imported = await self._fresh.post(
+                f"http://{address}/runs/import",
+                content=exported.content,
+                headers={"Content-Type": "application/json"},
+                timeout=MOVE_TIMEOUT_S,
+            )
+        except httpx.HTTPError:
+            return KvMove.NOT_MOVED
+        return KvMove.MOVED if imported.is_success else KvMove.NOT_MOVED
+
+    async def has_crashed(self, upstream: KnownUpstream) -> bool:
+        """Say whether an engine's process is gone while its host answers."""
+        address = upstream.record.address
+        try:
+            await self._fresh.get(f"http://{address}/load", timeout=CONNECT_TIMEOUT_S)
+        except httpx.TimeoutException:
+            return False
+        except httpx.HTTPError:
+            return True
+        return False
+
     async def call_service(
         self, record: RequestRecord, upstream: KnownUpstream
     ) -> tuple[AttemptEnd, Outcome | None]:
@@ -209,16 +262,19 @@
 
 
 async def _collect_events(
-    record: RequestRecord, response: httpx.Response
+    attempt: Attempt, response: httpx.Response, clock: Clock
 ) -> AttemptEnd:
+    record, gap = attempt.record, attempt.gap
     splitter = EventSplitter()
     async for chunk in response.aiter_raw():
         payloads = splitter.feed(chunk)
-        if DONE in payloads:
-            record.add_events(payloads[: payloads.index(DONE)])
+        if not payloads:
+            continue
+        gap.note(clock(), len(payloads))
+        if payloads[-1] == DONE:
+            record.add_events(payloads[:-1])
             return AttemptEnd(AttemptResult.FINISHED)
-        if payloads:
-            record.add_events(payloads)
+        record.add_events(payloads)
     return AttemptEnd(AttemptResult.BROKEN, "the stream ended before its last event")
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/announcements.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/announcements.py
@@ -255,6 +255,7 @@
             incarnation=Incarnation(leave.incarnation),
             sequence=known.record.sequence + 1,
             leaving=True,
+            leave_ms=leave.deadline_ms,
         )
     merge_record(section, record, now)
     return record
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/attempts.py
@@ -0,0 +1,215 @@
+"""The attempts that run from this host, watched for silence and reclaims."""
+
+from collections.abc import Callable
+from enum import Enum
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import CranberryfieldError
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.settings import ServiceKind
+from cranberryfield.entry.membership import KnownUpstream, UpstreamsSection
+from cranberryfield.entry.requests.records import RequestRecord
+from cranberryfield.entry.requests.recovery import (
+    MoveCause,
+    TokenGap,
+    requested_tokens,
+    should_move,
+    silence_limit_s,
+)
+
+__all__ = ["Attempt", "AttemptWatch", "KvMove"]
+
+WATCH_INTERVAL_S = 0.1
+#: Wait for the events that a stream still carries after its run was exported.
+TAIL_S = 1.0
+FIRST_EVENT_S = 10.0
+MS_PER_S = 1000
+
+logger = structlog.get_logger(__name__)
+
+
+class KvMove(Enum):
+    """Results of moving a run's KV cache; see `Dispatcher.move_kv`."""
+
+    MOVED = "moved"
+    NOT_MOVED = "not moved"
+    UNREACHABLE = "unreachable"
+
+
+class Attempt:
+    """One run on one upstream.
+
+    Parameters
+    ----------
+    record : RequestRecord
+        The request's record.
+    upstream : KnownUpstream
+        Where it runs.
+    now : float
+        Monotonic time in seconds.
+    after : Attempt, optional
+        The attempt that this one goes on from.
+    """
+
+    def __init__(
+        self,
+        record: RequestRecord,
+        upstream: KnownUpstream,
+        now: float,
+        after: "Attempt | None" = None,
+    ):
+        self.record = record
+        self.upstream = upstream
+        self.scope = anyio.CancelScope()
+        self.started_at = now
+        self.gap = TokenGap(now)
+        self.events_before = len(record.events)
+        #: Whether the upstream has this run's KV cache.
+        self.has_kv = after is not None and after.kv_moved
+        #: Whether a new connection is to be opened.
+        self.needs_fresh = after is not None and after.cause is MoveCause.SILENT
+        #: Whether the upstream has begun to answer.
+        self.was_answered = False
+        self.cause: MoveCause | None = None
+        self.target: KnownUpstream | None = None
+        self.kv_moved = False
+        self.ended = anyio.Event()
+        #: Set once a move has decided where the run goes on.
+        self.is_settled = anyio.Event()
+
+    @property
+    def gained(self) -> int:
+        """Number of events that came in this attempt."""
+        return len(self.record.events) - self.events_before
+
+
+class AttemptWatch:
+    """Moves attempts away from upstreams that leave and silent connections.
+
+    Parameters
+    ----------
+    upstreams : UpstreamsSection
+        The table of upstreams.
+    choose : callable
+        Chooses another upstream; see `Chooser`.
+    move_kv : callable
+        Moves a run's KV cache; see `Dispatcher.move_kv`.
+    tasks : anyio.abc.TaskGroup
+        Where moves run.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        upstreams: UpstreamsSection,
+        choose: Callable,
+        move_kv: Callable,
+        tasks: TaskGroup,
+        clock: Clock,
+    ):
+        self._upstreams = upstreams
+        self._choose = choose
+        self._move_kv = move_kv
+        self._tasks = tasks
+        self._clock = clock
+        self._running: dict[UpstreamId, set[Attempt]] = {}
+        self._leave_at: dict[tuple[UpstreamId, int], float] = {}
+
+    def add(self, attempt: Attempt) -> None:
+        """Watch an attempt."""
+        name = attempt.upstream.record.upstream
+        self._running.setdefault(name, set()).add(attempt)
+
+    def remove(self, attempt: Attempt) -> None:
+        """Watch an attempt no more."""
+        name = attempt.upstream.record.upstream
+        self._running[name].discard(attempt)
+        if not self._running[name]:
+            del self._running[name]
+        attempt.ended.set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            now = self._clock()
+            for name, attempts in list(self._running.items()):
+                left_s = self._time_left_s(name, now)
+                for attempt in list(attempts):
+                    self._check(attempt, left_s, now)
+
+    def _time_left_s(self, name: UpstreamId, now: float) -> float | None:
+        """Return the time until an upstream goes; None if it does not leave."""
+        known = self._upstreams.upstreams.get(name)
+        if known is None or not known.record.leaving:
+            return None
+        start = (name, known.record.incarnation)
+        leave_s = known.record.leave_ms / MS_PER_S
+        return self._leave_at.setdefault(start, now + leave_s) - now
+
+    def _check(self, attempt: Attempt, left_s: float | None, now: float) -> None:
+        request = attempt.record.request
+        if attempt.cause is not None or request.settings.kind is ServiceKind.PLAIN:
+            return
+        settings = request.settings
+        limit_s = silence_limit_s(
+            attempt.gap,
+            settings.silence_factor,
+            settings.silence_floor_ms / MS_PER_S,
+            FIRST_EVENT_S,
+        )
+        if now - attempt.gap.heard_at > limit_s:
+            self._start_move(attempt, MoveCause.SILENT)
+        elif left_s is not None and request.idempotent:
+            total = requested_tokens(request.body)
+            tokens_left = None if total is None else total - len(attempt.record.events)
+            margin_s = settings.reclaim_margin_ms / MS_PER_S
+            if should_move(tokens_left, attempt.gap.mean_s, left_s, margin_s):
+                self._start_move(attempt, MoveCause.LEAVING)
+
+    def _start_move(self, attempt: Attempt, cause: MoveCause) -> None:
+        attempt.cause = cause
+        if attempt.record.request.idempotent:
+            self._tasks.start_soon(self._move, attempt)
+        else:
+            attempt.is_settled.set()
+            attempt.scope.cancel()
+
+    async def _move(self, attempt: Attempt) -> None:
+        try:
+            await self._move_run(attempt)
+        finally:
+            attempt.is_settled.set()
+
+    async def _move_run(self, attempt: Attempt) -> None:
+        record, source = attempt.record, attempt.upstream
+        target = source
+        if attempt.cause is MoveCause.LEAVING:
+            tried = frozenset({source.record.upstream})
+            try:
+                target = self._choose(record.request, tried, True)
+            except CranberryfieldError:
+                attempt.cause = None
+                return
+        result = await self._move_kv(record.run, source, target)
+        logger.info(
+            "run moved",
+            run=record.run,
+            cause=attempt.cause.value,
+            source=source.record.upstream,
+            target=target.record.upstream,
+            kv=result.value,
+        )
+        attempt.kv_moved = result is KvMove.MOVED
+        is_silent = attempt.cause is MoveCause.SILENT
+        if not (is_silent and result is KvMove.UNREACHABLE):
+            attempt.target = target
+        if attempt.kv_moved and not is_silent:
+            with anyio.move_on_after(TAIL_S):
+                await attempt.ended.wait()
+        attempt.scope.cancel()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/holders.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/holders.py
@@ -1,6 +1,6 @@
 """Which entry hosts hold the record of a request."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -8,7 +8,7 @@
 from cranberryfield.core.messages.membership import PeerState
 from cranberryfield.entry.membership import PeersSection
 
-__all__ = ["EntryHost", "choose_holders", "entry_hosts"]
+__all__ = ["EntryHost", "HostsSource", "choose_holders", "entry_hosts"]
 
 WEIGHT_BYTES = 8
 
@@ -21,6 +21,10 @@
     data_centre: DataCentre
 
 
+#: Returns the live entry hosts, this one included.
+HostsSource = Callable[[], list[EntryHost]]
+
+
 def entry_hosts(section: PeersSection, own: EntryHost) -> list[EntryHost]:
     """Return the entry hosts that may hold records.
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/lifecycle.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/lifecycle.py
@@ -22,12 +22,14 @@
     """How an attempt ended.
 
     ``NOT_RUN`` is proved: the connection was refused, no byte of the request
-    was written, or the upstream refused before it started.
+    was written, or the upstream refused before it started. ``MOVED`` goes on
+    elsewhere, or over another connection.
     """
 
     FINISHED = "finished"
     NOT_RUN = "not run"
     BROKEN = "broken"
+    MOVED = "moved"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/recovery.py
@@ -0,0 +1,135 @@
+"""When a running attempt is given up or moved, decided without I/O."""
+
+from enum import Enum
+
+import msgspec
+
+__all__ = [
+    "MoveCause",
+    "TokenGap",
+    "requested_tokens",
+    "should_move",
+    "silence_limit_s",
+]
+
+#: Weight of the newest gap in the mean.
+GAP_WEIGHT = 0.1
+
+
+class MoveCause(Enum):
+    """Why an attempt ends before its answer does."""
+
+    LEAVING = "upstream_reclaim"
+    SILENT = "silent_connection"
+    BROKEN = "upstream_lost"
+    HOST_LOST = "host_lost"
+
+
+class TokenGap:
+    """Measures the mean time between the events of one stream.
+
+    Parameters
+    ----------
+    started_at : float
+        Monotonic time in seconds of the stream's start.
+    """
+
+    __slots__ = ("events", "heard_at", "mean_s")
+
+    def __init__(self, started_at: float):
+        self.heard_at = started_at
+        self.events = 0
+        self.mean_s = 0.0
+
+    def note(self, now: float, events: int) -> None:
+        """Take in that `events` came at `now`, in seconds."""
+        if self.events:
+            gap_s = (now - self.heard_at) / events
+            self.mean_s += GAP_WEIGHT * (gap_s - self.mean_s)
+        self.events += events
+        self.heard_at = now
+
+
+def silence_limit_s(
+    gap: TokenGap, factor: float, floor_s: float, first_event_s: float
+) -> float:
+    """Return how long a stream may be silent.
+
+    Parameters
+    ----------
+    gap : TokenGap
+        What was measured on it.
+    factor : float
+        Mean gaps after which it counts as silent.
+    floor_s : float
+        Shortest silence that counts, in seconds.
+    first_event_s : float
+        The same before the first event.
+
+    Returns
+    -------
+    float
+        Seconds.
+
+    Examples
+    --------
+    >>> gap = TokenGap(0.0)
+    >>> silence_limit_s(gap, 8.0, 1.0, 10.0)
+    10.0
+    >>> for number in range(1, 200):
+    ...     gap.note(number * 0.5, 1)
+    >>> round(silence_limit_s(gap, 8.0, 1.0, 10.0), 2)
+    4.0
+    """
+    if not gap.events:
+        return first_event_s
+    return max(floor_s, factor * gap.mean_s)
+
+
+def should_move(
+    tokens_left: int | None, gap_s: float, left_s: float, margin_s: float
+) -> bool:
+    """Say whether a run must leave an upstream that is about to go.
+
+    Parameters
+    ----------
+    tokens_left : int or None
+        Tokens that the answer still needs at most; None if not known.
+    gap_s : float
+        Mean time between tokens, in seconds; 0 if not known.
+    left_s : float
+        Time until the upstream goes, in seconds.
+    margin_s : float
+        Time that a move takes at most, in seconds.
+
+    Returns
+    -------
+    bool
+        False while it can still finish there, or move later.
+
+    Examples
+    --------
+    >>> should_move(10, 0.02, 2.0, 0.8)
+    False
+    >>> should_move(100, 0.02, 2.0, 0.8)
+    True
+    >>> should_move(None, 0.02, 0.5, 0.8)
+    True
+    """
+    if left_s <= margin_s:
+        return True
+    if tokens_left is None or not gap_s:
+        return False
+    return tokens_left * gap_s > left_s - margin_s
+
+
+class _Limits(msgspec.Struct):
+    max_tokens: int | None = None
+
+
+def requested_tokens(body: bytes) -> int | None:
+    """Return the most tokens that a completion may have, or None."""
+    try:
+        return msgspec.json.decode(body, type=_Limits).max_tokens
+    except msgspec.DecodeError:
+        return None
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -11,23 +11,10 @@
     WasRun,
     error_of_kind,
 )
-from cranberryfield.core.ids import UpstreamId
 from cranberryfield.core.messages.claims import ClaimState, ClaimView
 from cranberryfield.core.metrics import Metrics
-from cranberryfield.core.settings import ServiceKind
 from cranberryfield.entry.admission import AdmissionGate
-from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import (
-    KnownUpstream,
-)
-from cranberryfield.entry.requests.claims import ClaimKeeper, HeldClaim
-from cranberryfield.entry.requests.lifecycle import (
-    AttemptEnd,
-    AttemptResult,
-    Finish,
-    GiveUp,
-    after_attempt,
-)
+from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.records import (
     Outcome,
     RequestRecord,
@@ -37,9 +24,9 @@
     end_of_error,
 )
 from cranberryfield.entry.requests.request import Request
+from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.section import RecordsSection
 from cranberryfield.entry.requests.sharing import JoinedAs, RecordSharing
-from cranberryfield.entry.routing import Chooser, DispatchSection
 
 __all__ = ["RequestRunner"]
 
@@ -51,14 +38,10 @@
 
     Parameters
     ----------
-    choose : Chooser
-        Chooses the upstream of each attempt.
-    dispatched : DispatchSection
-        This node's own runs; owned by the runner.
+    attempts : AttemptRunner
+        Runs requests on upstreams.
     gate : AdmissionGate
         Admits requests.
-    dispatcher : Dispatcher
-        Talks to upstreams.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
     sharing : RecordSharing
@@ -73,20 +56,16 @@
 
     def __init__(
         self,
-        choose: Chooser,
-        dispatched: DispatchSection,
+        attempts: AttemptRunner,
         gate: AdmissionGate,
-        dispatcher: Dispatcher,
         claims: ClaimKeeper,
         sharing: RecordSharing,
         records: RecordsSection,
         metrics: Metrics,
         clock: Clock,
     ):
-        self._choose = choose
-        self._dispatched = dispatched
+        self._attempts = attempts
         self._gate = gate
-        self._dispatcher = dispatcher
         self._claims = claims
         self._sharing = sharing
         self._records = records
@@ -158,7 +137,7 @@
 
     async def _run_admitted(self, record: RequestRecord) -> Outcome | None:
         async with self._gate.enter(record.request):
-            return await self._run_attempts(record, None)
+            return await self._attempts.run(record, None)
 
     async def _run_once(self, record: RequestRecord) -> None:
         """Run a non-idempotent request under a claim."""
@@ -190,7 +169,7 @@
             record.restore(self._clock(), await self._kept_answer(request, claim))
             return
         try:
-            outcome = await self._run_attempts(record, claim)
+            outcome = await self._attempts.run(record, claim)
         except CranberryfieldError as error:
             unknown = error.was_run is not WasRun.NO
             state = ClaimState.UNKNOWN if unknown else ClaimState.RELEASED
@@ -220,63 +199,3 @@
         raise UnavailableError(
             ErrorKind.ANSWER_TOO_LARGE, "the request has run; its answer is not kept"
         )
-
-    async def _run_attempts(
-        self, record: RequestRecord, claim: HeldClaim | None
-    ) -> Outcome | None:
-        request = record.request
-        tried: set[UpstreamId] = set()
-        ran_before = False
-        attempts = 0
-        while True:
-            upstream = self._choose(request, frozenset(tried), ran_before)
-            tried.add(upstream.record.upstream)
-            end, outcome = await self._start_attempt(record, claim, upstream)
-            attempts += 1
-            ran_before = ran_before or end.result is AttemptResult.BROKEN
-            step = after_attempt(
-                end,
-                idempotent=request.idempotent,
-                attempts=attempts,
-                ran_before=ran_before,
-                late=self._clock() >= request.deadline,
-            )
-            logger.info(
-                "attempt ended",
-                run=record.run,
-                upstream=upstream.record.upstream,
-                result=end.result.value,
-                detail=end.detail,
-            )
-            if isinstance(step, GiveUp):
-                raise error_of_kind(
-                    step.kind, step.detail, was_run=step.was_run, retry_after_s=1.0
-                )
-            if isinstance(step, Finish):
-                return outcome
-
-    async def _start_attempt(
-        self, record: RequestRecord, claim: HeldClaim | None, upstream: KnownUpstream
-    ) -> tuple[AttemptEnd, Outcome | None]:
-        if claim is not None:
-            may_start = await self._claims.record_dispatch(
-                record.request, claim, upstream
-            )
-            if not may_start:
-                return AttemptEnd(AttemptResult.NOT_RUN, "too late to start"), None
-        return await self._attempt(record, upstream)
-
-    async def _attempt(
-        self, record: RequestRecord, upstream: KnownUpstream
-    ) -> tuple[AttemptEnd, Outcome | None]:
-        name = upstream.record.upstream
-        in_flight = self._dispatched.in_flight
-        in_flight[name] = in_flight.get(name, 0) + 1
-        try:
-            if record.request.settings.kind is ServiceKind.PLAIN:
-                return await self._dispatcher.call_service(record, upstream)
-            return await self._dispatcher.run_completion(record, upstream), None
-        finally:
-            in_flight[name] -= 1
-            if not in_flight[name]:
-                del in_flight[name]
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/running.py
@@ -0,0 +1,199 @@
+"""Runs a request on upstreams, over as many attempts as it takes."""
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import error_of_kind
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.settings import ServiceKind
+from cranberryfield.entry.dispatch import Dispatcher
+from cranberryfield.entry.requests.attempts import Attempt, AttemptWatch
+from cranberryfield.entry.requests.claims import ClaimKeeper, HeldClaim
+from cranberryfield.entry.requests.lifecycle import (
+    AttemptEnd,
+    AttemptResult,
+    Finish,
+    GiveUp,
+    after_attempt,
+)
+from cranberryfield.entry.requests.records import Outcome, RequestRecord
+from cranberryfield.entry.requests.recovery import MoveCause
+from cranberryfield.entry.requests.suspects import Suspects
+from cranberryfield.entry.routing import DispatchSection
+
+__all__ = ["AttemptRunner"]
+
+#: Time in seconds in which other hosts' news of a crash come in.
+HEARSAY_S = 0.2
+
+logger = structlog.get_logger(__name__)
+
+
+class AttemptRunner:
+    """What all attempts from this host share.
+
+    Parameters
+    ----------
+    suspects : Suspects
+        Chooses upstreams, and knows the requests that crash them.
+    dispatched : DispatchSection
+        This host's own runs; owned here.
+    dispatcher : Dispatcher
+        Talks to upstreams.
+    claims : ClaimKeeper
+        Claims of non-idempotent requests.
+    watch : AttemptWatch
+        Watches attempts for silence and reclaims.
+    metrics : Metrics
+        Counters.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        suspects: Suspects,
+        dispatched: DispatchSection,
+        dispatcher: Dispatcher,
+        claims: ClaimKeeper,
+        watch: AttemptWatch,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        self._suspects = suspects
+        self._dispatched = dispatched
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._watch = watch
+        self._metrics = metrics
+        self._clock = clock
+
+    async def run(
+        self, record: RequestRecord, claim: HeldClaim | None
+    ) -> Outcome | None:
+        """Run a request to the end of its answer.
+
+        Parameters
+        ----------
+        record : RequestRecord
+            Gains the answer's events.
+        claim : HeldClaim or None
+            Its claim; None for an idempotent request.
+
+        Returns
+        -------
+        Outcome or None
+            The answer of a plain service.
+
+        Raises
+        ------
+        CranberryfieldError
+            If the request is given up; `was_run` speaks of these attempts.
+        """
+        request = record.request
+        tried: set[UpstreamId] = set()
+        ran_before = bool(record.events)
+        cause = MoveCause.HOST_LOST
+        attempts = 0
+        attempt = None
+        while True:
+            upstream = attempt.target if attempt else None
+            if upstream is None:
+                upstream = await self._suspects.choose(
+                    request, frozenset(tried), ran_before
+                )
+            tried.add(upstream.record.upstream)
+            attempt = Attempt(record, upstream, self._clock(), attempt)
+            self._count_recomputed(attempt, cause)
+            end, outcome = await self._start(attempt, claim)
+            is_moved = end.result is AttemptResult.MOVED and attempt.gained
+            attempts += not is_moved
+            ran_before = ran_before or end.result is not AttemptResult.NOT_RUN
+            cause = attempt.cause or MoveCause.BROKEN
+            step = after_attempt(
+                end,
+                idempotent=request.idempotent,
+                attempts=attempts,
+                ran_before=ran_before,
+                late=self._clock() >= request.deadline,
+            )
+            logger.info(
+                "attempt ended",
+                run=record.run,
+                upstream=upstream.record.upstream,
+                result=end.result.value,
+                detail=end.detail,
+            )
+            if isinstance(step, GiveUp):
+                raise error_of_kind(
+                    step.kind, step.detail, was_run=step.was_run, retry_after_s=1.0
+                )
+            if isinstance(step, Finish):
+                return outcome
+
+    def _count_recomputed(self, attempt: Attempt, cause: MoveCause) -> None:
+        """Count the answer's tokens that the upstream has to process again."""
+        tokens = len(attempt.record.events)
+        if tokens and not attempt.has_kv:
+            self._metrics.count(f"recomputed_tokens_{cause.value}", tokens)
+
+    async def _start(
+        self, attempt: Attempt, claim: HeldClaim | None
+    ) -> tuple[AttemptEnd, Outcome | None]:
+        request = attempt.record.request
+        if claim is not None:
+            may_start = await self._claims.record_dispatch(
+                request, claim, attempt.upstream
+            )
+            if not may_start:
+                return AttemptEnd(AttemptResult.NOT_RUN, "too late to start"), None
+        with self._suspects.running(request, attempt.upstream):
+            end, outcome = await self._run_watched(attempt)
+        is_model = request.settings.kind is ServiceKind.MODEL
+        if end.result is AttemptResult.BROKEN and is_model:
+            await self._check_crash(attempt)
+        return end, outcome
+
+    async def _check_crash(self, attempt: Attempt) -> None:
+        noticed_at = self._clock()
+        if not await self._dispatcher.has_crashed(attempt.upstream):
+            return
+        if not attempt.was_answered:
+            # It may have been gone before; others in flight there know.
+            await anyio.sleep(HEARSAY_S)
+            known_at = self._suspects.crashed_at(attempt.upstream)
+            if known_at is not None and known_at <= attempt.started_at:
+                return
+        self._suspects.note_crash(attempt.record.request, attempt.upstream, noticed_at)
+
+    async def _run_watched(self, attempt: Attempt) -> tuple[AttemptEnd, Outcome | None]:
+        name = attempt.upstream.record.upstream
+        self._note_in_flight(name, 1)
+        self._watch.add(attempt)
+        end, outcome = AttemptEnd(AttemptResult.BROKEN, "the stream is silent"), None
+        try:
+            with attempt.scope:
+                end, outcome = await self._dispatch(attempt)
+        finally:
+            self._watch.remove(attempt)
+            self._note_in_flight(name, -1)
+        if attempt.cause is not None:
+            await attempt.is_settled.wait()
+        is_over = end.result is AttemptResult.FINISHED
+        if attempt.cause and attempt.record.request.idempotent and not is_over:
+            end = AttemptEnd(AttemptResult.MOVED, attempt.cause.value)
+        return end, outcome
+
+    async def _dispatch(self, attempt: Attempt) -> tuple[AttemptEnd, Outcome | None]:
+        record = attempt.record
+        if record.request.settings.kind is ServiceKind.PLAIN:
+            return await self._dispatcher.call_service(record, attempt.upstream)
+        return await self._dispatcher.run_completion(attempt), None
+
+    def _note_in_flight(self, name: UpstreamId, change: int) -> None:
+        in_flight = self._dispatched.in_flight
+        in_flight[name] = in_flight.get(name, 0) + change
+        if not in_flight[name]:
+            del in_flight[name]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/sharing.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/sharing.py
@@ -40,7 +40,7 @@
     take_held,
     take_progress,
 )
-from cranberryfield.entry.requests.holders import EntryHost, choose_holders
+from cranberryfield.entry.requests.holders import HostsSource, choose_holders
 from cranberryfield.entry.requests.keeping import RecordKeeper
 from cranberryfield.entry.requests.records import RequestRecord, RequestState
 from cranberryfield.entry.requests.section import RecordsSection
@@ -84,7 +84,7 @@
     def __init__(
         self,
         node: NodeId,
-        hosts: Callable[[], list[EntryHost]],
+        hosts: HostsSource,
         mesh: Mesh,
         records: RecordsSection,
         held: HeldRecords,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
@@ -1,6 +1,6 @@
 """One booking from two hosts, with a failure at each step of the first."""
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, nullcontext
 
 import anyio
 import pytest
@@ -17,12 +17,14 @@
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.settings import EffectiveSettings, ServiceKind
-from cranberryfield.entry.membership import KnownUpstream
+from cranberryfield.entry.membership import KnownUpstream, UpstreamsSection
 from cranberryfield.entry.requests import Request, RequestRecord
+from cranberryfield.entry.requests.attempts import AttemptWatch
 from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.lifecycle import AttemptEnd, AttemptResult
 from cranberryfield.entry.requests.records import Outcome
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.section import RecordsSection
 from cranberryfield.entry.routing import DispatchSection
 
@@ -84,6 +86,9 @@
         self.runs = 0
         self.ends = []
 
+    async def has_crashed(self, upstream):
+        return False
+
     async def call_service(self, record, upstream):
         result = self.ends.pop(0) if self.ends else AttemptResult.FINISHED
         if result is AttemptResult.NOT_RUN:
@@ -105,6 +110,17 @@
         yield
 
 
+class Unsuspecting:
+    async def choose(self, request, tried, ran_before):
+        return UPSTREAM
+
+    def running(self, request, upstream):
+        return nullcontext()
+
+    def note_crash(self, request, upstream):
+        pass
+
+
 class NoSharing:
     async def find(self, workspace, key):
         return None
@@ -115,12 +131,19 @@
         self.clock = clock
         self.gate = Gate()
         self.claims = ClaimKeeper(name, log, clock)
-        self.runner = RequestRunner(
-            lambda request, tried, ran_before: UPSTREAM,
+        attempts = AttemptRunner(
+            Unsuspecting(),
             DispatchSection(),
-            self.gate,
             upstream,
             self.claims,
+            AttemptWatch(UpstreamsSection(), None, None, None, clock),
+            Metrics(),
+            clock,
+        )
+        self.runner = RequestRunner(
+            attempts,
+            self.gate,
+            self.claims,
             NoSharing(),
             RecordsSection(),
             Metrics(),
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -21,13 +21,17 @@
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.attempts import AttemptWatch
 from cranberryfield.entry.requests.claims import ClaimKeeper
 from cranberryfield.entry.requests.held import HeldRecords
 from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
 from cranberryfield.entry.requests.keeping import RecordKeeper
+from cranberryfield.entry.requests.quarantine import QuarantineSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
+from cranberryfield.entry.requests.suspects import Suspects
 from cranberryfield.entry.routing import DispatchSection, make_chooser
 from cranberryfield.entry.settings import LocalControl, SettingsFollower
 
@@ -63,6 +67,8 @@
         Claims of non-idempotent requests.
     sharing : RecordSharing
         Records over all entry hosts.
+    watch : AttemptWatch
+        Watches running attempts.
     """
 
     def __init__(
@@ -76,6 +82,7 @@
         leases: LeaseKeeper,
         claims: ClaimKeeper,
         sharing: RecordSharing,
+        watch: AttemptWatch,
     ):
         self._settings = settings
         self._records = records
@@ -86,6 +93,7 @@
         self._leases = leases
         self._claims = claims
         self._sharing = sharing
+        self._watch = watch
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -146,9 +154,14 @@
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
+        own = EntryHost(config.node_id, config.zone)
+
+        def hosts() -> list[EntryHost]:
+            return entry_hosts(peers, own)
+
         sharing = RecordSharing(
             config.node_id,
-            lambda: entry_hosts(peers, EntryHost(config.node_id, config.zone)),
+            hosts,
             mesh,
             records,
             board.add(HeldRecords()),
@@ -156,6 +169,10 @@
             clock,
         )
         sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
+        choose = make_chooser(board, config.zone, clock, rng)
+        quarantine = board.add(QuarantineSection())
+        suspects = Suspects(config.node_id, quarantine, mesh, hosts, choose, clock)
+        watch = AttemptWatch(upstreams, choose, dispatcher.move_kv, tasks, clock)
         runtime = cls(
             settings,
             records,
@@ -166,12 +183,14 @@
             leases,
             claims,
             sharing,
+            watch,
+        )
+        attempts = AttemptRunner(
+            suspects, dispatched, dispatcher, claims, watch, metrics, clock
         )
         runner = RequestRunner(
-            make_chooser(board, config.zone, clock, rng),
-            dispatched,
+            attempts,
             AdmissionGate(),
-            dispatcher,
             claims,
             sharing,
             records,
@@ -220,6 +239,7 @@
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
+            tasks.start_soon(self._watch.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
