--- a/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/operators/views.py
@@ -9,12 +9,21 @@
 __all__ = [
     "ChangeBody",
     "ChangeResult",
+    "ClaimRow",
     "ControlView",
+    "DifferenceRow",
     "EditBody",
+    "GroupReplacement",
+    "HistoryRow",
+    "HoldersRow",
+    "HostRemoval",
     "LevelView",
+    "MemberChange",
+    "MembersView",
     "NodeAddress",
     "OriginView",
     "RequestReport",
+    "RequestView",
     "RunningView",
     "SettingsView",
     "StatusView",
@@ -126,6 +135,45 @@
     detail: str | None = None
 
 
+class ClaimRow(msgspec.Struct):
+    """A non-idempotent request's claim in the replicated log.
+
+    Attributes
+    ----------
+    state : str
+        ``claimed``, ``dispatched``, ``answered``, ``unknown`` or ``released``.
+    attempt : int
+        Counts the claimers.
+    node : str
+        The claimer.
+    status : int
+        HTTP status of the answer; 0 without one.
+    """
+
+    state: str
+    attempt: int
+    node: str
+    status: int
+
+
+class RequestView(msgspec.Struct):
+    """What the group knows of a request.
+
+    Attributes
+    ----------
+    claim : ClaimRow or None
+        Its claim, if it is non-idempotent and a workspace was named.
+    records : list of RequestReport
+        What nodes have a record of.
+    silent : tuple of str
+        Nodes that did not answer.
+    """
+
+    claim: ClaimRow | None
+    records: list[RequestReport]
+    silent: tuple[str, ...]
+
+
 class ControlView(msgspec.Struct):
     """The node's replica of the log."""
 
@@ -169,6 +217,10 @@
         Where its peers answer operators.
     resident_kib : int
         Memory of the process, in KiB.
+    cpu_s : float
+        Processor time of the process since its start, in seconds.
+    mesh_sent_bytes, mesh_received_bytes : int
+        Payload on its links to other processes since its start.
     """
 
     node: str
@@ -181,3 +233,98 @@
     control: ControlView | None = None
     addresses: tuple[NodeAddress, ...] = ()
     resident_kib: int = 0
+    cpu_s: float = 0.0
+    mesh_sent_bytes: int = 0
+    mesh_received_bytes: int = 0
+
+
+class HistoryRow(msgspec.Struct):
+    """One value that an accepted change set or removed.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the tree after the change.
+    author, change_id : str
+        Who asked, and under which id.
+    level, setting : str
+        Where.
+    before, after : object
+        Its values; None where nothing stood.
+    """
+
+    revision: int
+    author: str
+    change_id: str
+    level: str
+    setting: str
+    before: SettingValue
+    after: SettingValue
+
+
+class DifferenceRow(msgspec.Struct):
+    """One setting that differs between two revisions; None for nothing."""
+
+    level: str
+    setting: str
+    before: SettingValue
+    after: SettingValue
+
+
+class HoldersRow(msgspec.Struct):
+    """Which entry hosts have a revision in force, as the leader knows.
+
+    Attributes
+    ----------
+    revision : int
+        The revision asked about.
+    holders, lagging, silent : tuple of str
+        Hosts that have it; that do not yet; that have not been heard lately,
+        and so do not serve.
+    """
+
+    revision: int
+    holders: tuple[str, ...]
+    lagging: tuple[str, ...]
+    silent: tuple[str, ...]
+
+
+class MembersView(msgspec.Struct):
+    """The control group.
+
+    Attributes
+    ----------
+    voters, learners : tuple of str
+        Its members.
+    leader : str or None
+        The leader, if known.
+    generation : int
+        Counts how often the group was replaced.
+    term : int
+        The election term.
+    """
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    leader: str | None
+    generation: int
+    term: int
+
+
+class MemberChange(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/control/members``: one host to add or remove."""
+
+    add: str | None = None
+    remove: str | None = None
+
+
+class GroupReplacement(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/control/replace``; names the asked host."""
+
+    node: str
+
+
+class HostRemoval(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operator/hosts/forget``; names an entry host."""
+
+    node: str
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/reports.py
@@ -1,5 +1,6 @@
 """Builds what operators are shown from the sections of the blackboard."""
 
+import time
 from collections import Counter
 from resource import getpagesize
 
@@ -7,7 +8,9 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.ids import RequestKey, WorkspaceId
+from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.messages.membership import PeerState
 from cranberryfield.core.operators.views import (
     ControlView,
     NodeAddress,
@@ -19,6 +22,7 @@
 from cranberryfield.core.settings.follow import SettingsSection
 from cranberryfield.core.settings.tree import upstream_is_drained
 from cranberryfield.entry.membership import UpstreamsSection
+from cranberryfield.entry.membership.peers import PeersSection
 from cranberryfield.entry.requests import RecordsSection, RequestRecord
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.routing import DispatchSection
@@ -47,7 +51,7 @@
 
 
 def report_status(
-    config: DaemonConfig, board: Blackboard, peers: list[Hello], ready: bool
+    config: DaemonConfig, board: Blackboard, mesh: Mesh, ready: bool
 ) -> StatusView:
     """Describe this process.
 
@@ -57,8 +61,8 @@
         Its configuration.
     board : Blackboard
         Its sections.
-    peers : list of Hello
-        Processes that it has links to.
+    mesh : Mesh
+        Its links to other processes.
     ready : bool
         Whether it takes new requests.
 
@@ -69,7 +73,7 @@
     """
     is_entry = Role.ENTRY in config.roles
     known = board.read(UpstreamsSection).upstreams if is_entry else ()
-    linked = sorted(peers, key=lambda peer: peer.node)
+    linked = sorted(mesh.peers, key=lambda peer: peer.node)
     return StatusView(
         config.node,
         tuple(role.value for role in config.roles),
@@ -79,11 +83,28 @@
         tuple(peer.node for peer in linked),
         len(known),
         _control_view(config, board),
-        tuple(NodeAddress(peer.node, peer.callers) for peer in linked),
+        _addresses(board, linked, is_entry),
         resident_kib(),
+        time.process_time(),
+        *mesh.traffic_bytes,
     )
 
 
+def _addresses(
+    board: Blackboard, linked: list[Hello], is_entry: bool
+) -> tuple[NodeAddress, ...]:
+    known = {peer.node: peer.callers for peer in linked}
+    if is_entry:
+        # An entry host has links to some of the others only.
+        peers = board.read(PeersSection).peers.values()
+        known |= {
+            peer.record.node: peer.record.callers
+            for peer in peers
+            if peer.record.state is not PeerState.LEFT
+        }
+    return tuple(NodeAddress(node, known[node]) for node in sorted(known))
+
+
 def _control_view(config: DaemonConfig, board: Blackboard) -> ControlView | None:
     if Role.CONTROL not in config.roles:
         return None
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/peers.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/peers.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cranberryfield.core.clock import Clock
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.membership import PeerRecord, PeerState
@@ -15,6 +16,7 @@
     "forget_peers",
     "live_peers",
     "merge_peer",
+    "other_live_peers",
     "own_record",
     "suspect_peer",
 ]
@@ -91,7 +93,8 @@
     if known is not None and _version(known.record) >= _version(record):
         return False
     if record.node == section.own and known is not None:
-        if record.incarnation > known.record.incarnation:
+        is_newer = record.incarnation > known.record.incarnation
+        if is_newer or record.state is PeerState.LEFT:
             return False
         record = msgspec.structs.replace(known.record, sequence=record.sequence + 1)
     section.peers[record.node] = KnownPeer(record, now)
@@ -163,3 +166,9 @@
             and now < known.changed_at + SUSPICION_S
         )
     ]
+
+
+def other_live_peers(section: PeersSection, clock: Clock) -> list[NodeId]:
+    """Return the ids of the entry hosts held to be alive, but this one."""
+    records = live_peers(section, clock())
+    return [record.node for record in records if record.node != section.own]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/running.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/running.py
@@ -21,7 +21,7 @@
 from cranberryfield.entry.requests.records import Outcome, RequestRecord
 from cranberryfield.entry.requests.recovery import MoveCause
 from cranberryfield.entry.requests.suspects import Suspects
-from cranberryfield.entry.routing import DispatchSection
+from cranberryfield.entry.routing import AttemptObserver, DispatchSection
 
 __all__ = ["AttemptRunner"]
 
@@ -50,6 +50,8 @@
         Counters.
     clock : Clock
         Monotonic time.
+    observe : AttemptObserver
+        Told how each attempt ended.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         watch: AttemptWatch,
         metrics: Metrics,
         clock: Clock,
+        observe: AttemptObserver,
     ):
         self._suspects = suspects
         self._dispatched = dispatched
@@ -69,6 +72,7 @@
         self._watch = watch
         self._metrics = metrics
         self._clock = clock
+        self._observe = observe
 
     async def run(
         self, record: RequestRecord, claim: HeldClaim | None
@@ -108,6 +112,7 @@
             attempt = Attempt(record, upstream, self._clock(), attempt)
             self._count_recomputed(attempt, cause)
             end, outcome = await self._start(attempt, claim)
+            self._observe(upstream, end)
             is_moved = end.result is AttemptResult.MOVED and attempt.gained
             attempts += not is_moved
             ran_before = ran_before or end.result is not AttemptResult.NOT_RUN
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
@@ -139,6 +139,7 @@
             AttemptWatch(UpstreamsSection(), None, None, None, clock),
             Metrics(),
             clock,
+            lambda upstream, end: None,
         )
         self.runner = RequestRunner(
             attempts,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -1,5 +1,6 @@
 """Builds the entry role from its parts."""
 
+from functools import partial
 from random import Random
 
 import anyio
@@ -20,6 +21,8 @@
 from cranberryfield.entry.membership import PeersSection, UpstreamsSection
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
+from cranberryfield.entry.membership.peers import other_live_peers
+from cranberryfield.entry.membership.probing import UpstreamProber
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.attempts import AttemptWatch
 from cranberryfield.entry.requests.claims import ClaimKeeper
@@ -32,8 +35,8 @@
 from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
 from cranberryfield.entry.requests.suspects import Suspects
-from cranberryfield.entry.routing import DispatchSection, make_chooser
-from cranberryfield.entry.settings import LocalControl, SettingsFollower
+from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
+from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
@@ -69,6 +72,8 @@
         Records over all entry hosts.
     watch : AttemptWatch
         Watches running attempts.
+    prober : UpstreamProber
+        Renews those whose home has fallen silent.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         claims: ClaimKeeper,
         sharing: RecordSharing,
         watch: AttemptWatch,
+        prober: UpstreamProber,
     ):
         self._settings = settings
         self._records = records
@@ -94,6 +100,7 @@
         self._claims = claims
         self._sharing = sharing
         self._watch = watch
+        self._prober = prober
         self._stopping = False
         self.api: CallerApi | None = None
 
@@ -108,7 +115,6 @@
         tasks: TaskGroup,
         clock: Clock,
         rng: Random,
-        local_settings: LocalControl | None,
     ) -> "EntryRuntime":
         """Build the role.
 
@@ -130,9 +136,6 @@
             Monotonic time.
         rng : random.Random
             Seeded generator.
-        local_settings : callable or None
-            Asks this process's own control role for settings; None without
-            that role.
 
         Returns
         -------
@@ -145,14 +148,21 @@
         dispatched = board.add(DispatchSection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
+        peers = board.add(PeersSection(config.node_id))
         follower = SettingsFollower(
-            settings, mesh, config.node_id, control, local_settings, clock, rng
+            settings,
+            mesh,
+            config.node_id,
+            control,
+            partial(other_live_peers, peers, clock),
+            clock,
+            rng,
         )
-        peers = board.add(PeersSection(config.node_id))
         gossip = TableGossip(
             peers, upstreams, mesh, mesh.hello, config.seeds, clock, rng
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
+        prober = UpstreamProber.from_clock(upstreams, leases, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
         own = EntryHost(config.node_id, config.zone)
 
@@ -184,9 +194,17 @@
             claims,
             sharing,
             watch,
+            prober,
         )
         attempts = AttemptRunner(
-            suspects, dispatched, dispatcher, claims, watch, metrics, clock
+            suspects,
+            dispatched,
+            dispatcher,
+            claims,
+            watch,
+            metrics,
+            clock,
+            make_observer(clock),
         )
         runner = RequestRunner(
             attempts,
@@ -240,8 +258,10 @@
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
             tasks.start_soon(self._watch.run)
+            tasks.start_soon(self._prober.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
         self._gossip.say_goodbye()
+        await self._follower.leave()
         await self._dispatcher.close()
