--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/requests.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/requests.py
@@ -5,6 +5,7 @@
     NodeId,
     RequestKey,
     RunId,
+    ServiceName,
     UpstreamId,
     WorkspaceId,
 )
@@ -15,6 +16,8 @@
     "EpochStart",
     "FindRecord",
     "FollowRecord",
+    "HandOver",
+    "HandedOver",
     "LeavePlace",
     "OpenRecord",
     "PlaceTaken",
@@ -173,6 +176,38 @@
     fingerprint: bytes
 
 
+class HandOver(Message):
+    """Asks another host to go on with a request, as the sender is leaving.
+
+    Attributes
+    ----------
+    workspace, key, service, method, path, content_type, body, digest, priority
+        The request.
+    run : RunId
+        The run to go on with.
+    deadline_ms : int
+        Time left for the answer, in milliseconds.
+    """
+
+    workspace: WorkspaceId
+    key: RequestKey
+    service: ServiceName
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    digest: bytes
+    run: RunId
+    priority: str
+    deadline_ms: int
+
+
+class HandedOver(Message):
+    """Reply to a `HandOver`."""
+
+    granted: bool
+
+
 class ProgressItem(NestedRecord):
     """What one record has gained.
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -60,7 +60,10 @@
 
 
 async def run_process(config: DaemonConfig) -> None:
-    """Run until SIGTERM or SIGINT, then finish what is in progress and return.
+    """Run until a signal; return when what is in progress is over.
+
+    SIGTERM and SIGINT are a planned stop, which waits for all answers. SIGUSR1
+    is the notice of a reclaim: answers are handed to other hosts.
 
     Parameters
     ----------
@@ -118,10 +121,14 @@
 
 
 async def _stop_on_signal(entry: EntryRuntime | None, stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            logger.info("stopping")
-            if entry is not None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGUSR1
+    ) as signals:
+        async for number in signals:
+            logger.info("stopping", signal=number)
+            if entry is not None and number == signal.SIGUSR1:
+                await entry.leave()
+            elif entry is not None:
                 entry.begin_stop()
                 await anyio.sleep(NOT_READY_NOTICE_S)
                 await entry.wait_drained()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/answers.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/answers.py
@@ -11,6 +11,8 @@
 
 __all__ = ["lost_part", "stream_events", "wait_until_ended", "whole_completion"]
 
+MOVED_RETRY_MS = 100
+
 
 async def wait_until_ended(record: RequestRecord) -> None:
     """Wait until a request is answered or has failed.
@@ -40,7 +42,8 @@
     ------
     bytes
         One or more server-sent events. The last one is ``[DONE]`` for a whole
-        answer and an event of type ``error`` otherwise.
+        answer, an event of type ``moved`` for one that goes on at another host,
+        and an event of type ``error`` otherwise.
     """
     sent = after
     epoch = record.epoch
@@ -62,6 +65,9 @@
         elif record.state is RequestState.FAILED:
             yield _error_event(record.error)
             return
+        elif record.state is RequestState.MOVED:
+            yield _moved_event(record)
+            return
         else:
             yield _event(sent + 1, record.tag.encode(), DONE)
             return
@@ -85,6 +91,27 @@
     return b"event: error\ndata: %s\n\n" % msgspec.json.encode(problem)
 
 
+class Moved(msgspec.Struct):
+    """Data of the event ``moved``, which ends a stream that goes on elsewhere.
+
+    Attributes
+    ----------
+    host : str
+        Address of the entry host that goes on; any other one will do too.
+    retry_after_ms : int
+        When to come back, with the same key and the last event's id, in
+        milliseconds.
+    """
+
+    host: str
+    retry_after_ms: int
+
+
+def _moved_event(record: RequestRecord) -> bytes:
+    moved = Moved(record.moving_to, MOVED_RETRY_MS)
+    return b"event: moved\ndata: %s\n\n" % msgspec.json.encode(moved)
+
+
 class _Delta(msgspec.Struct):
     content: str | None = None
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/attendance.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/attendance.py
@@ -6,7 +6,7 @@
 from starlette.requests import Request as HttpRequest
 from starlette.responses import Response
 
-from cranberryfield.core.errors import ErrorKind, error_of_kind
+from cranberryfield.core.errors import ErrorKind, WasRun, error_of_kind
 from cranberryfield.core.http import problem_response
 from cranberryfield.entry.requests import RequestRecord, RequestState
 
@@ -69,5 +69,11 @@
 
 def refusal_response(record: RequestRecord) -> Response:
     """Answer with a record's failure; for a caller that has gone, with any."""
-    error = record.error or error_of_kind(ErrorKind.CALLER_GONE, "the caller has gone")
-    return problem_response(error)
+    if record.state is RequestState.MOVED:
+        detail = f"the request goes on at {record.moving_to}"
+        moved = error_of_kind(
+            ErrorKind.NOT_READY, detail, was_run=WasRun.UNKNOWN, retry_after_s=1.0
+        )
+        return problem_response(moved)
+    gone = error_of_kind(ErrorKind.CALLER_GONE, "the caller has gone")
+    return problem_response(record.error or gone)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/handover.py
@@ -0,0 +1,184 @@
+"""Hands running requests to other entry hosts when this one is reclaimed."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import (
+    CranberryfieldError,
+    ErrorKind,
+    UnavailableError,
+    WasRun,
+)
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.requests import HandedOver, HandOver
+from cranberryfield.core.settings import effective_settings
+from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.entry.requests.records import RequestRecord, RequestState
+from cranberryfield.entry.requests.request import Request
+from cranberryfield.entry.requests.section import RecordsSection
+from cranberryfield.entry.requests.sharing import RecordSharing
+
+__all__ = ["HandOvers"]
+
+ASK_TIMEOUT_S = 1.0
+#: Wait for the other host to take a request that it has accepted, in seconds.
+TAKE_TIMEOUT_S = 1.0
+POLL_S = 0.01
+MS_PER_S = 1000
+
+logger = structlog.get_logger(__name__)
+
+
+class HandOvers:
+    """Gives requests away, and takes those that other hosts give.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links to other hosts.
+    settings : SettingsSection
+        The settings in force.
+    records : RecordsSection
+        The records of this host.
+    sharing : RecordSharing
+        Records over all hosts.
+    run : callable
+        Runs a record to its end.
+    address_of : callable
+        Returns a host's address for callers.
+    tasks : anyio.abc.TaskGroup
+        Where taken requests run.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        settings: SettingsSection,
+        records: RecordsSection,
+        sharing: RecordSharing,
+        run: Callable[[RequestRecord], Awaitable[None]],
+        address_of: Callable[[NodeId], str],
+        tasks: TaskGroup,
+        clock: Clock,
+    ):
+        self._mesh = mesh
+        self._settings = settings
+        self._records = records
+        self._sharing = sharing
+        self._run = run
+        self._address_of = address_of
+        self._tasks = tasks
+        self._clock = clock
+        mesh.handle(HandOver, self._on_hand_over)
+
+    async def give_all(self) -> None:
+        """Give away every request that another host can go on with."""
+        self._sharing.is_leaving = True
+        async with anyio.create_task_group() as tasks:
+            for record in self._running():
+                if record.request.idempotent and record.request.has_caller_key:
+                    tasks.start_soon(self._give, record)
+
+    def end_rest(self) -> None:
+        """End what could neither be given away nor finished, truthfully."""
+        for record in self._running():
+            kind = ErrorKind.NOT_READY
+            if not record.request.idempotent:
+                kind = ErrorKind.OUTCOME_UNKNOWN
+            error = UnavailableError(
+                kind, "the entry host was reclaimed", was_run=WasRun.UNKNOWN
+            )
+            record.fail(self._clock(), error)
+
+    def _running(self) -> list[RequestRecord]:
+        return [
+            record
+            for record in self._records.records.values()
+            if record.state is RequestState.RUNNING
+        ]
+
+    async def _give(self, record: RequestRecord) -> None:
+        if record.runner is not None:
+            record.moving_to = self._address_of(record.runner)
+            record.lose()
+            return
+        for node in self._sharing.choose_peers(record):
+            if await self._give_to(node, record):
+                logger.info("request handed over", run=record.run, to=node)
+                return
+
+    async def _give_to(self, node: NodeId, record: RequestRecord) -> bool:
+        record.moving_to = self._address_of(node)
+        message = _message_of(record, self._clock())
+        try:
+            reply = await self._mesh.request(node, message, ASK_TIMEOUT_S)
+        except CranberryfieldError:
+            reply = HandedOver(False)
+        with anyio.move_on_after(TAKE_TIMEOUT_S):
+            while reply.granted and record.state is RequestState.RUNNING:
+                await anyio.sleep(POLL_S)
+        if record.state is not RequestState.RUNNING:
+            return True
+        record.moving_to = None
+        return False
+
+    def _on_hand_over(self, sender: NodeId, message: HandOver) -> HandedOver:
+        if self._sharing.is_leaving:
+            return HandedOver(False)
+        now = self._clock()
+        try:
+            record, is_new = self._records.open(self._request_of(message, now), now)
+        except CranberryfieldError as error:
+            logger.warning("hand-over refused", sender=sender, error=error.detail)
+            return HandedOver(False)
+        if is_new:
+            record.is_resumed = True
+            self._tasks.start_soon(self._run, record)
+        elif record.runner == sender:
+            record.lose()
+        return HandedOver(True)
+
+    def _request_of(self, message: HandOver, now: float) -> Request:
+        settings = effective_settings(
+            self._settings.tree, message.workspace, message.service
+        )
+        return Request(
+            workspace=message.workspace,
+            service=message.service,
+            key=message.key,
+            has_caller_key=True,
+            run=message.run,
+            idempotent=True,
+            method=message.method,
+            path=message.path,
+            content_type=message.content_type,
+            body=message.body,
+            digest=message.digest,
+            priority=message.priority,
+            deadline=now + message.deadline_ms / MS_PER_S,
+            settings=settings,
+        )
+
+
+def _message_of(record: RequestRecord, now: float) -> HandOver:
+    request = record.request
+    return HandOver(
+        request.workspace,
+        request.key,
+        request.service,
+        request.method,
+        request.path,
+        request.content_type,
+        request.body,
+        request.digest,
+        record.run,
+        request.priority,
+        max(0, int((request.deadline - now) * MS_PER_S)),
+    )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/keeping.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/keeping.py
@@ -24,7 +24,7 @@
 #: Time in seconds after which a host that takes no progress is given up.
 TAKE_TIMEOUT_S = 1.0
 #: Pause between two messages to one host, in which events gather, in seconds.
-GATHER_S = 0.002
+GATHER_S = 0.005
 #: Time in seconds without any other host after which this one goes on alone.
 ALONE_AFTER_S = 3.0
 POLL_S = 0.1
@@ -60,10 +60,14 @@
         self.places: dict[RequestRecord, _Place] = {}
         self.dirty: dict[RequestRecord, None] = {}
         self.wake = anyio.Event()
+        self.hurry = anyio.Event()
 
     def mark(self, record: RequestRecord) -> None:
         self.dirty[record] = None
         self.wake.set()
+        if not record.committed:
+            # Nothing is gathered while a caller waits for its first event.
+            self.hurry.set()
 
 
 class RecordKeeper:
@@ -199,7 +203,9 @@
                 self._give_up(feed)
                 return
             self._note_taken(feed, batch, items, reply)
-            await anyio.sleep(GATHER_S)
+            feed.hurry = anyio.Event()
+            with anyio.move_on_after(GATHER_S):
+                await feed.hurry.wait()
 
     def _item(self, place: _Place) -> ProgressItem:
         record = place.record
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/records.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/records.py
@@ -40,11 +40,12 @@
 
 
 class RequestState(Enum):
-    """Where a request stands."""
+    """Where a request stands; ``MOVED`` runs on at another host."""
 
     RUNNING = "running"
     ANSWERED = "answered"
     FAILED = "failed"
+    MOVED = "moved"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,13 +96,15 @@
         self._committed = 0
         self._outcome: Outcome | None = None
         self._error: CranberryfieldError | None = None
-        self._changed = anyio.Event()
+        self._changed: anyio.Event | None = None
         self._ended_at: float | None = None
         self._size_bytes = RECORD_OVERHEAD_BYTES + len(request.body)
         #: Host that runs the request; None for this one.
         self.runner: NodeId | None = None
         #: Whether other hosts' questions are answered from this record.
         self.is_joined = False
+        #: Address of the host to which callers are sent when it takes over.
+        self.moving_to: str | None = None
         #: Whether another host has taken the request, or its runner is gone,
         #: and what is to be told of it.
         self.is_lost = False
@@ -297,6 +300,12 @@
         self._ended_at = now
         self._notify()
 
+    def move(self, now: float) -> None:
+        """Leave the request to the host at `moving_to`."""
+        self._state = RequestState.MOVED
+        self._ended_at = now
+        self._notify()
+
     def as_outcome(self) -> Outcome:
         """Return the whole answer in the form in which it can be restored."""
         if self._outcome is not None:
@@ -313,6 +322,8 @@
 
     async def wait_change(self) -> None:
         """Wait until something is added or the request ends."""
+        if self._changed is None:
+            self._changed = anyio.Event()
         await self._changed.wait()
 
     def _grow(self, size: int) -> None:
@@ -320,8 +331,9 @@
         self.on_growth(size)
 
     def _notify(self) -> None:
-        changed, self._changed = self._changed, anyio.Event()
-        changed.set()
+        if self._changed is not None:
+            self._changed.set()
+            self._changed = None
 
 
 def end_of_error(error: CranberryfieldError) -> RecordEnd:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -117,6 +117,7 @@
             joined = await self._sharing.join(record)
             if joined is JoinedAs.FOLLOWER:
                 await self._sharing.wait_followed(record)
+                self._move_if_leaving(record)
             elif joined is JoinedAs.RUNNER:
                 await self._run_kept(record)
 
@@ -134,6 +135,11 @@
                 return
         self._metrics.count("taken_by_other_host")
         record.drop_uncommitted()
+        self._move_if_leaving(record)
+
+    def _move_if_leaving(self, record: RequestRecord) -> None:
+        if record.state is RequestState.RUNNING and record.moving_to is not None:
+            record.move(self._clock())
 
     async def _run_admitted(self, record: RequestRecord) -> Outcome | None:
         async with self._gate.enter(record.request):
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/section.py
@@ -133,6 +133,8 @@
 
 
 def _may_run_again(record: RequestRecord) -> bool:
+    if record.state is RequestState.MOVED:
+        return True
     if record.state is not RequestState.FAILED:
         return False
     # What stands under a non-idempotent key is for the log to say, and an
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/sharing.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/sharing.py
@@ -100,6 +100,8 @@
         self._clock = clock
         self._followed: dict[NodeId, set[RequestRecord]] = {}
         self.keeper: RecordKeeper | None = None
+        #: Whether this host is being reclaimed, so that nobody should follow it.
+        self.is_leaving = False
         for kind in (OpenRecord, FindRecord, TakeRecord, FollowRecord):
             mesh.handle(kind, self._on_question)
         mesh.handle(RecordProgress, self._on_progress)
@@ -308,7 +310,8 @@
         match message:
             case FollowRecord():
                 is_runner = record.runner is None and record.run == message.run
-                granted = is_runner and self.keeper.add_peer(record, sender)
+                may_follow = is_runner and not self.is_leaving
+                granted = may_follow and self.keeper.add_peer(record, sender)
                 return record.to_copy(self._node, granted)
             case TakeRecord() if record.run == message.run and (
                 message.epoch > record.epoch
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -26,6 +26,7 @@
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.attempts import AttemptWatch
 from cranberryfield.entry.requests.claims import ClaimKeeper
+from cranberryfield.entry.requests.handover import HandOvers
 from cranberryfield.entry.requests.held import HeldRecords
 from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
 from cranberryfield.entry.requests.keeping import RecordKeeper
@@ -41,6 +42,9 @@
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Time before the end of a reclaim in which callers are told, in milliseconds.
+LAST_WORDS_MS = 300
+MS_PER_S = 1000
 #: Longest wait of a stop for the log to take the ends of claims, in seconds.
 CLOSE_WAIT_S = 10.0
 
@@ -103,6 +107,7 @@
         self._prober = prober
         self._stopping = False
         self.api: CallerApi | None = None
+        self.hand_overs: HandOvers | None = None
 
     @classmethod
     def from_config(
@@ -215,6 +220,16 @@
             metrics,
             clock,
         )
+        runtime.hand_overs = HandOvers(
+            mesh,
+            settings,
+            records,
+            sharing,
+            runner.run,
+            lambda node: peers.peers[node].record.callers,
+            tasks,
+            clock,
+        )
         runtime.api = CallerApi(
             settings,
             records,
@@ -249,6 +264,20 @@
             while self._claims.unclosed:
                 await anyio.sleep(DRAIN_POLL_S)
 
+    async def leave(self) -> None:
+        """Give requests to other hosts and end the rest, as the host is reclaimed.
+
+        Requests that no other host can go on with may finish here until shortly
+        before the time is over that `entry_reclaim_ms` gives.
+        """
+        self.begin_stop()
+        settings = effective_settings(self._settings.tree, None, None)
+        left_s = (settings.entry_reclaim_ms - LAST_WORDS_MS) / MS_PER_S
+        with anyio.move_on_after(max(0.0, left_s)):
+            await self.hand_overs.give_all()
+            await self.wait_drained()
+        self.hand_overs.end_rest()
+
     async def run(self) -> None:
         """Follow settings and membership and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/tests/test_requests_records.py
+++ b/tests/test_requests_records.py
@@ -1,5 +1,6 @@
 """Answers that go on when their entry host is killed, frozen or changed."""
 
+import signal
 import tempfile
 import uuid
 from contextlib import contextmanager
@@ -134,15 +135,17 @@
                 assert other.status_code == 422
 
 
-# Where the answer breaks off, and where the caller goes on.
-BREAKS = [("entry-1", "entry-2"), ("entry-3", "entry-1")]
+# Where the answer breaks off, where the caller goes on, and the notice before.
+BREAKS = [("entry-1", "entry-2", None), ("entry-3", "entry-1", signal.SIGUSR1)]
 
 
-@pytest.mark.parametrize(("broken", "other"), BREAKS)
-def test_killed_host(group, broken, other):
+@pytest.mark.parametrize(("broken", "other", "notice"), BREAKS)
+def test_killed_host(group, broken, other, notice):
     key = uuid.uuid4().hex
     with answer(group, broken, key) as first:
         events = read_events(first, 20)
+        if notice is not None:
+            group.hosts[broken].process.send_signal(notice)
         group.hosts[broken].process.kill()
     with answer(group, other, key, events[-1][0]) as second:
         events += read_events(second)
@@ -205,3 +208,41 @@
     assert (problem["was_run"], len(group.journal())) == ("no", before)
     edit = {"level": "system", "unset": ["record_memory_bytes"]}
     group.change_settings([edit], uuid.uuid4().hex, "entry-1")
+
+
+def test_reclaimed_host_hands_its_answers_over(group):
+    key = uuid.uuid4().hex
+    with answer(group, "entry-2", key) as first:
+        events = read_events(first, 10)
+        group.hosts["entry-2"].process.send_signal(signal.SIGUSR1)
+        rest = list(first.lines)
+    # The stream's end says that the answer goes on, and where.
+    ends = [line for line in rest if line.startswith("event: ")]
+    assert ends == ["event: moved"]
+    place = rest.index("event: moved")
+    moved = httpx.Response(200, content=rest[place + 1][6:]).json()
+    ids = [line[4:] for line in rest[:place] if line.startswith("id: ")]
+    payloads = [line[6:] for line in rest[:place] if line.startswith("data: ")]
+    events += zip(ids, payloads, strict=True)
+    nodes = {host.callers: node for node, host in group.hosts.items()}
+    assert nodes[moved["host"]] in ("entry-1", "entry-3")
+    with answer(group, nodes[moved["host"]], key, events[-1][0]) as second:
+        events += read_events(second)
+    check_whole(events)
+    assert group.hosts["entry-2"].process.wait() == 0
+    assert events_of(entries_of(group, events[0][0])) == [
+        "started",
+        "resumed",
+        "finished",
+    ]
+    restart(group, "entry-2")
+
+
+def test_planned_stop_cuts_no_answer(group):
+    with answer(group, "entry-3", None) as response:
+        events = read_events(response, 5)
+        group.hosts["entry-3"].process.terminate()
+        events += read_events(response)
+    check_whole(events)
+    assert group.hosts["entry-3"].process.wait() == 0
+    restart(group, "entry-3")
