--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -24,19 +24,27 @@
 from cranberryfield.entry.membership.peers import other_live_peers
 from cranberryfield.entry.membership.probing import UpstreamProber
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.attempts import AttemptWatch
 from cranberryfield.entry.requests.claims import ClaimKeeper
+from cranberryfield.entry.requests.handover import HandOvers
 from cranberryfield.entry.requests.held import HeldRecords
 from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
 from cranberryfield.entry.requests.keeping import RecordKeeper
+from cranberryfield.entry.requests.quarantine import QuarantineSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
+from cranberryfield.entry.requests.suspects import Suspects
 from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
 from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Time before the end of a reclaim in which callers are told, in milliseconds.
+LAST_WORDS_MS = 300
+MS_PER_S = 1000
 #: Longest wait of a stop for the log to take the ends of claims, in seconds.
 CLOSE_WAIT_S = 10.0
 
@@ -66,6 +74,8 @@
         Claims of non-idempotent requests.
     sharing : RecordSharing
         Records over all entry hosts.
+    watch : AttemptWatch
+        Watches running attempts.
     prober : UpstreamProber
         Renews those whose home has fallen silent.
     """
@@ -81,6 +91,7 @@
         leases: LeaseKeeper,
         claims: ClaimKeeper,
         sharing: RecordSharing,
+        watch: AttemptWatch,
         prober: UpstreamProber,
     ):
         self._settings = settings
@@ -92,9 +103,11 @@
         self._leases = leases
         self._claims = claims
         self._sharing = sharing
+        self._watch = watch
         self._prober = prober
         self._stopping = False
         self.api: CallerApi | None = None
+        self.hand_overs: HandOvers | None = None
 
     @classmethod
     def from_config(
@@ -156,9 +169,14 @@
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         prober = UpstreamProber.from_clock(upstreams, leases, clock)
         claims = ClaimKeeper(config.node_id, proposer, clock)
+        own = EntryHost(config.node_id, config.zone)
+
+        def hosts() -> list[EntryHost]:
+            return entry_hosts(peers, own)
+
         sharing = RecordSharing(
             config.node_id,
-            lambda: entry_hosts(peers, EntryHost(config.node_id, config.zone)),
+            hosts,
             mesh,
             records,
             board.add(HeldRecords()),
@@ -166,6 +184,10 @@
             clock,
         )
         sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
+        choose = make_chooser(board, config.zone, clock, rng)
+        quarantine = board.add(QuarantineSection())
+        suspects = Suspects(config.node_id, quarantine, mesh, hosts, choose, clock)
+        watch = AttemptWatch(upstreams, choose, dispatcher.move_kv, tasks, clock)
         runtime = cls(
             settings,
             records,
@@ -176,19 +198,37 @@
             leases,
             claims,
             sharing,
+            watch,
             prober,
         )
-        runner = RequestRunner(
-            make_chooser(board, config.zone, clock, rng),
+        attempts = AttemptRunner(
+            suspects,
             dispatched,
-            AdmissionGate(),
             dispatcher,
             claims,
+            watch,
+            metrics,
+            clock,
+            make_observer(clock),
+        )
+        runner = RequestRunner(
+            attempts,
+            AdmissionGate(),
+            claims,
             sharing,
             records,
             metrics,
             clock,
-            make_observer(clock),
+        )
+        runtime.hand_overs = HandOvers(
+            mesh,
+            settings,
+            records,
+            sharing,
+            runner.run,
+            lambda node: peers.peers[node].record.callers,
+            tasks,
+            clock,
         )
         runtime.api = CallerApi(
             settings,
@@ -224,6 +264,20 @@
             while self._claims.unclosed:
                 await anyio.sleep(DRAIN_POLL_S)
 
+    async def leave(self) -> None:
+        """Give requests to other hosts and end the rest, as the host is reclaimed.
+
+        Requests that no other host can go on with may finish here until shortly
+        before the time is over that `entry_reclaim_ms` gives.
+        """
+        self.begin_stop()
+        settings = effective_settings(self._settings.tree, None, None)
+        left_s = (settings.entry_reclaim_ms - LAST_WORDS_MS) / MS_PER_S
+        with anyio.move_on_after(max(0.0, left_s)):
+            await self.hand_overs.give_all()
+            await self.wait_drained()
+        self.hand_overs.end_rest()
+
     async def run(self) -> None:
         """Follow settings and membership and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -232,6 +286,7 @@
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
+            tasks.start_soon(self._watch.run)
             tasks.start_soon(self._prober.run)
 
     async def close(self) -> None:
