--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/running.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/running.py
@@ -112,7 +112,6 @@
             attempt = Attempt(record, upstream, self._clock(), attempt)
             self._count_recomputed(attempt, cause)
             end, outcome = await self._start(attempt, claim)
-            self._observe(upstream, end)
             is_moved = end.result is AttemptResult.MOVED and attempt.gained
             attempts += not is_moved
             ran_before = ran_before or end.result is not AttemptResult.NOT_RUN
@@ -156,6 +155,7 @@
                 return AttemptEnd(AttemptResult.NOT_RUN, "too late to start"), None
         with self._suspects.running(request, attempt.upstream):
             end, outcome = await self._run_watched(attempt)
+        self._observe(attempt.upstream, end)
         is_model = request.settings.kind is ServiceKind.MODEL
         if end.result is AttemptResult.BROKEN and is_model:
             await self._check_crash(attempt)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -16,9 +16,15 @@
 from cranberryfield.core.settings import effective_settings
 from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
+from cranberryfield.entry.admission.places import make_places
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.limits import SharedLimits
+from cranberryfield.entry.membership import (
+    PeersSection,
+    UpstreamsSection,
+    live_peers,
+)
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.membership.peers import other_live_peers
@@ -36,7 +42,14 @@
 from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
 from cranberryfield.entry.requests.suspects import Suspects
-from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
+from cranberryfield.entry.retries import RetrySection
+from cranberryfield.entry.routing import (
+    DispatchSection,
+    PrefixSection,
+    make_chooser,
+    make_observer,
+)
+from cranberryfield.entry.routing.events import CacheEventReader
 from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
@@ -70,14 +83,16 @@
         Keeps the tables of entry hosts and upstreams.
     leases : LeaseKeeper
         Renews the leases of upstreams.
+    prober : UpstreamProber
+        Renews those whose home has fallen silent.
+    cache_events : CacheEventReader
+        Follows what engines have in their prefix caches.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
     sharing : RecordSharing
         Records over all entry hosts.
     watch : AttemptWatch
         Watches running attempts.
-    prober : UpstreamProber
-        Renews those whose home has fallen silent.
     """
 
     def __init__(
@@ -89,10 +104,11 @@
         clock: Clock,
         gossip: TableGossip,
         leases: LeaseKeeper,
+        prober: UpstreamProber,
+        cache_events: CacheEventReader,
         claims: ClaimKeeper,
         sharing: RecordSharing,
         watch: AttemptWatch,
-        prober: UpstreamProber,
     ):
         self._settings = settings
         self._records = records
@@ -101,10 +117,11 @@
         self._clock = clock
         self._gossip = gossip
         self._leases = leases
+        self._prober = prober
+        self._cache_events = cache_events
         self._claims = claims
         self._sharing = sharing
         self._watch = watch
-        self._prober = prober
         self._stopping = False
         self.api: CallerApi | None = None
         self.hand_overs: HandOvers | None = None
@@ -151,6 +168,8 @@
         upstreams = board.add(UpstreamsSection())
         records = board.add(RecordsSection())
         dispatched = board.add(DispatchSection())
+        prefixes = board.add(PrefixSection())
+        board.add(RetrySection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
         peers = board.add(PeersSection(config.node_id))
@@ -168,6 +187,7 @@
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         prober = UpstreamProber.from_clock(upstreams, leases, clock)
+        cache_events = CacheEventReader.from_sections(upstreams, prefixes)
         claims = ClaimKeeper(config.node_id, proposer, clock)
         own = EntryHost(config.node_id, config.zone)
 
@@ -188,6 +208,13 @@
         quarantine = board.add(QuarantineSection())
         suspects = Suspects(config.node_id, quarantine, mesh, hosts, choose, clock)
         watch = AttemptWatch(upstreams, choose, dispatcher.move_kv, tasks, clock)
+        limits = SharedLimits(
+            config.node_id,
+            lambda: [one.node for one in live_peers(peers, clock())],
+            mesh,
+            clock,
+            rng,
+        )
         runtime = cls(
             settings,
             records,
@@ -196,10 +223,11 @@
             clock,
             gossip,
             leases,
+            prober,
+            cache_events,
             claims,
             sharing,
             watch,
-            prober,
         )
         attempts = AttemptRunner(
             suspects,
@@ -213,7 +241,7 @@
         )
         runner = RequestRunner(
             attempts,
-            AdmissionGate(),
+            AdmissionGate(make_places(board, clock), clock, rng, limits.admit),
             claims,
             sharing,
             records,
@@ -283,11 +311,12 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._prober.run)
+            tasks.start_soon(self._cache_events.run)
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
             tasks.start_soon(self._watch.run)
-            tasks.start_soon(self._prober.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
