--- a/packages/cranberryfield-client/src/cranberryfield/client/commands/control.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/control.py
@@ -65,14 +65,8 @@
             change = MemberChange(add, remove)
             await connection.post("/operator/control/members", change, MembersView)
     replies = await find_nodes(target)
-    voters = {
-        voter
-        for reply in replies
-        if reply.value is not None and reply.value.control is not None
-        for voter in reply.value.control.voters
-    }
     known = {reply.node: reply for reply in replies}
-    rows = [_row(node, known.get(node)) for node in sorted(voters)]
+    rows = [_row(node, known.get(node)) for node in sorted(_members(replies))]
     print_rows(rows, target.as_json)
 
 
@@ -120,6 +114,19 @@
     print_value(view, target.as_json)
 
 
+def _members(replies: list[NodeReply[StatusView]]) -> set[str]:
+    views = [
+        reply.value.control
+        for reply in replies
+        if reply.value is not None and reply.value.control is not None
+    ]
+    # A host that was taken out while it was away still counts itself in.
+    leading = [view for view in views if view.role == "leader"]
+    if leading:
+        return set(max(leading, key=lambda view: view.term).voters)
+    return {voter for view in views for voter in view.voters}
+
+
 def _row(node: str, reply: NodeReply[StatusView] | None) -> MemberRow:
     view = reply.value if reply is not None else None
     if view is None or view.control is None:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/api.py
@@ -71,7 +71,13 @@
         self._proposer = proposer
         self._ready = ready
         self._is_entry = Role.ENTRY in config.roles
-        self._control = ControlApi(config.node_id, mesh, proposer, self._authorise)
+        self._control = ControlApi(
+            config.node_id,
+            Role.CONTROL in config.roles,
+            mesh,
+            proposer,
+            self._authorise,
+        )
 
     def routes(self) -> list[Route]:
         """Return the operators' routes."""
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/control_api.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/operators/control_api.py
@@ -49,6 +49,8 @@
     ----------
     node : NodeId
         This process.
+    is_control : bool
+        Whether it has the control role.
     mesh : Mesh
         Links to other processes.
     proposer : Proposer
@@ -60,11 +62,13 @@
     def __init__(
         self,
         node: NodeId,
+        is_control: bool,
         mesh: Mesh,
         proposer: Proposer,
         authorise: Callable[[HttpRequest], None],
     ):
         self._node = node
+        self._is_control = is_control
         self._mesh = mesh
         self._proposer = proposer
         self._authorise = authorise
@@ -128,6 +132,11 @@
     async def _replace(self, http: HttpRequest) -> Response:
         self._authorise(http)
         body = await decode_json(http, GroupReplacement, MAX_BODY_BYTES)
+        if not self._is_control:
+            raise CallerError(
+                ErrorKind.BAD_REQUEST,
+                f"{self._node} has no control role; call the surviving control host",
+            )
         request = ReplaceControl(NodeId(body.node))
         view = await self._mesh.request(self._node, request, CHANGE_TIMEOUT_S)
         return _json(_members_view(view))
--- a/tests/test_client_commands.py
+++ b/tests/test_client_commands.py
@@ -7,6 +7,7 @@
 from cranberryfield.client import main as client
 from standins.fleets import NOTARY_KEY, RELEVE_KEY
 from standins.group import OPERATOR_KEY
+from standins.processes import wait_until
 
 
 @pytest.fixture
@@ -66,6 +67,16 @@
     ("bad address", ("status", "--node", "127.0.0.1:port"), 2, "--node"),
     ("no node there", ("status", "--node", "127.0.0.1:1"), 6, "no answer"),
     ("file missing", ("settings", "apply", "/nowhere.yaml"), 2, "No such file"),
+    ("neither file nor revision", ("settings", "diff"), 2, "--since"),
+    ("revisions not kept", ("settings", "diff", "--since", 10**6), 4, "not kept"),
+    ("replace unconfirmed", ("control", "replace", "control-1"), 2, "--help"),
+    (
+        "replace by an entry host",
+        ("control", "replace", "entry-1", "--majority-is-lost"),
+        2,
+        "no control role",
+    ),
+    ("add nobody", ("control", "members", "--add", "control-9"), 4, "control-9"),
     ("not a daemon's file", ("config", "check", "/nowhere.yaml"), 2, "No such file"),
 ]
 
@@ -89,6 +100,8 @@
     ("status", ("status",), "entry-3"),
     ("status of one", ("status", "--one"), "entry-1"),
     ("members", ("control", "members"), "leader"),
+    ("history", ("settings", "history"), "booking-app"),
+    ("difference", ("settings", "diff", "--since", 0), "booking-app"),
     ("levels", ("settings", "get"), "service/redacteur"),
     ("one level", ("settings", "get", "service/redacteur"), "model"),
     ("in force", ("settings", "get", "--service", "redacteur"), "retry_budget"),
@@ -185,6 +198,31 @@
     read("settings", "unset", "workspace/releve", "share", "--wait")
 
 
+def test_history_shows_who_replaced_what(read):
+    level = "service/clerk-lm"
+    first = read("settings", "set", level, "queue_limit=5")
+    second = read("settings", "set", level, "queue_limit=6")
+    rows = read("settings", "history", level, "--limit", 2)
+    assert [(row["before"], row["after"]) for row in rows] == [(5, 6), (None, 5)]
+    assert rows[0]["change_id"] == second["change_id"]
+    span = ("--since", first["revision"], "--until", second["revision"])
+    assert read("settings", "diff", *span) == [
+        {"level": level, "setting": "queue_limit", "before": 5, "after": 6}
+    ]
+    read("settings", "unset", level, "queue_limit", "--wait")
+
+
+def test_a_control_host_leaves_and_joins_at_an_operators_word(fleet, run, read):
+    rows = read("control", "members")
+    follower = next(row["node"] for row in rows if row["role"] == "follower")
+    rows = read("control", "members", "--remove", follower)
+    assert follower not in [row["node"] for row in rows]
+    wait_until(
+        lambda: run("control", "members", "--add", follower)[0] == 0, "it is back"
+    )
+    wait_until(lambda: len(read("control", "members")) == 3, "three members")
+
+
 def test_all_faults_of_a_settings_file_are_told_with_their_lines(run, tmp_path):
     file = tmp_path / "fleet.yaml"
     file.write_text(
