--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,7 @@
 from standins.fleets import NOTARY_KEY, RELEVE_KEY
 from standins.group import OPERATOR_KEY
 from tests.console import read_examples, run_curl
+from tests.matrix.table import SUBSET, all_scenarios
 
 ROOT = Path(__file__).parent.parent
 DOCS = ROOT / "docs"
@@ -118,6 +119,21 @@
     assert len({one["group"] for one in hosts}) == 1
 
 
+def test_each_proof_that_is_named_exists():
+    page = (DOCS / "NOT-PROVED.md").read_text()
+    named = set(re.findall(r"`(test_\w+\.py)::(\w+)`", page))
+    assert named
+    for file, test in named:
+        folders = (ROOT / "tests", ROOT / "packages")
+        files = [found for folder in folders for found in folder.rglob(file)]
+        texts = [found.read_text() for found in files]
+        assert any(f"def {test}(" in text for text in texts), f"{file}::{test}"
+    scenarios = {one.name for one in all_scenarios()}
+    for row, star in re.findall(r"`matrix ([a-z][^`]+)`(\*?)", page):
+        assert row in scenarios, row
+        assert (row in SUBSET) == bool(star), row
+
+
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.stem)
 def test_links_between_pages_lead_somewhere(page):
     for target in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
