Log what changes in a process: readiness, settings, leader, upstreams

Cause: the log of a host told of links, starts and stops only; an operator could not see from it when a change came into force or an upstream fell silent.

Change: once a second what operators are shown is compared with what it was.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -21,6 +22,8 @@
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.daemon.operators.reports import report_status, report_upstreams
+from cranberryfield.daemon.watch import Observation, watch
 from cranberryfield.daemon.web import build_web_app
 from cranberryfield.entry.runtime import EntryRuntime
 
@@ -103,6 +106,7 @@
         web = build_web_app(config, board, mesh, metrics, proposer, entry, control)
         stop = anyio.Event()
         tasks.start_soon(_stop_on_signal, entry, stop)
+        tasks.start_soon(watch, _observer(config, board, mesh, entry))
         logger.info("started", callers=config.callers, mesh=config.mesh)
         await serve(web, _web_config(config), shutdown_trigger=stop.wait)
         if entry is not None:
@@ -111,6 +115,20 @@
         tasks.cancel_scope.cancel()
 
 
+def _observer(
+    config: DaemonConfig, board: Blackboard, mesh: Mesh, entry: EntryRuntime | None
+) -> Callable[[], Observation]:
+    def observe() -> Observation:
+        ready = entry is None or entry.is_ready()
+        status = report_status(config, board, mesh, ready)
+        upstreams = []
+        if entry is not None:
+            upstreams = report_upstreams(board, monotonic_clock())
+        return Observation.from_views(status, upstreams)
+
+    return observe
+
+
 def _dial_all(config: DaemonConfig, mesh: Mesh, tasks: TaskGroup) -> None:
     addresses = {member.mesh for member in config.control}
     for address in sorted(addresses - {config.mesh}):
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/watch.py
@@ -0,0 +1,141 @@
+"""Logs what operators need to know of a process: what has changed in it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+import structlog
+
+from cranberryfield.core.operators.views import StatusView, UpstreamView
+
+__all__ = ["Change", "Observation", "UpstreamState", "find_changes", "watch"]
+
+INTERVAL_S = 1.0
+
+logger = structlog.get_logger(__name__)
+
+
+class UpstreamState(Enum):
+    """What a process makes of an upstream."""
+
+    IN_USE = "in use"
+    DRAINED = "drained"
+    LEAVING = "leaving"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What is watched, at one moment.
+
+    Attributes
+    ----------
+    ready : bool
+        Whether the process takes new requests.
+    revision : int
+        Revision of the settings in force.
+    role, leader : str or None
+        Of the control role: what the replica is, and whom it follows.
+    upstreams : dict
+        State of each known upstream by id.
+    """
+
+    ready: bool
+    revision: int
+    role: str | None = None
+    leader: str | None = None
+    upstreams: dict[str, UpstreamState] = field(default_factory=dict)
+
+    @classmethod
+    def from_views(
+        cls, status: StatusView, upstreams: list[UpstreamView]
+    ) -> "Observation":
+        """Take from what operators are shown what is watched."""
+        control = status.control
+        return cls(
+            status.ready,
+            status.settings_revision,
+            control.role if control is not None else None,
+            control.leader if control is not None else None,
+            {one.upstream: _state(one) for one in upstreams},
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One line of the log."""
+
+    event: str
+    fields: dict[str, str | int | None] = field(default_factory=dict)
+
+
+def _state(view: UpstreamView) -> UpstreamState:
+    if view.leaving:
+        return UpstreamState.LEAVING
+    if view.drained:
+        return UpstreamState.DRAINED
+    if not view.lease_left_ms:
+        return UpstreamState.SILENT
+    return UpstreamState.IN_USE
+
+
+def find_changes(before: Observation, after: Observation) -> list[Change]:
+    """Name what differs between two observations.
+
+    Parameters
+    ----------
+    before, after : Observation
+        The earlier and the later one.
+
+    Returns
+    -------
+    list of Change
+        Nothing if nothing has changed.
+
+    Examples
+    --------
+    >>> found = find_changes(Observation(False, 3), Observation(True, 4))
+    >>> [(change.event, change.fields) for change in found]
+    [('ready', {}), ('settings in force', {'revision': 4})]
+    """
+    found = []
+    if after.ready != before.ready:
+        found.append(Change("ready" if after.ready else "not ready"))
+    if after.revision != before.revision:
+        found.append(Change("settings in force", {"revision": after.revision}))
+    if (after.role, after.leader) != (before.role, before.leader):
+        fields = {"role": after.role, "leader": after.leader}
+        found.append(Change("control role", fields))
+    return found + _upstream_changes(before.upstreams, after.upstreams)
+
+
+def _upstream_changes(
+    before: dict[str, UpstreamState], after: dict[str, UpstreamState]
+) -> list[Change]:
+    found = [
+        Change("upstream", {"upstream": name, "state": state.value})
+        for name, state in sorted(after.items())
+        if before.get(name) is not state
+    ]
+    gone = sorted(before.keys() - after.keys())
+    return found + [
+        Change("upstream", {"upstream": name, "state": "forgotten"}) for name in gone
+    ]
+
+
+async def watch(observe: Callable[[], Observation]) -> None:
+    """Log changes until cancelled.
+
+    Parameters
+    ----------
+    observe : callable
+        Returns what is to be seen now.
+    """
+    before = observe()
+    while True:
+        await anyio.sleep(INTERVAL_S)
+        after = observe()
+        for change in find_changes(before, after):
+            logger.info(change.event, **change.fields)
+        before = after
