--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -16,6 +16,7 @@
     limits,
     links,
     membership,
+    orders,
     requests,
     settings,
 )
@@ -43,6 +44,7 @@
     limits,
     links,
     membership,
+    orders,
     requests,
     settings,
 )
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/control.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/control.py
@@ -15,7 +15,9 @@
     "ReadHistory",
     "ReadHolders",
     "ReadMembers",
+    "ReadTraffic",
     "ReplaceControl",
+    "TrafficView",
 ]
 
 
@@ -131,3 +133,14 @@
     leader: NodeId | None
     generation: int
     term: int
+
+
+class ReadTraffic(Message):
+    """Asks any process what went over its links; answered by `TrafficView`."""
+
+
+class TrafficView(Message):
+    """Payload bytes on all links of a process since its start."""
+
+    sent: int
+    received: int
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/__init__.py
@@ -5,7 +5,6 @@
 from cranberryfield.entry.routing.observe import (
     AttemptObserver,
     make_observer,
-    observe_nothing,
 )
 from cranberryfield.entry.routing.prefix import PrefixSection
 
@@ -17,5 +16,4 @@
     "choose_upstream",
     "make_chooser",
     "make_observer",
-    "observe_nothing",
 ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/observe.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/observe.py
@@ -7,16 +7,12 @@
 from cranberryfield.entry.membership.stability import after_failure, after_success
 from cranberryfield.entry.requests.lifecycle import AttemptEnd, AttemptResult
 
-__all__ = ["AttemptObserver", "make_observer", "observe_nothing"]
+__all__ = ["AttemptObserver", "make_observer"]
 
 #: Takes the upstream of an attempt and how the attempt ended.
 AttemptObserver = Callable[[KnownUpstream, AttemptEnd], None]
 
 
-def observe_nothing(upstream: KnownUpstream, end: AttemptEnd) -> None:
-    """Learn nothing from an attempt."""
-
-
 def make_observer(clock: Clock) -> AttemptObserver:
     """Return the function that is told how each attempt ended.
 
