Wake the changes that wait for hosts by revision, not by polling

500 changes at once each looked every 5 ms whether half of the hosts had them; the leader's loop was busy with that, attempts ran out after a second and were resent. Seen in the whole suite on the loaded machine (no_quorum after 15 s in test_a_stale_control_host_confirms_nothing).

--- a/packages/cranberryfield-control/src/cranberryfield/control/followers.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/followers.py
@@ -1,6 +1,8 @@
 """Entry hosts that follow the settings, and what each has in force."""
 
 from dataclasses import dataclass
+from heapq import heappop, heappush
+from itertools import count
 
 import anyio
 import structlog
@@ -51,7 +53,6 @@
 POLL_S = 0.05
 #: Longest wait for hosts to have a committed change, in seconds.
 HELD_WAIT_S = 0.8
-HELD_POLL_S = 0.005
 REGISTER_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 1.0
 
@@ -117,6 +118,8 @@
         self._published = SettingsTree()
         self._slices = SliceSource()
         self._ahead: NodeId | None = None
+        self._waiting: list[tuple[Revision, int, anyio.Event]] = []
+        self._numbers = count()
         mesh.handle(FollowSettings, self._on_follow)
         mesh.handle(SettingsAck, self._on_ack)
 
@@ -144,6 +147,7 @@
         replica = self._section.replica
         if replica.role is ReplicaRole.LEADER:
             self._hosts[sender] = _Host(message.revision, self._clock())
+            self._release_held()
         if message.revision > state.settings.tree.revision:
             self._ahead = sender
         removed = removed_levels(state.settings, message.revision)
@@ -176,6 +180,7 @@
         host = self._hosts.get(sender)
         if host is not None:
             host.revision = max(host.revision, message.revision)
+            self._release_held()
 
     def _is_heard(self, node: NodeId) -> bool:
         host = self._hosts.get(node)
@@ -257,9 +262,12 @@
         """
         if not isinstance(result, SettingsAccepted):
             return
+        if result.revision <= self._held_revision():
+            return
+        held = anyio.Event()
+        heappush(self._waiting, (result.revision, next(self._numbers), held))
         with anyio.move_on_after(HELD_WAIT_S):
-            while not self._is_held(result.revision):
-                await anyio.sleep(HELD_POLL_S)
+            await held.wait()
             return
         raise ControlError(
             ErrorKind.NO_QUORUM,
@@ -268,11 +276,22 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    def _is_held(self, revision: Revision) -> bool:
+    def _held_revision(self) -> Revision:
+        """Return the highest revision that half of the entry hosts have."""
         hosts = self._section.state.hosts
-        known = [self._hosts[node] for node in hosts if node in self._hosts]
-        held = sum(host.revision >= revision for host in known)
-        return held * 2 >= len(hosts)
+        if not hosts:
+            return self._section.state.settings.tree.revision
+        known = (self._hosts.get(node) for node in hosts)
+        revisions = sorted(
+            (host.revision if host else 0 for host in known), reverse=True
+        )
+        half = (len(hosts) + 1) // 2
+        return Revision(revisions[half - 1])
+
+    def _release_held(self) -> None:
+        held = self._held_revision()
+        while self._waiting and self._waiting[0][0] <= held:
+            heappop(self._waiting)[2].set()
 
     async def run(self) -> None:
         """Keep the list of entry hosts in the log until cancelled."""
