--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -16,27 +16,48 @@
 from cranberryfield.core.settings import effective_settings
 from cranberryfield.core.settings.follow import SettingsSection, may_serve
 from cranberryfield.entry.admission import AdmissionGate
+from cranberryfield.entry.admission.places import make_places
 from cranberryfield.entry.callers import CallerApi
 from cranberryfield.entry.dispatch import Dispatcher
-from cranberryfield.entry.membership import PeersSection, UpstreamsSection
+from cranberryfield.entry.limits import SharedLimits
+from cranberryfield.entry.membership import (
+    PeersSection,
+    UpstreamsSection,
+    live_peers,
+)
 from cranberryfield.entry.membership.gossip import TableGossip
 from cranberryfield.entry.membership.leases import LeaseKeeper
 from cranberryfield.entry.membership.peers import other_live_peers
 from cranberryfield.entry.membership.probing import UpstreamProber
 from cranberryfield.entry.requests import RecordsSection
+from cranberryfield.entry.requests.attempts import AttemptWatch
 from cranberryfield.entry.requests.claims import ClaimKeeper
+from cranberryfield.entry.requests.handover import HandOvers
 from cranberryfield.entry.requests.held import HeldRecords
 from cranberryfield.entry.requests.holders import EntryHost, entry_hosts
 from cranberryfield.entry.requests.keeping import RecordKeeper
+from cranberryfield.entry.requests.quarantine import QuarantineSection
 from cranberryfield.entry.requests.records import RequestState
 from cranberryfield.entry.requests.runner import RequestRunner
+from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.sharing import RecordSharing
-from cranberryfield.entry.routing import DispatchSection, make_chooser, make_observer
+from cranberryfield.entry.requests.suspects import Suspects
+from cranberryfield.entry.retries import RetrySection
+from cranberryfield.entry.routing import (
+    DispatchSection,
+    PrefixSection,
+    make_chooser,
+    make_observer,
+)
+from cranberryfield.entry.routing.events import CacheEventReader
 from cranberryfield.entry.settings import SettingsFollower
 
 __all__ = ["EntryRuntime"]
 
 DRAIN_POLL_S = 0.05
+#: Time before the end of a reclaim in which callers are told, in milliseconds.
+LAST_WORDS_MS = 300
+MS_PER_S = 1000
 #: Longest wait of a stop for the log to take the ends of claims, in seconds.
 CLOSE_WAIT_S = 10.0
 
@@ -62,12 +83,16 @@
         Keeps the tables of entry hosts and upstreams.
     leases : LeaseKeeper
         Renews the leases of upstreams.
+    prober : UpstreamProber
+        Renews those whose home has fallen silent.
+    cache_events : CacheEventReader
+        Follows what engines have in their prefix caches.
     claims : ClaimKeeper
         Claims of non-idempotent requests.
     sharing : RecordSharing
         Records over all entry hosts.
-    prober : UpstreamProber
-        Renews those whose home has fallen silent.
+    watch : AttemptWatch
+        Watches running attempts.
     """
 
     def __init__(
@@ -79,9 +104,11 @@
         clock: Clock,
         gossip: TableGossip,
         leases: LeaseKeeper,
+        prober: UpstreamProber,
+        cache_events: CacheEventReader,
         claims: ClaimKeeper,
         sharing: RecordSharing,
-        prober: UpstreamProber,
+        watch: AttemptWatch,
     ):
         self._settings = settings
         self._records = records
@@ -90,11 +117,14 @@
         self._clock = clock
         self._gossip = gossip
         self._leases = leases
+        self._prober = prober
+        self._cache_events = cache_events
         self._claims = claims
         self._sharing = sharing
-        self._prober = prober
+        self._watch = watch
         self._stopping = False
         self.api: CallerApi | None = None
+        self.hand_overs: HandOvers | None = None
 
     @classmethod
     def from_config(
@@ -138,6 +168,8 @@
         upstreams = board.add(UpstreamsSection())
         records = board.add(RecordsSection())
         dispatched = board.add(DispatchSection())
+        prefixes = board.add(PrefixSection())
+        board.add(RetrySection())
         dispatcher = Dispatcher.from_clock(clock)
         control = tuple(NodeId(member.node) for member in config.control)
         peers = board.add(PeersSection(config.node_id))
@@ -155,10 +187,16 @@
         )
         leases = LeaseKeeper(upstreams, peers, gossip, mesh, config.zone, clock)
         prober = UpstreamProber.from_clock(upstreams, leases, clock)
+        cache_events = CacheEventReader.from_sections(upstreams, prefixes)
         claims = ClaimKeeper(config.node_id, proposer, clock)
+        own = EntryHost(config.node_id, config.zone)
+
+        def hosts() -> list[EntryHost]:
+            return entry_hosts(peers, own)
+
         sharing = RecordSharing(
             config.node_id,
-            lambda: entry_hosts(peers, EntryHost(config.node_id, config.zone)),
+            hosts,
             mesh,
             records,
             board.add(HeldRecords()),
@@ -166,6 +204,17 @@
             clock,
         )
         sharing.keeper = RecordKeeper(config.node_id, mesh, tasks, sharing.choose_peers)
+        choose = make_chooser(board, config.zone, clock, rng)
+        quarantine = board.add(QuarantineSection())
+        suspects = Suspects(config.node_id, quarantine, mesh, hosts, choose, clock)
+        watch = AttemptWatch(upstreams, choose, dispatcher.move_kv, tasks, clock)
+        limits = SharedLimits(
+            config.node_id,
+            lambda: [one.node for one in live_peers(peers, clock())],
+            mesh,
+            clock,
+            rng,
+        )
         runtime = cls(
             settings,
             records,
@@ -174,21 +223,40 @@
             clock,
             gossip,
             leases,
+            prober,
+            cache_events,
             claims,
             sharing,
-            prober,
+            watch,
         )
-        runner = RequestRunner(
-            make_chooser(board, config.zone, clock, rng),
+        attempts = AttemptRunner(
+            suspects,
             dispatched,
-            AdmissionGate(),
             dispatcher,
             claims,
+            watch,
+            metrics,
+            clock,
+            make_observer(clock),
+        )
+        runner = RequestRunner(
+            attempts,
+            AdmissionGate(make_places(board, clock), clock, rng, limits.admit),
+            claims,
             sharing,
             records,
             metrics,
             clock,
-            make_observer(clock),
+        )
+        runtime.hand_overs = HandOvers(
+            mesh,
+            settings,
+            records,
+            sharing,
+            runner.run,
+            lambda node: peers.peers[node].record.callers,
+            tasks,
+            clock,
         )
         runtime.api = CallerApi(
             settings,
@@ -224,15 +292,31 @@
             while self._claims.unclosed:
                 await anyio.sleep(DRAIN_POLL_S)
 
+    async def leave(self) -> None:
+        """Give requests to other hosts and end the rest, as the host is reclaimed.
+
+        Requests that no other host can go on with may finish here until shortly
+        before the time is over that `entry_reclaim_ms` gives.
+        """
+        self.begin_stop()
+        settings = effective_settings(self._settings.tree, None, None)
+        left_s = (settings.entry_reclaim_ms - LAST_WORDS_MS) / MS_PER_S
+        with anyio.move_on_after(max(0.0, left_s)):
+            await self.hand_overs.give_all()
+            await self.wait_drained()
+        self.hand_overs.end_rest()
+
     async def run(self) -> None:
         """Follow settings and membership and renew claims until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._leases.run)
+            tasks.start_soon(self._prober.run)
+            tasks.start_soon(self._cache_events.run)
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._claims.run)
             tasks.start_soon(self._sharing.run)
-            tasks.start_soon(self._prober.run)
+            tasks.start_soon(self._watch.run)
 
     async def close(self) -> None:
         """Tell the other entry hosts and close connections to upstreams."""
