--- a/tests/matrix/__main__.py
+++ b/tests/matrix/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the matrix: ``python -m tests.matrix [--only TEXT]``."""
+"""Runs the matrix: ``python -m tests.matrix [PART_OF_ID ...]``."""
 
 import logging
 import subprocess
@@ -61,10 +61,9 @@
     print(f"{verdict} {result.cell} {spent_s:.1f} s{why}", flush=True)
 
 
-def _relay(number: int, only: str) -> list[str]:
+def _relay(number: int, only: tuple[str, ...]) -> list[str]:
     """Run one worker; print its lines as they come and return them."""
-    command = [sys.executable, "-m", "tests.matrix", "--share", str(number)]
-    command += ["--only", only]
+    command = [sys.executable, "-m", "tests.matrix", "--share", str(number), *only]
     lines = []
     with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as child:
         for line in child.stdout:
@@ -75,15 +74,23 @@
 
 @app.default
 def main(
-    *,
-    only: Annotated[
-        str, Parameter(help="run scenarios with a cell that has this")
-    ] = "",
+    *only: str,
     share: Annotated[int, Parameter(show=False)] = -1,
 ) -> int:
-    """Run all cells, or some, and print one line for each."""
+    """Run all cells, or some, and print one line for each.
+
+    Parameters
+    ----------
+    only : str
+        Parts of cells' ids; scenarios with a cell that has one of them are run.
+    share : int
+        Which worker this is.
+    """
+    wanted = only or ("",)
     scenarios = [
-        one for one in all_scenarios() if any(only in cell for cell in one.cells)
+        one
+        for one in all_scenarios()
+        if any(part in cell for cell in one.cells for part in wanted)
     ]
     if share >= 0:
         # The client of the control group logs in this process.
