--- a/packages/cranberryfield-control/src/cranberryfield/control/claims/table.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/claims/table.py
@@ -14,7 +14,9 @@
 
 __all__ = ["Claim", "ClaimTable", "Holder", "remove_claim", "settle_claim", "sweep"]
 
-SWEEP_INTERVAL_MS = 5000
+SWEEP_INTERVAL_MS = 30_000
+#: Claims that one command settles, so that no single one takes long.
+SWEEP_CLAIMS = 16
 
 
 class Claim(msgspec.Struct, array_like=True):
@@ -83,7 +85,9 @@
     now_ms : int
         The log's clock, in milliseconds.
     next_sweep_ms : int
-        Log time of the next removal of expired claims.
+        Log time of the next pass over all claims.
+    to_sweep : list
+        Names of the claims that the present pass has still to settle.
     holders : dict
         Processes that hold claims.
     expired : ExpiredKeys
@@ -97,6 +101,7 @@
     answer_bytes: int = 0
     now_ms: int = 0
     next_sweep_ms: int = 0
+    to_sweep: list[tuple[WorkspaceId, RequestKey]] = msgspec.field(default_factory=list)
     holders: dict[NodeId, Holder] = msgspec.field(default_factory=dict)
     expired: ExpiredKeys = msgspec.field(default_factory=ExpiredKeys)
 
@@ -158,21 +163,24 @@
 
 
 def sweep(table: ClaimTable) -> None:
-    """Apply the passing of time to all claims, at most once in 5 s of log time.
+    """Apply the passing of time to a few claims; over many calls, to all.
 
     Parameters
     ----------
     table : ClaimTable
-        Changed in place.
+        Changed in place. A pass over all claims begins every 30 s of log time.
     """
-    if table.now_ms < table.next_sweep_ms:
-        return
-    table.next_sweep_ms = table.now_ms + SWEEP_INTERVAL_MS
-    names = [
+    if not table.to_sweep and table.now_ms >= table.next_sweep_ms:
+        table.next_sweep_ms = table.now_ms + SWEEP_INTERVAL_MS
+        _begin_sweep(table)
+    for _ in range(min(SWEEP_CLAIMS, len(table.to_sweep))):
+        settle_claim(table, *table.to_sweep.pop())
+
+
+def _begin_sweep(table: ClaimTable) -> None:
+    table.to_sweep = [
         (workspace, key) for workspace, keys in table.claims.items() for key in keys
     ]
-    for workspace, key in names:
-        settle_claim(table, workspace, key)
     gone = [
         node
         for node, holder in table.holders.items()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/attempts.py
@@ -118,7 +118,7 @@
         self._tasks = tasks
         self._clock = clock
         self._running: dict[UpstreamId, set[Attempt]] = {}
-        self._leave_at: dict[tuple[UpstreamId, int], float] = {}
+        self._leave_at: dict[UpstreamId, float] = {}
 
     def add(self, attempt: Attempt) -> None:
         """Watch an attempt."""
@@ -131,6 +131,7 @@
         self._running[name].discard(attempt)
         if not self._running[name]:
             del self._running[name]
+            self._leave_at.pop(name, None)
         attempt.ended.set()
 
     async def run(self) -> None:
@@ -147,10 +148,10 @@
         """Return the time until an upstream goes; None if it does not leave."""
         known = self._upstreams.upstreams.get(name)
         if known is None or not known.record.leaving:
+            self._leave_at.pop(name, None)
             return None
-        start = (name, known.record.incarnation)
         leave_s = known.record.leave_ms / MS_PER_S
-        return self._leave_at.setdefault(start, now + leave_s) - now
+        return self._leave_at.setdefault(name, now + leave_s) - now
 
     def _check(self, attempt: Attempt, left_s: float | None, now: float) -> None:
         request = attempt.record.request
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/keeping.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/keeping.py
@@ -161,8 +161,8 @@
         self._add_holders(record)
 
     def _on_progress(self, record: RequestRecord) -> None:
-        kept = self._kept[record]
-        if kept.waits_for_peers:
+        kept = self._kept.get(record)
+        if kept is None or kept.waits_for_peers:
             return
         if not kept.peers:
             self._commit_alone(kept)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_decisions.py
@@ -0,0 +1,105 @@
+"""Decisions about attempts: what follows one, and who may run where."""
+
+import pytest
+
+from cranberryfield.entry.requests.lifecycle import (
+    MAX_ATTEMPTS,
+    AttemptEnd,
+    AttemptResult,
+    after_attempt,
+)
+from cranberryfield.entry.requests.quarantine import (
+    MAX_FINGERPRINTS,
+    QuarantineSection,
+    crashes_of,
+    leave_place,
+    note_crash,
+    take_place,
+)
+from cranberryfield.entry.requests.recovery import requested_tokens, should_move
+
+FINISHED, NOT_RUN, BROKEN, MOVED = AttemptResult
+
+# End, idempotent, attempts, ran before, late; then kind and was_run, or the step.
+ENDS = [
+    (FINISHED, True, 1, True, True, "Finish"),
+    (NOT_RUN, False, 1, False, False, "Retry"),
+    (NOT_RUN, False, 1, False, True, "deadline_exceeded no"),
+    (NOT_RUN, False, MAX_ATTEMPTS, False, False, "upstream_failed no"),
+    (NOT_RUN, True, MAX_ATTEMPTS, True, False, "upstream_failed unknown"),
+    (BROKEN, False, 1, True, False, "outcome_unknown unknown"),
+    (BROKEN, False, 1, True, True, "outcome_unknown unknown"),
+    (BROKEN, True, 1, True, False, "Retry"),
+    (BROKEN, True, 1, True, True, "deadline_exceeded unknown"),
+    (MOVED, True, 0, True, False, "Retry"),
+    (MOVED, True, 0, True, True, "deadline_exceeded unknown"),
+]
+
+
+@pytest.mark.parametrize(
+    ("result", "idempotent", "attempts", "ran_before", "late", "expected"), ENDS
+)
+def test_after_attempt(result, idempotent, attempts, ran_before, late, expected):
+    step = after_attempt(
+        AttemptEnd(result),
+        idempotent=idempotent,
+        attempts=attempts,
+        ran_before=ran_before,
+        late=late,
+    )
+    name = type(step).__name__
+    seen = f"{step.kind.value} {step.was_run.value}" if name == "GiveUp" else name
+    assert seen == expected
+
+
+# Tokens and time left, gap, and whether to move; the margin is 0.8 s.
+MOVES = [
+    (10, 2.0, 0.02, False),
+    (70, 2.0, 0.02, True),
+    (None, 2.0, 0.02, False),
+    (None, 0.7, 0.02, True),
+    (10, 2.0, 0.0, False),
+    (0, 0.8, 0.02, True),
+    (5, -1.0, 0.02, True),
+]
+
+
+@pytest.mark.parametrize(("tokens", "left_s", "gap_s", "expected"), MOVES)
+def test_should_move(tokens, left_s, gap_s, expected):
+    assert should_move(tokens, gap_s, left_s, 0.8) is expected
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [(b'{"max_tokens": 7}', 7), (b"{}", None), (b'{"max_tokens": "x"}', None)],
+)
+def test_requested_tokens(body, expected):
+    assert requested_tokens(body) == expected
+
+
+def test_a_crash_counts_once_however_often_it_is_heard_of():
+    section = QuarantineSection()
+    heard = [("u1", 1), ("u1", 1), ("u1", 2), ("u2", 1)]
+    news = [note_crash(section, b"f", *crash, 5.0) for crash in heard]
+    assert (news, crashes_of(section, b"f")) == ([True, False, True, True], 3)
+    note_crash(section, b"g", "u1", 1, 4.0)
+    assert section.crashed_at["u1", 1] == 4.0
+
+
+def test_fingerprints_are_bounded():
+    section = QuarantineSection()
+    for number in range(MAX_FINGERPRINTS + 5):
+        note_crash(section, number.to_bytes(4), "u1", number, 0.0)
+    assert len(section.crashes) == MAX_FINGERPRINTS
+    assert crashes_of(section, (0).to_bytes(4)) == 0
+
+
+def test_only_who_has_a_place_gives_it_up():
+    section = QuarantineSection()
+    first, second = ("e1", b"f"), ("e2", b"g")
+    assert take_place(section, "u1", first, 0.0, 9.0)
+    leave_place(section, "u1", second)
+    assert not take_place(section, "u1", second, 1.0, 9.0)
+    assert take_place(section, "u1", first, 1.0, 9.0)
+    leave_place(section, "u1", first)
+    assert take_place(section, "u1", second, 1.0, 9.0)
--- a/tests/test_requests_records.py
+++ b/tests/test_requests_records.py
@@ -124,6 +124,17 @@
     with answer(group, "entry-3", key) as fourth:
         assert read_events(fourth) == events + rest
     assert events_of(entries_of(group, rest[0][0])) == ["started", "finished"]
+    for host in group.hosts.values():
+        if "entry" in host.plan.roles:
+            view = httpx.get(
+                f"http://{host.callers}/v1/requests/{key}",
+                headers={"Authorization": f"Bearer {RELEVE_KEY}"},
+                trust_env=False,
+            ).json()
+            assert (view["state"], view["events"]) == (
+                "answered",
+                len(events + rest) - 1,
+            )
 
 
 def test_other_body_is_refused_on_every_host(group):
