--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -13,8 +13,10 @@
     commands,
     consensus,
     control,
+    limits,
     links,
     membership,
+    orders,
     requests,
     settings,
 )
@@ -39,8 +41,10 @@
     commands,
     consensus,
     control,
+    limits,
     links,
     membership,
+    orders,
     requests,
     settings,
 )
