--- a/tests/test_requests_claims.py
+++ b/tests/test_requests_claims.py
@@ -33,13 +33,14 @@
         yield running
 
 
-def book(group, node, key):
+def book(group, node, key, **headers):
     """Send the booking once; return the status and the body or the problem."""
+    headers |= {"Authorization": f"Bearer {NOTARY_KEY}", "Idempotency-Key": key}
     try:
         response = httpx.post(
             f"http://{group.hosts[node].callers}/services/booking-app/slots",
             content=key.encode(),
-            headers={"Authorization": f"Bearer {NOTARY_KEY}", "Idempotency-Key": key},
+            headers=headers,
             timeout=10,
             trust_env=False,
         )
@@ -106,6 +107,17 @@
     assert len(runs_by_name(group)) == before + 1
 
 
+def test_idempotent_call_is_shared_too(group):
+    key = uuid.uuid4().hex
+    before = len(runs_by_name(group))
+    nodes = ["entry-1", "entry-2", "entry-3"]
+    headers = {"Cranberryfield-Idempotent": "true"}
+    answers = [book(group, node, key, **headers) for node in nodes]
+    assert answers[0][0] == 200
+    assert answers == answers[:1] * 3
+    assert len(runs_by_name(group)) == before + 1
+
+
 def test_claimer_killed_in_mid_run(group):
     key, before, thread, _ = start_one(group, "entry-1")
     group.hosts["entry-1"].process.kill()
