--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/watch.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/watch.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Change", "Observation", "UpstreamState", "find_changes", "watch"]
 
-INTERVAL_S = 1.0
+INTERVAL_S = 2.0
 
 logger = structlog.get_logger(__name__)
 
