--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -18,6 +18,7 @@
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.ids import Incarnation, NodeId
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.control import ReadTraffic, TrafficView
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
@@ -63,7 +64,10 @@
 
 
 async def run_process(config: DaemonConfig) -> None:
-    """Run until SIGTERM or SIGINT, then finish what is in progress and return.
+    """Run until a signal; return when what is in progress is over.
+
+    SIGTERM and SIGINT are a planned stop, which waits for all answers. SIGUSR1
+    is the notice of a reclaim: answers are handed to other hosts.
 
     Parameters
     ----------
@@ -78,6 +82,7 @@
     board = Blackboard()
     board.add(SettingsSection())
     mesh = Mesh(_hello(config), config.mesh_key, config.tls)
+    mesh.handle(ReadTraffic, lambda sender, message: TrafficView(*mesh.traffic_bytes))
     metrics = Metrics.from_config(config.statsd, config.node)
     members = tuple(NodeId(member.node) for member in config.control)
     proposer = Proposer(mesh, members, monotonic_clock)
@@ -136,10 +141,14 @@
 
 
 async def _stop_on_signal(entry: EntryRuntime | None, stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            logger.info("stopping")
-            if entry is not None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGUSR1
+    ) as signals:
+        async for number in signals:
+            logger.info("stopping", signal=number)
+            if entry is not None and number == signal.SIGUSR1:
+                await entry.leave()
+            elif entry is not None:
                 entry.begin_stop()
                 await anyio.sleep(NOT_READY_NOTICE_S)
                 await entry.wait_drained()
