Say unknown, not no, when a keyed idempotent request is refused

Cause: records of idempotent requests are kept without agreement.

Ruled out: asking the holders again (they may be on this side of the cut too); asking every entry host (one message a host for each refusal, just when there is too much work); believing peers that are not suspected (a cut is noticed after the leases of upstreams have run out, which is when the refusal comes).

Change: a refusal that invites a resend of an idempotent request with a caller's key says unknown. Non-idempotent requests are answered from the claims in the log as before, and requests without a key have no other host.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/claims.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/claims.py
@@ -14,7 +14,6 @@
     ErrorKind,
     UnavailableError,
     WasRun,
-    error_of_kind,
 )
 from cranberryfield.core.ids import NodeId, RequestKey, WorkspaceId
 from cranberryfield.core.messages.claims import (
@@ -29,6 +28,7 @@
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.entry.membership import KnownUpstream
 from cranberryfield.entry.requests.records import Outcome, answer_digest
+from cranberryfield.entry.requests.refusals import without_proof
 from cranberryfield.entry.requests.request import Request
 
 __all__ = ["ClaimKeeper", "HeldClaim"]
@@ -126,7 +126,10 @@
         try:
             view = await self._proposer.propose(command, CLAIM_TIMEOUT_S)
         except CranberryfieldError as error:
-            raise _not_proved(error) from error
+            if error.kind is ErrorKind.RECORDS_FULL:
+                # The log itself has answered: there is no such claim.
+                raise
+            raise without_proof(error) from error
         if view.granted:
             self._held += 1
             return HeldClaim(token, view.attempt)
@@ -253,8 +256,8 @@
         except CranberryfieldError as failure:
             if failure.kind is ErrorKind.UNKNOWN_REQUEST:
                 return error
-            return _not_proved(error)
-        return error if view.state is ClaimState.RELEASED else _not_proved(error)
+            return without_proof(error)
+        return error if view.state is ClaimState.RELEASED else without_proof(error)
 
     async def run(self) -> None:
         """Renew this process's lease and resend ends until cancelled."""
@@ -334,14 +337,3 @@
         f"the request is being run from {view.node}",
         retry_after_s=1.0,
     )
-
-
-def _not_proved(error: CranberryfieldError) -> CranberryfieldError:
-    if error.kind is ErrorKind.RECORDS_FULL or error.was_run is not WasRun.NO:
-        return error
-    return error_of_kind(
-        error.kind,
-        error.detail,
-        was_run=WasRun.UNKNOWN,
-        retry_after_s=error.retry_after_s,
-    )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/runner.py
@@ -23,6 +23,7 @@
     end_of_answer,
     end_of_error,
 )
+from cranberryfield.entry.requests.refusals import refusal_over_all_hosts
 from cranberryfield.entry.requests.request import Request
 from cranberryfield.entry.requests.running import AttemptRunner
 from cranberryfield.entry.requests.section import RecordsSection
@@ -84,6 +85,8 @@
         try:
             await self._run_to_end(record)
         except CranberryfieldError as error:
+            if record.request.idempotent:
+                error = refusal_over_all_hosts(record.request, error)
             record.fail(self._clock(), error)
         except Exception:
             logger.exception("request failed", run=record.run)
@@ -128,7 +131,7 @@
                 outcome = await self._run_admitted(record)
                 end = end_of_answer(outcome)
             except CranberryfieldError as error:
-                end = end_of_error(error)
+                end = end_of_error(refusal_over_all_hosts(record.request, error))
             await self._sharing.keeper.end(record, end)
             if not record.is_lost:
                 record.take_end(self._clock(), end)
