--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/gate.py
@@ -9,7 +9,7 @@
 
 from cranberryfield.core.clock import Clock, monotonic_clock
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
-from cranberryfield.core.ids import ServiceName, WorkspaceId
+from cranberryfield.core.ids import ServiceName
 from cranberryfield.entry.admission.places import UNLIMITED_PLACES
 from cranberryfield.entry.admission.queue import (
     QueueState,
@@ -17,7 +17,6 @@
     admit_next,
     drop_ticket,
     enqueue,
-    expected_wait_s,
     release,
 )
 from cranberryfield.entry.requests.request import Request
@@ -84,7 +83,7 @@
         self._check_limit = check_limit
         self._queues: dict[ServiceName, QueueState] = defaultdict(QueueState)
         self._waiting: dict[Ticket, _Waiting] = {}
-        self._run_s: dict[tuple[WorkspaceId, ServiceName], float] = {}
+        self._run_s: dict[ServiceName, float] = {}
 
     @asynccontextmanager
     async def enter(self, request: Request) -> AsyncIterator[None]:
@@ -105,8 +104,8 @@
         UnavailableError
             Of kind ``drained`` if operators have taken the workspace or the
             service out of use, ``over_limit``, ``queue_full`` if there is no
-            room to wait or no prospect of an answer before the deadline, or
-            ``deadline_exceeded`` if no place came in time; never run.
+            room to wait, or ``deadline_exceeded`` if no place came in time;
+            never run.
         """
         if request.settings.drained:
             raise UnavailableError(
@@ -117,7 +116,6 @@
         await self._check_limit(request)
         waiting = _Waiting(_ticket(request))
         queue = self._queues[request.service]
-        self._refuse_without_prospect(request, waiting.ticket)
         refused = enqueue(queue, waiting.ticket, request.settings.queue_limit)
         self._waiting[waiting.ticket] = waiting
         self._admit(request.service)
@@ -127,7 +125,7 @@
             await self._wait(request, waiting)
             started = self._clock()
             yield
-            self._note_run(request, self._clock() - started)
+            self._note_run(request.service, self._clock() - started)
         finally:
             del self._waiting[waiting.ticket]
             if waiting.admitted:
@@ -138,31 +136,9 @@
             if not queue.waiting and not queue.running:
                 self._queues.pop(request.service, None)
 
-    def _refuse_without_prospect(self, request: Request, ticket: Ticket) -> None:
-        """Refuse at once what would wait until its answer came too late."""
-        left_s = request.deadline - self._clock()
-        run_s = self._mean_run_s(request)
-        wait_s = expected_wait_s(
-            self._queues[request.service],
-            ticket,
-            run_s,
-            self._places(request.service),
-        )
-        if 0 < left_s < wait_s + run_s and wait_s > 0:
-            raise UnavailableError(
-                ErrorKind.QUEUE_FULL,
-                f"no answer of {request.service} is likely before the deadline",
-                was_run=WasRun.NO,
-                retry_after_s=spread_retry_after_s(wait_s, self._rng),
-            )
-
-    def _mean_run_s(self, request: Request) -> float:
-        return self._run_s.get((request.workspace, request.service), 0.0)
-
     async def _wait(self, request: Request, waiting: _Waiting) -> None:
-        last_start = request.deadline - self._mean_run_s(request)
-        while not waiting.decided.is_set() and self._clock() < last_start:
-            left_s = last_start - self._clock()
+        while not waiting.decided.is_set() and self._clock() < request.deadline:
+            left_s = request.deadline - self._clock()
             # All who wait together count the places this often.
             count = self._queues[request.service].count_waiting()
             recount_s = RECOUNT_S * max(1, count)
@@ -177,13 +153,13 @@
                 ErrorKind.QUEUE_FULL,
                 f"too many requests of {request.service} wait",
                 was_run=WasRun.NO,
-                retry_after_s=self._retry_after_s(request),
+                retry_after_s=self._retry_after_s(request.service),
             )
         raise UnavailableError(
             ErrorKind.DEADLINE_EXCEEDED,
-            "there was no place in time to answer before the deadline",
+            "the deadline passed before there was a place",
             was_run=WasRun.NO,
-            retry_after_s=self._retry_after_s(request),
+            retry_after_s=self._retry_after_s(request.service),
         )
 
     def _admit(self, service: ServiceName) -> None:
@@ -196,15 +172,15 @@
             waiting.admitted = True
             waiting.decided.set()
 
-    def _note_run(self, request: Request, taken_s: float) -> None:
-        name = (request.workspace, request.service)
-        before = self._run_s.get(name, taken_s)
-        self._run_s[name] = before + RATE_SMOOTHING * (taken_s - before)
+    def _note_run(self, service: ServiceName, taken_s: float) -> None:
+        before = self._run_s.get(service, taken_s)
+        self._run_s[service] = before + RATE_SMOOTHING * (taken_s - before)
 
-    def _retry_after_s(self, request: Request) -> float:
-        queue = self._queues[request.service]
+    def _retry_after_s(self, service: ServiceName) -> float:
+        queue = self._queues[service]
+        run_s = self._run_s.get(service, 0.0)
         places = max(1, queue.count_running())
-        backlog_s = self._mean_run_s(request) * queue.count_waiting() / places
+        backlog_s = run_s * queue.count_waiting() / places
         return spread_retry_after_s(backlog_s, self._rng)
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/admission/queue.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/admission/queue.py
@@ -11,7 +11,6 @@
     "admit_next",
     "drop_ticket",
     "enqueue",
-    "expected_wait_s",
     "release",
 ]
 
@@ -114,44 +113,6 @@
     return refused
 
 
-def expected_wait_s(
-    state: QueueState, ticket: Ticket, run_s: float, places: int
-) -> float:
-    """Return how long a request that comes now is likely to wait.
-
-    Parameters
-    ----------
-    state : QueueState
-        The queue, without the request.
-    ticket : Ticket
-        The request.
-    run_s : float
-        Mean time of a run of its workspace, in seconds.
-    places : int
-        Requests that may run at once.
-
-    Returns
-    -------
-    float
-        Seconds; 0 while a place is free. Its workspace's requests that wait
-        take turns at the places that are its share among those that want any.
-
-    Examples
-    --------
-    >>> state = QueueState(running={"a": 4})
-    >>> ticket = Ticket("a", "s", 0, 9.0, 1.0, 64)
-    >>> expected_wait_s(state, ticket, run_s=2.0, places=4)
-    0.5
-    """
-    if state.count_running() < places:
-        return 0.0
-    shares = {name: tickets[0].share for name, tickets in state.waiting.items()}
-    shares[ticket.workspace] = ticket.share
-    own_places = places * ticket.share / sum(shares.values())
-    own_waiting = len(state.waiting.get(ticket.workspace, ())) + 1
-    return run_s * own_waiting / own_places
-
-
 def drop_ticket(state: QueueState, ticket: Ticket) -> None:
     """Take a ticket out of the queue if it is in it."""
     tickets = state.waiting.get(ticket.workspace, [])
