--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,14 @@
 
 .PHONY: setup format lint test demo local docs matrix bench
 
+# Only this tree's own environment is set up; one that VENV names is used as it
+# is, since an editable install would point it at this tree.
+ifeq ($(VENV),.venv)
 setup: $(VENV)/.cranberryfield-ready
+else
+setup:
+	test -x $(RUN)
+endif
 
 $(VENV)/.cranberryfield-ready: requirements.lock $(wildcard packages/*/pyproject.toml)
 	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
