Restore the check that a claimed request is shown as non-idempotent

Cause: moved the rows of `requests show` below the claim and dropped the assertion that each row says idempotent: false.

--- a/tests/test_client_commands.py
+++ b/tests/test_client_commands.py
@@ -286,6 +286,7 @@
     assert ("entry-2", "answered") in {
         (row["node"], row["state"]) for row in view["records"]
     }
+    assert all(row["idempotent"] is False for row in view["records"])
     assert view["silent"] == []
     view = read("requests", "show", key)
     assert (view["claim"], len(view["records"])) == (None, 1)
