Close connections that were being opened while the test proxy cut a link

Cause: FaultProxy.accept checked is_open, then dialled the target, then listed the pair. A cut between the check and the listing missed the connection, which then outlived the cut.

Ruled out: the host taking a stale confirmation (its links in the log explain its readiness), and the wait of 30 s (nothing changed in it after the link).

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -156,6 +156,11 @@
         except OSError:
             await anyio.aclose_forcefully(client)
             return
+        if not self.is_open:
+            # The link was cut while the target was being dialled.
+            await anyio.aclose_forcefully(client)
+            await anyio.aclose_forcefully(target)
+            return
         pair = _Pair(client, target, self.faults.silence_new)
         self._pairs.append(pair)
         try:
