--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -87,7 +87,7 @@
             dials.start_soon(mesh.dial, address)
         while not all(mesh.is_linked(node) for node in addresses):
             await anyio.sleep(0.01)
-        proposer = Proposer(mesh, tuple(addresses), monotonic_clock)
+        proposer = Proposer(mesh, lambda: tuple(addresses), monotonic_clock)
         await proposer.propose(_claim("first"), TIMEOUT_S)
         started = time.perf_counter()
         async with anyio.create_task_group() as load:
--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/membership.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/membership.py
@@ -28,6 +28,10 @@
 PROMOTION_LAG = 64
 #: Time after which a replica that has not asked again does not join, in seconds.
 JOINER_FRESH_S = 3.0
+#: Voters of a group that grows by itself; what letter 1 allows to be set aside.
+MAX_VOTERS = 7
+#: A voter silent for this time makes place for one that waits, in seconds.
+REPLACE_SILENT_S = 4.0
 
 
 @dataclass(slots=True)
@@ -155,7 +159,7 @@
 
 
 def next_members(
-    replica: Replica, joiners: dict[NodeId, Joiner], now: float
+    replica: Replica, joiners: dict[NodeId, Joiner], now: float, grows: bool = False
 ) -> Members | None:
     """Return the next change that brings a lost replica's node back.
 
@@ -167,6 +171,9 @@
         By node, the replicas that ask to join.
     now : float
         Monotonic time in seconds.
+    grows : bool
+        Whether nodes that the group does not know may join, as learners first.
+        A voter that has long been silent makes place for one of them.
 
     Returns
     -------
@@ -189,6 +196,11 @@
             if _is_silent(replica, old, now):
                 return replace(members, voters=_without(members.voters, old))
             continue
+        lost = _lost_voter(replica, now) if grows else None
+        if lost is not None:
+            return replace(members, voters=_without(members.voters, lost))
+        if grows and len(members.voters) >= MAX_VOTERS:
+            continue
         return replace(
             members,
             voters=(*members.voters, learner),
@@ -203,8 +215,25 @@
             learners = (*_without(members.learners, stale[0]), joiner.replica)
             return replace(members, learners=learners)
         old = _voter_on(members, node)
-        if old is not None and _is_silent(replica, old, now):
+        if (old is None and grows) or (
+            old is not None and _is_silent(replica, old, now)
+        ):
             return replace(members, learners=(*members.learners, joiner.replica))
+    return _without_lost_learner(replica, now) if grows else None
+
+
+def _lost_voter(replica: Replica, now: float) -> ReplicaId | None:
+    """Return the voter that has been silent for longest, if for long enough."""
+    heard = [(_heard_at(replica, one), one) for one in replica.others]
+    heard_at, voter = min(heard, default=(now, replica.id))
+    return voter if now - heard_at > REPLACE_SILENT_S else None
+
+
+def _without_lost_learner(replica: Replica, now: float) -> Members | None:
+    for learner in replica.members.learners:
+        if now - _heard_at(replica, learner) > REPLACE_SILENT_S:
+            learners = _without(replica.members.learners, learner)
+            return replace(replica.members, learners=learners)
     return None
 
 
@@ -231,6 +260,10 @@
 def _is_silent(replica: Replica, voter: ReplicaId, now: float) -> bool:
     if voter == replica.id:
         return False
-    last_round = replica.progress[voter].acknowledged_round
-    heard_at = replica.round_started.get(last_round, replica.leader_since)
-    return now - heard_at > replica.timing.election_max_s
+    return now - _heard_at(replica, voter) > replica.timing.election_max_s
+
+
+def _heard_at(replica: Replica, member: ReplicaId) -> float:
+    """Return when a member last acknowledged a heartbeat, as far as known."""
+    last_round = replica.progress[member].acknowledged_round
+    return replica.round_started.get(last_round, replica.leader_since)
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/deployment/publisher.py
@@ -0,0 +1,104 @@
+"""Answers hosts that follow the deployment, and sends them new versions."""
+
+import structlog
+
+from cranberryfield.control.consensus import Replica, ReplicaRole
+from cranberryfield.control.consensus.replication import leader_lease_until
+from cranberryfield.control.deployment.machine import DeploymentState
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import ControlError, ErrorKind
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.deployment import (
+    DeploymentView,
+    FollowDeployment,
+    ReadDeployment,
+)
+
+__all__ = ["DeploymentPublisher"]
+
+#: A host that has not asked for this time is not sent new versions, in seconds.
+SILENT_S = 5.0
+
+logger = structlog.get_logger(__name__)
+
+
+class DeploymentPublisher:
+    """The leader's side of following the deployment.
+
+    Parameters
+    ----------
+    section : ControlSection
+        This replica and the state it applied, for reading.
+    mesh : Mesh
+        Links to other processes.
+    wait_current : callable
+        Waits until the applied state has all that was acknowledged before.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, section, mesh: Mesh, wait_current, clock: Clock):
+        self._section = section
+        self._mesh = mesh
+        self._wait_current = wait_current
+        self._clock = clock
+        self._asked_at: dict[NodeId, float] = {}
+        self._published = self._state.version
+        mesh.handle(FollowDeployment, self._on_follow)
+        mesh.handle(ReadDeployment, self._on_read)
+
+    @property
+    def _state(self) -> DeploymentState:
+        return self._section.state.deployment
+
+    @property
+    def _replica(self) -> Replica:
+        return self._section.replica
+
+    def hosts(self) -> list[NodeId]:
+        """Return the hosts that follow the deployment here."""
+        now = self._clock()
+        return [one for one, at in self._asked_at.items() if now - at < SILENT_S]
+
+    def publish(self) -> None:
+        """Send a newly applied version to all hosts that follow."""
+        if self._state.version <= self._published:
+            return
+        self._published = self._state.version
+        hosts = self.hosts()
+        logger.info("deployment applied", version=self._published, followers=len(hosts))
+        if self._replica.role is not ReplicaRole.LEADER:
+            return
+        view = self._view(self._state.version - 1)
+        for node in hosts:
+            self._mesh.send(node, view)
+
+    def _view(self, known_version: int) -> DeploymentView:
+        state = self._state
+        content = state.content if state.version > known_version else b""
+        leader = self._replica.leader_node
+        return DeploymentView(state.version, content, self._is_current(), leader)
+
+    def _is_current(self) -> bool:
+        """Say whether no other replica can have acknowledged a newer version."""
+        replica = self._replica
+        return (
+            replica.role is ReplicaRole.LEADER
+            and leader_lease_until(replica) > self._clock()
+            and replica.log.term_at(replica.commit_index) == replica.term
+        )
+
+    def _on_follow(self, sender: NodeId, message: FollowDeployment) -> DeploymentView:
+        if self._replica.role is ReplicaRole.LEADER:
+            self._asked_at[sender] = self._clock()
+        return self._view(message.version)
+
+    async def _on_read(self, sender: NodeId, message: ReadDeployment) -> DeploymentView:
+        if self._replica.role is not ReplicaRole.LEADER:
+            leader = self._replica.leader_node
+            raise ControlError(ErrorKind.NO_QUORUM, f"the leader is {leader}")
+        await self._wait_current()
+        state = self._state
+        node = self._replica.leader_node
+        return DeploymentView(state.version, state.content, True, node)
--- a/packages/cranberryfield-control/src/cranberryfield/control/joining.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/joining.py
@@ -8,7 +8,7 @@
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import CranberryfieldError, ErrorKind, StorageError
 from cranberryfield.core.ids import NodeId
-from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.consensus import (
     GroupView,
     JoinGroup,
@@ -76,8 +76,8 @@
     ----------
     replica : Replica
         This replica, for reading.
-    listed : tuple of NodeId
-        The control hosts that the configuration names.
+    names : ControlHostNames
+        The control hosts, and those that may form a group.
     mesh : Mesh
         Links to them.
     submit : callable
@@ -89,13 +89,13 @@
     def __init__(
         self,
         replica: Replica,
-        listed: tuple[NodeId, ...],
+        names: ControlHostNames,
         mesh: Mesh,
         submit,
         clock: Clock,
     ):
         self._replica = replica
-        self._listed = listed
+        self._names = names
         self._mesh = mesh
         self._submit = submit
         self._clock = clock
@@ -124,13 +124,16 @@
     async def _ask_all(self) -> None:
         views: dict[NodeId, GroupView] = {}
         async with anyio.create_task_group() as tasks:
-            for node in self._listed:
+            for node in self._names.known():
                 if self._mesh.is_linked(node):
                     tasks.start_soon(self._ask, node, views)
         if self._is_formed():
             self._refuse_replaced(views)
             return
-        members = first_members(self._replica, self._listed, views)
+        founders = self._names.founders()
+        if founders is None or node_of(self._replica.id) not in founders:
+            return
+        members = first_members(self._replica, founders, views)
         if members is not None:
             logger.info("group formed", voters=members.voters)
             self._submit(Formed(members))
--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -4,6 +4,10 @@
 
 from cranberryfield.control.claims import ClaimTable, apply_claim_command
 from cranberryfield.control.claims.machine import ClaimCommand
+from cranberryfield.control.deployment.machine import (
+    DeploymentState,
+    apply_declaration,
+)
 from cranberryfield.control.orders import OrdersState, apply_order_command
 from cranberryfield.control.settings import (
     SettingsState,
@@ -20,6 +24,7 @@
     RecordHosts,
     Refused,
 )
+from cranberryfield.core.messages.deployment import DeclareDeployment
 from cranberryfield.core.messages.orders import ConfirmOrder, PlaceOrder
 from cranberryfield.core.settings import effective_settings
 
@@ -39,12 +44,15 @@
         Entry hosts that must have every settings change, as keys.
     orders : OrdersState
         Orders to engines.
+    deployment : DeploymentState
+        The deployment declared as a whole, if one was.
     """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
     claims: ClaimTable = msgspec.field(default_factory=ClaimTable)
     hosts: dict[NodeId, bool] = msgspec.field(default_factory=dict)
     orders: OrdersState = msgspec.field(default_factory=OrdersState)
+    deployment: DeploymentState = msgspec.field(default_factory=DeploymentState)
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
@@ -72,6 +80,8 @@
             for node in removed:
                 state.hosts.pop(node, None)
             return command
+        case DeclareDeployment():
+            return apply_declaration(state.deployment, command)
         case PlaceOrder() | ConfirmOrder():
             return apply_order_command(state.orders, command)
         case Noop():
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -30,6 +30,7 @@
     step,
 )
 from cranberryfield.control.consensus.membership import next_members
+from cranberryfield.control.deployment import DeploymentPublisher
 from cranberryfield.control.followers import Followers
 from cranberryfield.control.joining import Joining
 from cranberryfield.control.loading import (
@@ -47,7 +48,7 @@
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import DaemonConfig
 from cranberryfield.core.ids import LogIndex, NodeId
-from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.codec import decode_message, encode_message
 from cranberryfield.core.messages.commands import ProposalRedirected, Propose
@@ -82,8 +83,8 @@
         The replica, owned by this runtime.
     stored : StoredReplica
         The data folder's open files.
-    listed : tuple of NodeId
-        The control hosts that the configuration names.
+    names : ControlHostNames
+        The control hosts.
     mesh : Mesh
         Links to other processes.
     board : Blackboard
@@ -96,7 +97,7 @@
         self,
         section: ControlSection,
         stored: StoredReplica,
-        listed: tuple[NodeId, ...],
+        names: ControlHostNames,
         mesh: Mesh,
         board: Blackboard,
         clock: Clock,
@@ -110,11 +111,13 @@
         self._reads = ReadQueue(section.replica, self._wake_up)
         self._log_clock = LogClock()
         self._wake = anyio.Event()
-        self._joining = Joining(section.replica, listed, mesh, self.submit, clock)
+        self._grows = names.grows
+        self._joining = Joining(section.replica, names, mesh, self.submit, clock)
         self._compactor = Compactor(section, stored, self.submit)
         self._followers = Followers(
             section, board.read(SettingsSection), mesh, self.propose, clock
         )
+        self._publisher = DeploymentPublisher(section, mesh, self.wait_current, clock)
         self._issuer = OrderIssuer(section, self.propose, clock)
         self._operations = Operations(
             section,
@@ -137,6 +140,7 @@
         board: Blackboard,
         clock: Clock,
         rng: Random,
+        names: ControlHostNames,
     ) -> "ControlRuntime":
         """Open the data folder and build the replica that it holds.
 
@@ -152,6 +156,8 @@
             Monotonic time.
         rng : random.Random
             Generator of election times.
+        names : ControlHostNames
+            The control hosts.
 
         Returns
         -------
@@ -167,8 +173,7 @@
         stored = load_replica(path, config.group, config.node_id, rng, clock())
         applied = stored.snapshots.head.last_index
         section = board.add(ControlSection(stored.replica, stored.state, applied))
-        listed = tuple(NodeId(member.node) for member in config.control)
-        return cls(section, stored, listed, mesh, board, clock)
+        return cls(section, stored, names, mesh, board, clock)
 
     async def run(self) -> None:
         """Step the replica until cancelled."""
@@ -268,7 +273,7 @@
         replica = self._section.replica
         if replica.log.members_index > replica.commit_index:
             return []
-        members = next_members(replica, self._joining.joiners, now)
+        members = next_members(replica, self._joining.joiners, now, self._grows)
         if members is None:
             return []
         logger.info("group changes", voters=members.voters, learners=members.learners)
@@ -307,7 +312,7 @@
                 case InstallSnapshot(last_index, _, _, state):
                     self._section.state = decode_state(state)
                     self._section.applied_index = last_index
-                    self._followers.publish(self._section.state.settings.tree)
+                    self._publish()
 
     def _send(self, receiver, message) -> None:
         envelope = ReplicaEnvelope(self._section.replica.id, receiver, message)
@@ -336,7 +341,11 @@
             result = apply_command(section.state, decode_message(entry.command))
             section.applied_index = entry.index
             self._proposals.finish(entry.index, entry.term, result)
-        self._followers.publish(section.state.settings.tree)
+        self._publish()
+
+    def _publish(self) -> None:
+        self._followers.publish(self._section.state.settings.tree)
+        self._publisher.publish()
 
     def _on_envelope(self, sender: NodeId, envelope: ReplicaEnvelope) -> None:
         # What is meant for another data folder of this node is not for this one.
--- a/packages/cranberryfield-core/src/cranberryfield/core/config/__init__.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/__init__.py
@@ -1,5 +1,6 @@
 """The file that `cranberryfieldd` is started with."""
 
+from cranberryfield.core.config.cluster import ClusterConfig, read_cluster_config
 from cranberryfield.core.config.daemon import (
     ControlMember,
     DaemonConfig,
@@ -10,6 +11,7 @@
 from cranberryfield.core.config.yaml_lines import Problem, check_struct, load_yaml
 
 __all__ = [
+    "ClusterConfig",
     "ControlMember",
     "DaemonConfig",
     "LogLevel",
@@ -17,5 +19,6 @@
     "Role",
     "check_struct",
     "load_yaml",
+    "read_cluster_config",
     "read_daemon_config",
 ]
--- a/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
@@ -21,6 +21,7 @@
     "Role",
     "TlsFiles",
     "read_daemon_config",
+    "read_text",
     "split_address",
 ]
 
@@ -182,12 +183,22 @@
     ConfigError
         If the file cannot be read, or with one line per fault in it.
     """
+    return DaemonConfig.from_yaml(read_text(path), str(path))
+
+
+def read_text(path: Path) -> str:
+    """Read a configuration file.
+
+    Raises
+    ------
+    ConfigError
+        If it cannot be read or is no text.
+    """
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, "strerror", None) or str(error)
         raise ConfigError(ErrorKind.INVALID_CONFIG, f"{path}: {reason}") from error
-    return DaemonConfig.from_yaml(text, str(path))
 
 
 def _conflicts(config: DaemonConfig) -> list[tuple[str, str]]:
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -0,0 +1,295 @@
+"""Connections to upstreams, reused with care."""
+
+import select
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+import structlog
+from anyio.abc import SocketAttribute, SocketStream
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.http1.message import RequestHead, ResponseHead, find_header
+from cranberryfield.core.http1.sockets import bound_silence
+
+__all__ = [
+    "BrokenExchangeError",
+    "ConnectionPool",
+    "NotSentError",
+    "UpstreamConnection",
+]
+
+READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+#: Time for which an idle connection is kept without word from the server, in
+#: seconds.
+DEFAULT_IDLE_S = 4.0
+#: Taken off the time that the server gives, for the way there, in seconds.
+IDLE_MARGIN_S = 1.0
+#: Idle connections kept to one server.
+MAX_IDLE = 32
+
+logger = structlog.get_logger(__name__)
+
+
+class NotSentError(Exception):
+    """No byte of the request was written."""
+
+
+class BrokenExchangeError(Exception):
+    """The exchange ended after the request may have been read."""
+
+
+class UpstreamConnection:
+    """One connection, for one exchange at a time.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        The open connection.
+    """
+
+    def __init__(self, stream: SocketStream):
+        self._stream = stream
+        self._connection = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._idle_s = DEFAULT_IDLE_S
+        self._closes = False
+        self._exchanges = 0
+        self.idle_since = 0.0
+
+    @property
+    def was_used(self) -> bool:
+        """Whether it has carried an exchange before this one."""
+        return self._exchanges > 1
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the exchange ended so that another one may follow."""
+        return (
+            not self._closes
+            and self._connection.our_state is h11.DONE
+            and self._connection.their_state is h11.DONE
+            and not self._connection.trailing_data[0]
+        )
+
+    def is_fresh_at(self, now: float) -> bool:
+        """Say whether the server should still be waiting for a request."""
+        return now - self.idle_since < self._idle_s and self._is_quiet()
+
+    def _is_quiet(self) -> bool:
+        """Say whether neither bytes nor the end of the connection have come."""
+        raw = self._stream.extra(SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(raw.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+    async def send(self, head: RequestHead, body: bytes) -> None:
+        """Send a request.
+
+        Raises
+        ------
+        BrokenExchangeError
+            If the connection ends meanwhile.
+        """
+        if self._exchanges:
+            self._connection.start_next_cycle()
+        self._exchanges += 1
+        headers = head.headers
+        if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+        request = h11.Request(method=head.method, target=head.target, headers=headers)
+        data = self._connection.send(request)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        data += self._connection.send(h11.EndOfMessage())
+        try:
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
+            raise BrokenExchangeError("the connection ended in the request") from error
+
+    async def read_head(self) -> ResponseHead:
+        """Read the head of the next response on the connection."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                self._note_keep_alive(event)
+                return ResponseHead(event.status_code, event.headers.raw_items())
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenExchangeError("the connection ended before a response")
+
+    async def read_part(self) -> bytes | None:
+        """Read the next part of the body; None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise BrokenExchangeError("the response ended before its body did")
+
+    async def read_body(self, limit: int) -> bytes:
+        """Read the whole body.
+
+        Raises
+        ------
+        BrokenExchangeError
+            If the connection ends first or the body is larger than `limit`.
+        """
+        parts = []
+        size = 0
+        while (part := await self.read_part()) is not None:
+            size += len(part)
+            if size > limit:
+                raise BrokenExchangeError(f"the body is larger than {limit} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+    def expect_another(self) -> bool:
+        """Go on to the next response, after one to an earlier request.
+
+        Returns
+        -------
+        bool
+            False if the connection cannot carry another response.
+        """
+        if self._closes or self._connection.their_state is not h11.DONE:
+            return False
+        rest, _ = self._connection.trailing_data
+        fresh = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        fresh.send(h11.Request(method="GET", target="/", headers=[("Host", "-")]))
+        fresh.send(h11.EndOfMessage())
+        if rest:
+            fresh.receive_data(rest)
+        self._connection = fresh
+        return True
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                self._closes = True
+                raise BrokenExchangeError(f"no valid response: {error}") from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+            except (anyio.BrokenResourceError, OSError) as error:
+                self._closes = True
+                raise BrokenExchangeError("the connection was reset") from error
+            self._connection.receive_data(data)
+
+    def _note_keep_alive(self, response: h11.Response) -> None:
+        headers = response.headers.raw_items()
+        given = find_header(headers, b"keep-alive")
+        if given is not None:
+            self._idle_s = _keep_alive_s(given) - IDLE_MARGIN_S
+        connection = (find_header(headers, b"connection") or "").lower()
+        self._closes = self._closes or "close" in connection
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+
+def _keep_alive_s(value: str) -> float:
+    for part in value.split(","):
+        name, _, seconds = part.strip().partition("=")
+        if name.strip().lower() == "timeout" and seconds.strip().isdigit():
+            return float(seconds)
+    return DEFAULT_IDLE_S
+
+
+@dataclass(slots=True)
+class ConnectionPool:
+    """Idle connections by address.
+
+    Attributes
+    ----------
+    clock : Clock
+        Monotonic time.
+    connect_timeout_s : float
+        Longest time for a new connection, in seconds.
+    opened : int
+        Connections opened so far.
+    """
+
+    clock: Clock
+    connect_timeout_s: float = 0.5
+    opened: int = 0
+    _idle: dict[str, deque[UpstreamConnection]] = field(default_factory=dict)
+
+    async def acquire(self, address: str) -> UpstreamConnection:
+        """Take an idle connection, or open one.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+
+        Returns
+        -------
+        UpstreamConnection
+            Ready for a request.
+
+        Raises
+        ------
+        NotSentError
+            If none can be opened in time.
+        """
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_fresh_at(self.clock()):
+                return connection
+            await connection.close()
+        return await self.open(address)
+
+    async def open(self, address: str) -> UpstreamConnection:
+        """Open a new connection."""
+        host, _, port = address.rpartition(":")
+        try:
+            with anyio.fail_after(self.connect_timeout_s):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError, ValueError) as error:
+            raise NotSentError(f"no connection to {address}") from error
+        self.opened += 1
+        bound_silence(stream.extra(SocketAttribute.raw_socket))
+        return UpstreamConnection(stream)
+
+    async def release(self, address: str, connection: UpstreamConnection) -> None:
+        """Keep a connection for the next request, or close it."""
+        idle = self._idle.setdefault(address, deque())
+        if not connection.is_reusable or len(idle) >= MAX_IDLE:
+            await connection.close()
+            return
+        connection.idle_since = self.clock()
+        idle.append(connection)
+
+    async def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            await connection.close()
+
+    async def close_idle(self) -> None:
+        """Close the idle connections that the servers are about to close."""
+        now = self.clock()
+        for address, idle in list(self._idle.items()):
+            kept = deque()
+            while idle:
+                connection = idle.popleft()
+                if connection.is_fresh_at(now):
+                    kept.append(connection)
+                else:
+                    await connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -0,0 +1,384 @@
+"""Serves HTTP/1.1 connections: one handler call for each whole request."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+import structlog
+from anyio.abc import SocketAttribute, SocketStream
+
+from cranberryfield.core.http1.message import RequestHead, find_header
+from cranberryfield.core.http1.sockets import bound_silence
+
+__all__ = ["Exchange", "Handler", "ServerLimits", "ServerState", "serve_http"]
+
+READ_BYTES = 65_536
+#: Bytes of the next requests that are taken in while one is handled.
+MAX_AHEAD_BYTES = 65_536
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+#: Longest time for one write to a caller that does not read, in seconds.
+WRITE_TIMEOUT_S = 10.0
+BAD_REQUEST = 400
+TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class ServerLimits:
+    """What callers may send, in bytes, and how slowly, in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(slots=True)
+class ServerState:
+    """What all connections of one server share.
+
+    Attributes
+    ----------
+    limits : ServerLimits
+        Read anew for each request.
+    closing : bool
+        Whether answers ask callers to close their connections.
+    closed : anyio.Event
+        Set to close connections without a request.
+    active : int
+        Requests that are being read or handled.
+    """
+
+    limits: ServerLimits = field(default_factory=ServerLimits)
+    closing: bool = False
+    closed: anyio.Event = field(default_factory=anyio.Event)
+    active: int = 0
+
+
+class Exchange:
+    """One request and the answer to it.
+
+    Parameters
+    ----------
+    head : RequestHead
+        Head of the request.
+    body : bytes
+        Its body, decoded from any transfer coding.
+    connection : h11.Connection
+        State of the connection.
+    stream : anyio.abc.SocketStream
+        The connection.
+    closes : bool
+        Whether the answer asks the caller to close the connection.
+    """
+
+    def __init__(
+        self,
+        head: RequestHead,
+        body: bytes,
+        connection: h11.Connection,
+        stream: SocketStream,
+        closes: bool,
+    ):
+        self._head = head
+        self._body = body
+        self._connection = connection
+        self._stream = stream
+        self._closes = closes
+        self._broken = False
+
+    @property
+    def head(self) -> RequestHead:
+        """Head of the request."""
+        return self._head
+
+    @property
+    def body(self) -> bytes:
+        """Body of the request."""
+        return self._body
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of an answer has been sent."""
+        return self._connection.our_state is not h11.SEND_RESPONSE
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the connection must not be used any more."""
+        return self._broken
+
+    async def answer(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        data = self._head_bytes(status, framed)
+        if body:
+            data += self._connection.send(h11.Data(data=body))
+        data += self._connection.send(h11.EndOfMessage())
+        await self._write(data)
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        await self._write(self._head_bytes(status, headers))
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._write(self._connection.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """Mark the body as complete."""
+        await self._write(self._connection.send(h11.EndOfMessage()))
+
+    def break_off(self) -> None:
+        """End the connection without marking the answer as complete."""
+        self._broken = True
+
+    def _head_bytes(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes:
+        if self._closes:
+            headers = [*headers, (b"Connection", b"close")]
+        return self._connection.send(h11.Response(status_code=status, headers=headers))
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            with anyio.fail_after(WRITE_TIMEOUT_S):
+                await self._stream.send(data)
+        except TimeoutError as error:
+            self._broken = True
+            raise anyio.BrokenResourceError from error
+
+
+#: Answers one request; is cancelled if the caller goes.
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class _BadRequestError(Exception):
+    """What came is no request that may be handled."""
+
+    def __init__(self, status: int, detail: str):
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+async def serve_http(
+    address: tuple[str, int],
+    handler: Handler,
+    state: ServerState,
+    *,
+    task_status=anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Accept connections until cancelled.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        IP address and port to bind.
+    handler : callable
+        Answers one request.
+    state : ServerState
+        Limits, and whether the server is being stopped.
+    task_status : anyio.abc.TaskStatus
+        Told once the port is bound.
+    """
+    host, port = address
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=port, backlog=BACKLOG
+    )
+
+    async def serve_one(stream: SocketStream) -> None:
+        async with stream:
+            try:
+                bound_silence(stream.extra(SocketAttribute.raw_socket))
+                await _Connection(stream, handler, state).run()
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                return
+            except Exception:
+                logger.exception("connection ended by a fault of this program")
+
+    async with listener:
+        task_status.started()
+        await listener.serve(serve_one)
+
+
+class _Connection:
+    """Reads requests from one connection, one after the other."""
+
+    def __init__(self, stream: SocketStream, handler: Handler, state: ServerState):
+        self._stream = stream
+        self._handler = handler
+        self._state = state
+        self._connection = self._new_state()
+        self._ahead = bytearray()
+        self._ended = False
+
+    def _new_state(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._state.limits.max_header_bytes
+        )
+
+    async def run(self) -> None:
+        """Handle requests until the connection is to be closed."""
+        while True:
+            try:
+                first = await self._wait_for_bytes()
+                if not first:
+                    return
+                self._state.active += 1
+                try:
+                    keep = await self._serve_request()
+                finally:
+                    self._state.active -= 1
+            except _BadRequestError as error:
+                await self._refuse(error)
+                return
+            if not keep:
+                return
+
+    async def _wait_for_bytes(self) -> bool:
+        """Wait for the first byte of a request; False to close."""
+        if self._connection.trailing_data[0] or self._ahead:
+            return True
+        received = False
+
+        async def receive() -> None:
+            nonlocal received
+            received = await self._receive()
+            tasks.cancel_scope.cancel()
+
+        async def stop() -> None:
+            await self._state.closed.wait()
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.cancel_scope.deadline = (
+                anyio.current_time() + self._state.limits.idle_timeout_s
+            )
+            tasks.start_soon(receive)
+            tasks.start_soon(stop)
+        return received
+
+    async def _receive(self) -> bool:
+        """Take in more bytes; False at the end of the connection."""
+        if self._ahead:
+            data, self._ahead = bytes(self._ahead), bytearray()
+        elif self._ended:
+            return False
+        else:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                self._ended = True
+                return False
+        self._feed(data)
+        return True
+
+    def _feed(self, data: bytes) -> None:
+        self._connection.receive_data(data)
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint or BAD_REQUEST
+                raise _BadRequestError(status, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if self._connection.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self._stream.send(self._connection.send(go_on))
+            if not await self._receive():
+                raise anyio.EndOfStream
+
+    async def _serve_request(self) -> bool:
+        """Read one request and have it answered; say whether to go on."""
+        try:
+            with anyio.fail_after(self._state.limits.header_timeout_s):
+                head = await self._read_head()
+            with anyio.fail_after(self._state.limits.idle_timeout_s):
+                body = await self._read_body()
+        except (TimeoutError, anyio.EndOfStream):
+            return False
+        closes = self._state.closing
+        exchange = Exchange(head, body, self._connection, self._stream, closes)
+        if not await self._handle(exchange):
+            return False
+        if exchange.is_broken or not exchange.has_started:
+            return False
+        if self._connection.our_state is not h11.DONE:
+            return False
+        if self._connection.their_state is not h11.DONE:
+            return False
+        self._connection.start_next_cycle()
+        return not closes
+
+    async def _read_head(self) -> RequestHead:
+        event = await self._next_event()
+        if not isinstance(event, h11.Request):
+            raise _BadRequestError(BAD_REQUEST, "no request came")
+        headers = event.headers.raw_items()
+        _refuse_ambiguous(headers)
+        length = find_header(headers, b"content-length")
+        if length is not None and int(length) > self._state.limits.max_body_bytes:
+            raise _BadRequestError(TOO_LARGE, "the body is larger than allowed")
+        return RequestHead(event.method, event.target, headers)
+
+    async def _read_body(self) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._state.limits.max_body_bytes:
+                    raise _BadRequestError(TOO_LARGE, "the body is larger than allowed")
+                parts.append(bytes(event.data))
+
+    async def _handle(self, exchange: Exchange) -> bool:
+        """Run the handler; False if the caller has gone meanwhile."""
+        gone = False
+
+        async def watch() -> None:
+            nonlocal gone
+            while len(self._ahead) < MAX_AHEAD_BYTES:
+                try:
+                    data = await self._stream.receive(READ_BYTES)
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    gone = True
+                    tasks.cancel_scope.cancel()
+                    return
+                self._ahead += data
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            await self._handler(exchange)
+            tasks.cancel_scope.cancel()
+        self._ended = self._ended or gone
+        return not gone
+
+    async def _refuse(self, error: _BadRequestError) -> None:
+        logger.info("request refused", status=error.status, detail=error.detail)
+        if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        answer = h11.Response(
+            status_code=error.status,
+            headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
+        )
+        data = self._connection.send(answer) + self._connection.send(h11.EndOfMessage())
+        await self._stream.send(data)
+
+
+def _refuse_ambiguous(headers: list[tuple[bytes, bytes]]) -> None:
+    """Refuse a request whose end two readers could see in different places."""
+    names = [name.lower() for name, _ in headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise _BadRequestError(BAD_REQUEST, "two headers give the body's length")
+    if names.count(b"host") > 1:
+        raise _BadRequestError(BAD_REQUEST, "more than one host is named")
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/sockets.py
@@ -0,0 +1,26 @@
+"""Options of TCP sockets that bound how long a dead peer goes unnoticed."""
+
+import socket
+
+__all__ = ["bound_silence"]
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+#: Time in which sent bytes must be acknowledged, in milliseconds.
+USER_TIMEOUT_MS = 3_000
+
+
+def bound_silence(raw: socket.socket) -> None:
+    """Let the kernel end a connection whose peer has gone without a word."""
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        ("TCP_KEEPIDLE", KEEPALIVE_IDLE_S),
+        ("TCP_KEEPINTVL", KEEPALIVE_INTERVAL_S),
+        ("TCP_KEEPCNT", KEEPALIVE_PROBES),
+        ("TCP_USER_TIMEOUT", USER_TIMEOUT_MS),
+    ):
+        number = getattr(socket, option, None)
+        if number is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, number, value)
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/directory.py
@@ -0,0 +1,175 @@
+"""Finds the control hosts from a few addresses, and follows their changes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import CranberryfieldError
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh.mesh import Mesh
+from cranberryfield.core.messages.deployment import (
+    AskControlHosts,
+    ControlHost,
+    ControlHosts,
+)
+from cranberryfield.core.messages.links import Hello
+
+__all__ = ["ControlDirectory", "ControlHostNames"]
+
+CONTROL_ROLE = "control"
+#: Time between two rounds of questions before and after the seeds were found.
+SEARCH_INTERVAL_S = 0.1
+FOLLOW_INTERVAL_S = 1.0
+ASK_TIMEOUT_S = 0.5
+#: A control host that nobody has been linked with for this time is forgotten.
+FORGET_S = 60.0
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlHostNames:
+    """Where the names of the control hosts come from.
+
+    Attributes
+    ----------
+    known : callable
+        Returns the ids of all known control hosts.
+    founders : callable
+        Returns the ids of those that may form a new group together; None while
+        they are not known or if no group may be formed.
+    grows : bool
+        Whether all control hosts that are found join the group by themselves.
+    """
+
+    known: Callable[[], tuple[NodeId, ...]]
+    founders: Callable[[], tuple[NodeId, ...] | None]
+    grows: bool = False
+
+    @classmethod
+    def from_list(cls, nodes: tuple[NodeId, ...]) -> "ControlHostNames":
+        """Return the names that a configuration file lists."""
+        return cls(lambda: nodes, lambda: nodes)
+
+
+class ControlDirectory:
+    """Keeps links to all control hosts, beginning with those at the seeds.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links to other processes.
+    seeds : tuple of str
+        Mesh addresses of some control hosts.
+    first_start : bool
+        Whether the hosts at the seeds may form a new group.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self, mesh: Mesh, seeds: tuple[str, ...], first_start: bool, clock: Clock
+    ):
+        self._mesh = mesh
+        self._seeds = seeds
+        self._first_start = first_start
+        self._clock = clock
+        self._addresses: dict[NodeId, str] = {}
+        self._seen_at: dict[NodeId, float] = {}
+        self._is_control = CONTROL_ROLE in mesh.hello.roles
+        if self._is_control:
+            self._learn(mesh.hello.node, mesh.hello.mesh)
+        mesh.watch_links(self._on_link)
+        mesh.handle(AskControlHosts, self._on_ask)
+
+    @property
+    def names(self) -> ControlHostNames:
+        """The names found so far."""
+        return ControlHostNames(self._known, self._founders, grows=True)
+
+    def _known(self) -> tuple[NodeId, ...]:
+        return tuple(sorted(self._addresses))
+
+    def _founders(self) -> tuple[NodeId, ...] | None:
+        node_at = {address: node for node, address in self._addresses.items()}
+        if not self._first_start or not set(self._seeds) <= node_at.keys():
+            return None
+        return tuple(sorted(node_at[seed] for seed in self._seeds))
+
+    async def run(self) -> None:
+        """Look for control hosts until cancelled."""
+        while True:
+            self._forget_lost()
+            missing = [seed for seed in self._seeds if not self._is_linked_at(seed)]
+            for seed in missing:
+                self._mesh.probe(seed)
+            await self._ask_linked()
+            self._mesh.keep_standing(self._to_dial())
+            searching = missing and len(missing) * 2 >= len(self._seeds)
+            await anyio.sleep(SEARCH_INTERVAL_S if searching else FOLLOW_INTERVAL_S)
+
+    def _is_linked_at(self, address: str) -> bool:
+        return any(
+            known == address and self._mesh.is_linked(node)
+            for node, known in self._addresses.items()
+        )
+
+    def _to_dial(self) -> frozenset[NodeId]:
+        """Return the hosts to link with; of two control hosts, one dials."""
+        own = self._mesh.hello.node
+        return frozenset(
+            node
+            for node in self._addresses
+            if node != own and (not self._is_control or own < node)
+        )
+
+    async def _ask_linked(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for node in self._known():
+                if node != self._mesh.hello.node and self._mesh.is_linked(node):
+                    tasks.start_soon(self._ask, node)
+
+    async def _ask(self, node: NodeId) -> None:
+        try:
+            found = await self._mesh.request(node, AskControlHosts(), ASK_TIMEOUT_S)
+        except CranberryfieldError as error:
+            logger.debug("control host not asked", host=node, detail=error.detail)
+            return
+        for host in found.hosts:
+            if host.node not in self._addresses or not self._mesh.is_linked(host.node):
+                self._learn(host.node, host.mesh)
+
+    def _learn(self, node: NodeId, address: str) -> None:
+        if self._addresses.get(node) != address:
+            logger.info("control host found", host=node, address=address)
+        self._addresses[node] = address
+        self._seen_at[node] = self._clock()
+        if node != self._mesh.hello.node:
+            self._mesh.learn_address(node, address)
+
+    def _forget_lost(self) -> None:
+        now = self._clock()
+        for node in list(self._addresses):
+            if self._mesh.is_linked(node):
+                self._seen_at[node] = now
+            elif now - self._seen_at[node] > FORGET_S:
+                logger.info("control host forgotten", host=node)
+                del self._addresses[node]
+                self._mesh.forget_address(node)
+
+    def _on_link(self, peer: Hello, is_open: bool) -> None:
+        if is_open and CONTROL_ROLE in peer.roles:
+            self._learn(peer.node, peer.mesh)
+            self._mesh.keep_standing(self._to_dial())
+
+    def _on_ask(self, sender: NodeId, message: AskControlHosts) -> ControlHosts:
+        return ControlHosts(
+            tuple(
+                ControlHost(node, address)
+                for node, address in self._addresses.items()
+                if self._mesh.is_linked(node)
+            )
+        )
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
@@ -12,6 +12,7 @@
 from cranberryfield.core.messages.base import Message, NestedRecord
 
 __all__ = [
+    "AskUpstreams",
     "BucketDigests",
     "BucketVersions",
     "FollowUpstreams",
@@ -88,6 +89,12 @@
     ages_ms: tuple[int, ...]
 
 
+class AskUpstreams(Message):
+    """Asks for the table of upstreams if its digest is another one."""
+
+    digest: int
+
+
 class Renewal(NestedRecord):
     """An upstream renewed its lease; `report` numbers its reports of load."""
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/proposals/proposer.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/proposals/proposer.py
@@ -1,5 +1,7 @@
 """Finds the leader of the control group and puts commands through it."""
 
+from collections.abc import Callable
+
 import anyio
 
 from cranberryfield.core.clock import Clock
@@ -34,17 +36,19 @@
     ----------
     mesh : Mesh
         Links to the control hosts.
-    control : tuple of NodeId
-        The control hosts.
+    control : callable
+        Returns the control hosts.
     clock : Clock
         Monotonic time.
     """
 
-    def __init__(self, mesh: Mesh, control: tuple[NodeId, ...], clock: Clock):
+    def __init__(
+        self, mesh: Mesh, control: Callable[[], tuple[NodeId, ...]], clock: Clock
+    ):
         self._mesh = mesh
         self._control = control
         self._clock = clock
-        self._leader = control[0]
+        self._leader: NodeId | None = None
 
     async def propose(self, command: Message, timeout_s: float) -> Message:
         """Put a command through the log and return its result.
@@ -118,6 +122,10 @@
         )
 
     async def _ask_leader(self, request: Message, timeout_s: float) -> Message | None:
+        if self._leader is None:
+            self._leader = self._after(None)
+        if self._leader is None:
+            return None
         try:
             reply = await self._mesh.request(self._leader, request, timeout_s)
         except UnavailableError as error:
@@ -130,6 +138,10 @@
             return None
         return reply
 
-    def _after(self, node: NodeId) -> NodeId:
-        place = self._control.index(node) if node in self._control else -1
-        return self._control[(place + 1) % len(self._control)]
+    def _after(self, node: NodeId | None) -> NodeId | None:
+        """Return the control host to ask after another; None if none is known."""
+        hosts = self._control()
+        if not hosts:
+            return None
+        place = hosts.index(node) if node in hosts else -1
+        return hosts[(place + 1) % len(hosts)]
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -0,0 +1,102 @@
+"""Builds and runs one host of a cluster."""
+
+import signal
+import time
+from random import Random
+
+import anyio
+import structlog
+
+from cranberryfield.core.blackboard import Blackboard
+from cranberryfield.core.clock import suspension_clock
+from cranberryfield.core.config import ClusterConfig
+from cranberryfield.core.ids import Incarnation
+from cranberryfield.core.mesh import ControlDirectory, Mesh
+from cranberryfield.core.messages.links import Hello
+from cranberryfield.daemon.cluster.control import ControlHost
+from cranberryfield.daemon.cluster.faces import Faces
+from cranberryfield.daemon.cluster.relay import RelayHost
+
+__all__ = ["run_cluster_host"]
+
+NS_PER_MS = 1_000_000
+
+logger = structlog.get_logger(__name__)
+
+
+def _hello(config: ClusterConfig) -> Hello:
+    callers = config.relay.callers if config.relay is not None else ""
+    return Hello(
+        config.node_id,
+        config.group,
+        Incarnation(time.time_ns() // NS_PER_MS),
+        config.zone,
+        config.roles,
+        config.mesh,
+        callers,
+    )
+
+
+async def run_cluster_host(config: ClusterConfig, faces: Faces) -> None:
+    """Run until SIGTERM or SIGINT; return when what is in progress is over.
+
+    Parameters
+    ----------
+    config : ClusterConfig
+        The checked settings.
+    faces : Faces
+        What callers, upstreams and operators speak.
+
+    Raises
+    ------
+    StorageError
+        If the data folder cannot be used.
+    """
+    board = Blackboard()
+    mesh = Mesh(_hello(config), config.mesh_key)
+    clock = suspension_clock
+    rng = Random(config.node)
+    directory = ControlDirectory(mesh, config.mesh_seeds, config.first_start, clock)
+    hosts = []
+    if config.control is not None:
+        hosts.append(
+            ControlHost.from_config(
+                config, faces, mesh, board, directory.names, clock, rng
+            )
+        )
+    if config.relay is not None:
+        hosts.append(
+            RelayHost.from_config(
+                config, faces, mesh, board, directory.names, clock, rng
+            )
+        )
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(mesh.listen, config.mesh)
+        tasks.start_soon(directory.run)
+        for host in hosts:
+            tasks.start_soon(host.run)
+        logger.info(
+            "started",
+            roles=config.roles,
+            data_centre=config.data_centre,
+            first_start=config.first_start,
+            seeds=config.mesh_seeds,
+        )
+        await _wait_for_stop()
+        for host in hosts:
+            await host.stop()
+        logger.info("stopped")
+        tasks.cancel_scope.cancel()
+
+
+async def _wait_for_stop() -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                # Settings that change in place are read by a restart.
+                logger.info("settings file may have changed")
+                continue
+            logger.info("stopping", signal=number)
+            return
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -0,0 +1,238 @@
+"""A host that takes callers' requests."""
+
+from random import Random
+
+import anyio
+import structlog
+
+from cranberryfield.core.blackboard import Blackboard
+from cranberryfield.core.clock import Clock, wall_clock
+from cranberryfield.core.config import ClusterConfig
+from cranberryfield.core.config.daemon import split_address
+from cranberryfield.core.errors import (
+    CranberryfieldError,
+    ErrorKind,
+    UnavailableError,
+    WasRun,
+)
+from cranberryfield.core.http1 import (
+    ConnectionPool,
+    Exchange,
+    ServerLimits,
+    ServerState,
+    serve_http,
+)
+from cranberryfield.core.mesh import ControlHostNames, Mesh
+from cranberryfield.daemon.cluster.faces import Faces
+from cranberryfield.entry.deployment import (
+    DeploymentFollower,
+    DeploymentSection,
+    may_serve,
+)
+from cranberryfield.entry.registry import RegistryMirror, UpstreamTable
+from cranberryfield.entry.relay import LoadSection, Relay, RetryBudget
+from cranberryfield.entry.relay.attempts import Upstreams
+from cranberryfield.entry.relay.usage import UsageSection
+
+__all__ = ["RelayHost"]
+
+MS_PER_S = 1000
+#: Part of a key's validity that a confirmation lasts; the rest covers the time
+#: that a request is on its way to an upstream.
+LEASE_PART = 0.8
+NOT_READY_RETRY_S = 0.3
+IDLE_CHECK_S = 0.5
+#: Time for the balancer to see that the host is not ready, in seconds.
+NOT_READY_NOTICE_S = 3.0
+#: Part of the time for a stop in which answers may end.
+DRAIN_PART = 0.85
+DRAIN_POLL_S = 0.05
+
+logger = structlog.get_logger(__name__)
+
+
+class RelayHost:
+    """The relay role of a cluster host.
+
+    Parameters
+    ----------
+    config : ClusterConfig
+        The checked settings.
+    faces : Faces
+        What callers and the balancer speak.
+    deployment : DeploymentSection
+        The deployment in force.
+    follower : DeploymentFollower
+        Keeps it current.
+    mirror : RegistryMirror
+        Follows the upstreams.
+    relay : Relay
+        Carries requests.
+    pool : ConnectionPool
+        Connections to upstreams.
+    clock : Clock
+        Monotonic time that counts suspensions.
+    rng : random.Random
+        Seeded generator.
+    """
+
+    def __init__(
+        self,
+        config: ClusterConfig,
+        faces: Faces,
+        deployment: DeploymentSection,
+        follower: DeploymentFollower,
+        mirror: RegistryMirror,
+        relay: Relay,
+        pool: ConnectionPool,
+        clock: Clock,
+        rng: Random,
+    ):
+        self._config = config
+        self._faces = faces
+        self._deployment = deployment
+        self._follower = follower
+        self._mirror = mirror
+        self._relay = relay
+        self._pool = pool
+        self._clock = clock
+        self._rng = rng
+        self._stopping = False
+        self._state = ServerState()
+
+    @classmethod
+    def from_config(
+        cls,
+        config: ClusterConfig,
+        faces: Faces,
+        mesh: Mesh,
+        board: Blackboard,
+        names: ControlHostNames,
+        clock: Clock,
+        rng: Random,
+    ) -> "RelayHost":
+        """Build the role.
+
+        Parameters
+        ----------
+        config : ClusterConfig
+            The checked settings.
+        faces : Faces
+            What callers, upstreams and the balancer speak.
+        mesh : Mesh
+            Links to other processes.
+        board : Blackboard
+            Gains the role's sections.
+        names : ControlHostNames
+            The control hosts.
+        clock : Clock
+            Monotonic time that counts suspensions.
+        rng : random.Random
+            Seeded generator.
+
+        Returns
+        -------
+        RelayHost
+            Ready to `run`.
+        """
+        lease_s = LEASE_PART * config.key_validity_ms / MS_PER_S
+        deployment = board.add(DeploymentSection(lease_s))
+        table = board.add(UpstreamTable())
+        budget = board.add(
+            RetryBudget(
+                config.retry_ratio, config.retry_allowance, config.retry_window_s
+            )
+        )
+        pool = ConnectionPool(clock)
+        relay = Relay(
+            table,
+            board.add(LoadSection()),
+            budget,
+            board.add(UsageSection(config.usage_window_s or 1.0, wall_clock)),
+            Upstreams(pool, faces.dialect, clock),
+            faces.refuse,
+            config.zone,
+            clock,
+            rng,
+        )
+        return cls(
+            config,
+            faces,
+            deployment,
+            DeploymentFollower(deployment, mesh, names, clock),
+            RegistryMirror(table, mesh, names, clock, rng),
+            relay,
+            pool,
+            clock,
+            rng,
+        )
+
+    def is_ready(self) -> bool:
+        """Say whether new requests are taken."""
+        return not self._stopping and may_serve(self._deployment, self._clock())
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._mirror.run)
+            tasks.start_soon(self._close_idle)
+            readiness = split_address(self._config.relay.readiness)
+            tasks.start_soon(serve_http, readiness, self._answer_ready, ServerState())
+            callers = split_address(self._config.relay.callers)
+            tasks.start_soon(serve_http, callers, self._answer, self._state)
+
+    async def stop(self) -> None:
+        """Turn not ready, then close connections as their answers end."""
+        self._stopping = True
+        self._state.closing = True
+        left_s = DRAIN_PART * self._config.stop_s
+        with anyio.move_on_after(left_s):
+            await anyio.sleep(NOT_READY_NOTICE_S)
+            self._state.closed.set()
+            while self._state.active:
+                await anyio.sleep(DRAIN_POLL_S)
+
+    async def _close_idle(self) -> None:
+        while True:
+            await anyio.sleep(IDLE_CHECK_S)
+            await self._pool.close_idle()
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        await self._faces.answer_readiness(exchange, self.is_ready())
+
+    async def _answer(self, exchange: Exchange) -> None:
+        try:
+            request = self._take(exchange)
+        except CranberryfieldError as error:
+            logger.info(
+                "request refused",
+                target=exchange.head.target.decode("latin-1"),
+                kind=error.kind.value,
+                detail=error.detail,
+                version=self._deployment.version,
+            )
+            await self._faces.refuse(exchange, error)
+            return
+        await self._relay.handle(request, exchange)
+
+    def _take(self, exchange: Exchange):
+        if not may_serve(self._deployment, self._clock()):
+            raise UnavailableError(
+                ErrorKind.NOT_READY,
+                "the deployment in force is not confirmed",
+                was_run=WasRun.NO,
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        table = self._deployment.table
+        self._adopt_limits()
+        return self._faces.read_request(exchange, table, self._clock, self._rng)
+
+    def _adopt_limits(self) -> None:
+        limits = self._deployment.table.deployment.limits
+        self._state.limits = ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        )
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -17,7 +17,7 @@
 from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.config import DaemonConfig, Role
 from cranberryfield.core.ids import Incarnation, NodeId
-from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.control import ReadTraffic, TrafficView
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.metrics import Metrics
@@ -85,11 +85,14 @@
     mesh.handle(ReadTraffic, lambda sender, message: TrafficView(*mesh.traffic_bytes))
     metrics = Metrics.from_config(config.statsd, config.node)
     members = tuple(NodeId(member.node) for member in config.control)
-    proposer = Proposer(mesh, members, monotonic_clock)
+    proposer = Proposer(mesh, lambda: members, monotonic_clock)
     rng = Random(config.node)
     control = None
     if Role.CONTROL in config.roles:
-        control = ControlRuntime.from_config(config, mesh, board, monotonic_clock, rng)
+        names = ControlHostNames.from_list(members)
+        control = ControlRuntime.from_config(
+            config, mesh, board, monotonic_clock, rng, names
+        )
     async with anyio.create_task_group() as tasks:
         entry = None
         if Role.ENTRY in config.roles:
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/deployment/follower.py
@@ -0,0 +1,115 @@
+"""Keeps the deployment of a host at the highest committed version."""
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.deployment import decode_deployment
+from cranberryfield.core.errors import CranberryfieldError
+from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh import ControlHostNames, Mesh
+from cranberryfield.core.messages.deployment import DeploymentView, FollowDeployment
+from cranberryfield.entry.deployment.section import (
+    DeploymentSection,
+    may_serve,
+    take_deployment,
+)
+
+__all__ = ["DeploymentFollower"]
+
+#: Time between two questions while the leader answers, in seconds. Several fit
+#: into the time in which a change must be in force.
+CONFIRM_INTERVAL_S = 0.5
+SEARCH_INTERVAL_S = 0.1
+REQUEST_TIMEOUT_S = 0.5
+
+logger = structlog.get_logger(__name__)
+
+
+class DeploymentFollower:
+    """Asks the leader of the control group again and again.
+
+    Parameters
+    ----------
+    section : DeploymentSection
+        The deployment in force.
+    mesh : Mesh
+        Links to other processes.
+    names : ControlHostNames
+        The control hosts.
+    clock : Clock
+        Monotonic time that counts suspensions.
+    """
+
+    def __init__(
+        self,
+        section: DeploymentSection,
+        mesh: Mesh,
+        names: ControlHostNames,
+        clock: Clock,
+    ):
+        self._section = section
+        self._mesh = mesh
+        self._names = names
+        self._clock = clock
+        self._leader: NodeId | None = None
+        self._was_current = False
+        mesh.handle(DeploymentView, self._on_view)
+
+    @property
+    def leader(self) -> NodeId | None:
+        """The control host that last confirmed the deployment."""
+        return self._leader
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            confirmed = await self._ask_control()
+            self._log_change()
+            await anyio.sleep(CONFIRM_INTERVAL_S if confirmed else SEARCH_INTERVAL_S)
+
+    async def _ask_control(self) -> bool:
+        """Ask the leader, or look for it; return whether it confirmed."""
+        asked: set[NodeId] = set()
+        hint = self._leader
+        while True:
+            linked = [one for one in self._names.known() if self._mesh.is_linked(one)]
+            waiting = [one for one in (hint, *linked) if one is not None]
+            left = [one for one in waiting if one not in asked]
+            if not left:
+                return False
+            asked.add(left[0])
+            sent_at = self._clock()
+            view = await self._ask(left[0])
+            if view is None:
+                continue
+            self._take(view)
+            if view.is_current and self._section.version >= view.version >= 0:
+                self._leader = left[0]
+                self._section.confirmed_at = max(self._section.confirmed_at, sent_at)
+                return True
+            hint = view.leader
+
+    async def _ask(self, node: NodeId) -> DeploymentView | None:
+        request = FollowDeployment(self._section.version)
+        try:
+            return await self._mesh.request(node, request, REQUEST_TIMEOUT_S)
+        except CranberryfieldError as error:
+            logger.debug("control host not asked", host=node, detail=error.detail)
+            return None
+
+    def _take(self, view: DeploymentView) -> None:
+        if view.content and view.version > self._section.version:
+            take_deployment(self._section, decode_deployment(view.content))
+            logger.info("deployment in force", version=view.version)
+
+    def _on_view(self, sender: NodeId, view: DeploymentView) -> None:
+        self._take(view)
+
+    def _log_change(self) -> None:
+        is_current = may_serve(self._section, self._clock())
+        if is_current != self._was_current:
+            self._was_current = is_current
+            event = "deployment confirmed" if is_current else "deployment lease lost"
+            age_s = round(self._clock() - self._section.confirmed_at, 3)
+            logger.info(event, version=self._section.version, age_s=age_s)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/hub.py
@@ -0,0 +1,127 @@
+"""Takes announcements in on a control host and passes them on to all hosts."""
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.ids import NodeId, UpstreamId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.messages.membership import (
+    AskUpstreams,
+    UpstreamRecord,
+    UpstreamUpdate,
+)
+from cranberryfield.entry.registry.table import (
+    UpstreamTable,
+    accept_record,
+    depart,
+    digest_table,
+    forget_silent,
+)
+
+__all__ = ["RegistryHub"]
+
+MS_PER_S = 1000
+#: Announcements that come within this time travel together, in seconds.
+FLUSH_S = 0.02
+FORGET_INTERVAL_S = 5.0
+
+logger = structlog.get_logger(__name__)
+
+
+class RegistryHub:
+    """The table of upstreams on a control host.
+
+    Each change goes to all linked hosts at once. Hosts that follow compare
+    digests now and then, so that what was lost with a link arrives all the
+    same.
+
+    Parameters
+    ----------
+    table : UpstreamTable
+        Owned by this object.
+    mesh : Mesh
+        Links to other processes.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, table: UpstreamTable, mesh: Mesh, clock: Clock):
+        self._table = table
+        self._mesh = mesh
+        self._clock = clock
+        self._changed: set[UpstreamId] = set()
+        self._wake = anyio.Event()
+        mesh.handle(UpstreamUpdate, self._on_update)
+        mesh.handle(AskUpstreams, self._on_ask)
+        mesh.watch_links(self._on_link)
+
+    def announce(self, record: UpstreamRecord) -> None:
+        """Take in what an upstream said here."""
+        if accept_record(self._table, record, self._clock()):
+            logger.info(
+                "upstream announced",
+                upstream=record.upstream,
+                service=record.service,
+                incarnation=record.incarnation,
+                sequence=record.sequence,
+                leaving=record.leaving,
+            )
+            self._pass_on(record.upstream)
+
+    def depart(self, upstream: UpstreamId, incarnation: int | None) -> None:
+        """Take in that an upstream takes itself out of use."""
+        record = depart(self._table, upstream, incarnation, self._clock())
+        if record is not None:
+            logger.info("upstream departed", upstream=upstream)
+            self._pass_on(upstream)
+
+    def _pass_on(self, upstream: UpstreamId) -> None:
+        self._changed.add(upstream)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Pass changes on until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._flush_often)
+            tasks.start_soon(self._forget_often)
+
+    async def _flush_often(self) -> None:
+        while True:
+            await self._wake.wait()
+            await anyio.sleep(FLUSH_S)
+            self._wake = anyio.Event()
+            changed, self._changed = self._changed, set()
+            update = self._update(changed)
+            for peer in self._mesh.peers:
+                self._mesh.send(peer.node, update)
+
+    async def _forget_often(self) -> None:
+        while True:
+            await anyio.sleep(FORGET_INTERVAL_S)
+            for upstream in forget_silent(self._table, self._clock()):
+                logger.info("upstream forgotten", upstream=upstream)
+
+    def _update(self, upstreams: set[UpstreamId]) -> UpstreamUpdate:
+        now = self._clock()
+        entries = self._table.entries
+        found = [entries[one] for one in sorted(upstreams) if one in entries]
+        return UpstreamUpdate(
+            tuple(entry.record for entry in found),
+            tuple(int((now - entry.heard_at) * MS_PER_S) for entry in found),
+        )
+
+    def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
+        now = self._clock()
+        for record, age_ms in zip(update.records, update.ages_ms, strict=True):
+            accept_record(self._table, record, now - age_ms / MS_PER_S)
+
+    def _on_ask(self, sender: NodeId, message: AskUpstreams) -> UpstreamUpdate:
+        if message.digest == digest_table(self._table):
+            return UpstreamUpdate((), ())
+        return self._update(set(self._table.entries))
+
+    def _on_link(self, peer: Hello, is_open: bool) -> None:
+        if is_open and self._table.entries:
+            self._mesh.send(peer.node, self._update(set(self._table.entries)))
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -0,0 +1,316 @@
+"""One attempt on one upstream."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import anyio
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.http1 import (
+    BrokenExchangeError,
+    ConnectionPool,
+    NotSentError,
+    RequestHead,
+    Response,
+    ResponseHead,
+    UpstreamConnection,
+)
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.relay.events import EventCutter
+from cranberryfield.entry.relay.request import (
+    AnswerFacts,
+    RelayRequest,
+    UpstreamDialect,
+)
+
+__all__ = [
+    "AttemptEnd",
+    "AttemptResult",
+    "StreamProgress",
+    "Upstreams",
+    "call_upstream",
+    "stream_upstream",
+]
+
+MS_PER_S = 1000
+MAX_ANSWER_BYTES = 64 << 20
+#: Responses to earlier requests that are passed over on one connection.
+MAX_FOREIGN_RESPONSES = 2
+#: Silence after which a resumable stream is looked for elsewhere, in seconds.
+STREAM_SILENCE_S = 2.0
+#: Statuses of a response that a request succeeded.
+SUCCESS = range(200, 300)
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    NOT_SENT = "not sent"
+    NOT_RUN = "not run"
+    MISDIRECTED = "misdirected"
+    ANSWERED = "answered"
+    STREAMED = "streamed"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended, and the answer if it brought a whole one.
+
+    Attributes
+    ----------
+    end : AttemptEnd
+        What happened.
+    detail : str
+        For logs.
+    response : Response or None
+        Set if it was answered.
+    facts : AnswerFacts or None
+        What the upstream said beside the answer.
+    """
+
+    end: AttemptEnd
+    detail: str = ""
+    response: Response | None = None
+    facts: AnswerFacts | None = None
+
+
+@dataclass(slots=True)
+class StreamProgress:
+    """What the caller has of a streamed answer.
+
+    Attributes
+    ----------
+    send_head : callable
+        Sends the answer's head; called once, before the first event.
+    send_events : callable
+        Sends whole events.
+    has_started : bool
+        Whether the head was sent.
+    last_id : str or None
+        Id of the last event sent.
+    events : int
+        Events sent.
+    """
+
+    send_head: Callable[[ResponseHead], Awaitable[None]]
+    send_events: Callable[[bytes], Awaitable[None]]
+    has_started: bool = False
+    last_id: str | None = None
+    events: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Upstreams:
+    """What attempts need to reach upstreams.
+
+    Attributes
+    ----------
+    pool : ConnectionPool
+        Connections.
+    dialect : UpstreamDialect
+        How upstreams are spoken to.
+    clock : Clock
+        Monotonic time.
+    """
+
+    pool: ConnectionPool
+    dialect: UpstreamDialect
+    clock: Clock
+
+
+@dataclass(slots=True)
+class _Opened:
+    """An exchange whose head has been read."""
+
+    connection: UpstreamConnection
+    head: ResponseHead
+    facts: AnswerFacts
+    in_use: bool = field(default=True)
+
+
+async def _open_exchange(
+    upstreams: Upstreams,
+    request: RelayRequest,
+    record: UpstreamRecord,
+    last_event: str | None,
+) -> _Opened:
+    connection = await upstreams.pool.acquire(record.address)
+    try:
+        left_ms = int((request.deadline - upstreams.clock()) * MS_PER_S)
+        headers = upstreams.dialect.encode(request, record, max(1, left_ms), last_event)
+        head = RequestHead(request.head.method, request.head.target, headers)
+        await connection.send(head, request.body)
+        for _ in range(MAX_FOREIGN_RESPONSES + 1):
+            found = await connection.read_head()
+            facts = upstreams.dialect.read(found)
+            if facts.request_id in (None, request.id):
+                return _Opened(connection, found, facts)
+            await connection.read_body(MAX_ANSWER_BYTES)
+            if not connection.expect_another():
+                break
+        raise BrokenExchangeError("the response belongs to another request")
+    except BaseException:
+        await connection.close()
+        raise
+
+
+def _judge(request: RelayRequest, opened: _Opened) -> AttemptResult | None:
+    """Return the result of an attempt that its head ends, if it does."""
+    facts = opened.facts
+    if facts.is_misdirected:
+        return AttemptResult(AttemptEnd.MISDIRECTED, "another upstream is there")
+    if facts.not_run:
+        detail = f"the upstream refused: {opened.head.status}"
+        return AttemptResult(AttemptEnd.NOT_RUN, detail, facts=facts)
+    if opened.head.status in SUCCESS and not facts.is_signed:
+        detail = "a success that no upstream has signed"
+        return AttemptResult(AttemptEnd.BROKEN, detail)
+    if opened.head.status in SUCCESS and facts.request_id != request.id:
+        return AttemptResult(AttemptEnd.BROKEN, "a success without the request's id")
+    return None
+
+
+async def call_upstream(
+    upstreams: Upstreams, request: RelayRequest, record: UpstreamRecord
+) -> AttemptResult:
+    """Send a request and read the whole answer.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        Connections and dialect.
+    request : RelayRequest
+        The request.
+    record : UpstreamRecord
+        Where it is sent.
+
+    Returns
+    -------
+    AttemptResult
+        Whether it was run, as far as that is known, and the answer.
+    """
+    try:
+        opened = await _open_exchange(upstreams, request, record, request.last_event)
+    except NotSentError as error:
+        return AttemptResult(AttemptEnd.NOT_SENT, str(error))
+    except BrokenExchangeError as error:
+        return AttemptResult(AttemptEnd.BROKEN, str(error))
+    return await _read_whole(upstreams, request, record, opened)
+
+
+async def _read_whole(
+    upstreams: Upstreams,
+    request: RelayRequest,
+    record: UpstreamRecord,
+    opened: _Opened,
+) -> AttemptResult:
+    judged = _judge(request, opened)
+    try:
+        body = await opened.connection.read_body(MAX_ANSWER_BYTES)
+    except BrokenExchangeError as error:
+        await opened.connection.close()
+        return judged or AttemptResult(AttemptEnd.BROKEN, str(error))
+    except BaseException:
+        await opened.connection.close()
+        raise
+    if judged is not None and judged.end is AttemptEnd.BROKEN:
+        await opened.connection.close()
+        return judged
+    await upstreams.pool.release(record.address, opened.connection)
+    if judged is not None:
+        return judged
+    response = Response(opened.head.status, opened.head.headers, body)
+    return AttemptResult(AttemptEnd.ANSWERED, "", response, opened.facts)
+
+
+async def stream_upstream(
+    upstreams: Upstreams,
+    request: RelayRequest,
+    record: UpstreamRecord,
+    progress: StreamProgress,
+    note_first: Callable[[], None],
+) -> AttemptResult:
+    """Send a request and pass the events of its answer on as they come.
+
+    Parameters
+    ----------
+    upstreams : Upstreams
+        Connections and dialect.
+    request : RelayRequest
+        The request.
+    record : UpstreamRecord
+        Where it is sent.
+    progress : StreamProgress
+        What the caller has; the attempt goes on after it.
+    note_first : callable
+        Called with the first event of the attempt.
+
+    Returns
+    -------
+    AttemptResult
+        Streamed if the answer is complete; answered if it is no stream but a
+        failure.
+    """
+    last_event = progress.last_id or request.last_event
+    try:
+        opened = await _open_exchange(upstreams, request, record, last_event)
+    except NotSentError as error:
+        return AttemptResult(AttemptEnd.NOT_SENT, str(error))
+    except BrokenExchangeError as error:
+        return AttemptResult(AttemptEnd.BROKEN, str(error))
+    judged = _judge(request, opened)
+    if judged is not None or opened.head.status not in SUCCESS:
+        return await _read_whole(upstreams, request, record, opened)
+    whole = False
+    try:
+        await _pass_events(request, opened, progress, note_first)
+        whole = True
+        return AttemptResult(AttemptEnd.STREAMED, facts=opened.facts)
+    except BrokenExchangeError as error:
+        return AttemptResult(AttemptEnd.BROKEN, str(error), facts=opened.facts)
+    finally:
+        if whole:
+            await upstreams.pool.release(record.address, opened.connection)
+        else:
+            await opened.connection.close()
+
+
+async def _pass_events(
+    request: RelayRequest,
+    opened: _Opened,
+    progress: StreamProgress,
+    note_first: Callable[[], None],
+) -> None:
+    cutter = EventCutter()
+    is_first = True
+    while (part := await _next_part(request, opened.connection)) is not None:
+        events = cutter.feed(part)
+        if not events.count:
+            continue
+        if is_first:
+            is_first = False
+            note_first()
+        if not progress.has_started:
+            progress.has_started = True
+            await progress.send_head(opened.head)
+        progress.last_id = events.last_id or progress.last_id
+        progress.events += events.count
+        await progress.send_events(events.data)
+    if cutter.has_rest:
+        raise BrokenExchangeError("the stream ended within an event")
+    if not progress.has_started:
+        raise BrokenExchangeError("the stream ended before its first event")
+
+
+async def _next_part(
+    request: RelayRequest, connection: UpstreamConnection
+) -> bytes | None:
+    if not request.route.resumable:
+        return await connection.read_part()
+    try:
+        with anyio.fail_after(STREAM_SILENCE_S):
+            return await connection.read_part()
+    except TimeoutError as error:
+        raise BrokenExchangeError("the stream has fallen silent") from error
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/choose.py
@@ -0,0 +1,114 @@
+"""Chooses the upstream of an attempt by the expected time to its first event."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from cranberryfield.core.ids import DataCentre, UpstreamId
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.relay.loads import LoadSection, UpstreamLoad
+from cranberryfield.entry.relay.request import RelayRequest, expected_prefill
+
+__all__ = ["RelayModel", "choose_relay_upstream", "expected_wait_s"]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayModel:
+    """What the expected time to the first event is computed from.
+
+    Attributes
+    ----------
+    prefill_tokens_per_s : float
+        Prompt tokens that an engine reads in a second.
+    run_s : float
+        Time that one run holds a place, in seconds.
+    batch_s : float
+        Time that a full batch adds to the first event, in seconds.
+    distance_s : float
+        Round trip to another data centre, in seconds.
+    failure_s : float
+        Cost of an upstream that always fails, in seconds.
+    """
+
+    prefill_tokens_per_s: float = 100_000.0
+    run_s: float = 0.5
+    batch_s: float = 0.05
+    distance_s: float = 0.002
+    failure_s: float = 1.0
+
+
+def expected_wait_s(
+    record: UpstreamRecord,
+    load: UpstreamLoad,
+    request: RelayRequest,
+    data_centre: DataCentre,
+    model: RelayModel,
+) -> float:
+    """Return the expected time to the first event of one more run, in seconds."""
+    places = max(1, record.capacity)
+    in_flight = load.in_flight
+    is_cached = request.affinity is not None and request.affinity in load.parts
+    prefill = load.prefill_tokens + expected_prefill(request, is_cached)
+    wait_s = prefill / model.prefill_tokens_per_s
+    wait_s += model.batch_s * in_flight / places
+    wait_s += model.run_s * max(0, in_flight + 1 - places) / places
+    wait_s += model.failure_s * load.failure_ratio
+    if record.data_centre != data_centre:
+        wait_s += model.distance_s
+    return wait_s
+
+
+def choose_relay_upstream(
+    candidates: list[UpstreamRecord],
+    loads: LoadSection,
+    request: RelayRequest,
+    tried: frozenset[UpstreamId],
+    data_centre: DataCentre,
+    now: float,
+    model: RelayModel,
+) -> UpstreamRecord | None:
+    """Choose where the next attempt runs.
+
+    Parameters
+    ----------
+    candidates : list of UpstreamRecord
+        Upstreams of the service that are not leaving.
+    loads : LoadSection
+        What is known of them.
+    request : RelayRequest
+        The request.
+    tried : frozenset of UpstreamId
+        Upstreams that it was sent to before.
+    data_centre : DataCentre
+        Where this host runs.
+    now : float
+        Monotonic time in seconds.
+    model : RelayModel
+        Speeds and distances.
+
+    Returns
+    -------
+    UpstreamRecord or None
+        None without untried candidates. Upstreams that are passed over after
+        failures are taken only if there are no others, the one that is to
+        come back first. Equal ones are told apart by a hash of the prompt and
+        the upstream, which is the same on all hosts.
+    """
+    untried = [one for one in candidates if one.upstream not in tried]
+    if not untried:
+        return None
+    steady = [one for one in untried if loads.of(one.upstream).paused_until <= now]
+    if not steady:
+        return min(untried, key=lambda one: loads.of(one.upstream).paused_until)
+
+    def order(record: UpstreamRecord) -> tuple[float, int]:
+        load = loads.of(record.upstream)
+        wait_s = expected_wait_s(record, load, request, data_centre, model)
+        return round(wait_s, 3), _tie_break(record.upstream, request)
+
+    return min(steady, key=order)
+
+
+def _tie_break(upstream: UpstreamId, request: RelayRequest) -> int:
+    text = f"{request.affinity or request.id}\0{upstream}"
+    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/loads.py
@@ -0,0 +1,139 @@
+"""What this host knows of the load and the health of each upstream."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from cranberryfield.core.ids import UpstreamId
+
+__all__ = [
+    "InFlight",
+    "LoadSection",
+    "UpstreamLoad",
+    "note_failure",
+    "note_success",
+]
+
+#: Shared prompt parts remembered for one upstream.
+MAX_PARTS = 4096
+#: First and longest time for which a failing upstream is passed over, seconds.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 8.0
+#: Failures in a row after which an upstream is passed over.
+TOLERATED_FAILURES = 2
+#: Weight of the latest outcome in the average of failures.
+FAILURE_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class InFlight:
+    """One attempt on an upstream.
+
+    Attributes
+    ----------
+    prefill_tokens : int
+        Prompt tokens still to be read; 0 once the first event has come.
+    kv_tokens : int
+        Tokens that it may occupy in the upstream's memory.
+    """
+
+    prefill_tokens: int
+    kv_tokens: int
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """Load and health of one upstream.
+
+    Attributes
+    ----------
+    own : dict
+        This host's attempts in progress, by request id.
+    others, others_prefill : int
+        Attempts of other hosts in progress, and their prompt tokens to be read.
+    parts : OrderedDict
+        Ids of prompt parts that it has been sent, least recently used first.
+    paused_until : float
+        Monotonic time in seconds until which it is passed over.
+    failures : int
+        Failures in a row.
+    failure_ratio : float
+        Moving average of failures, from 0 to 1.
+    """
+
+    own: dict[str, InFlight] = field(default_factory=dict)
+    others: int = 0
+    others_prefill: int = 0
+    parts: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    paused_until: float = float("-inf")
+    failures: int = 0
+    failure_ratio: float = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts of all hosts in progress, as far as known."""
+        return len(self.own) + self.others
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Prompt tokens that it has still to read, as far as known."""
+        own = sum(one.prefill_tokens for one in self.own.values())
+        return own + self.others_prefill
+
+    def note_parts(self, parts: tuple[str, ...]) -> None:
+        """Remember prompt parts that it is sent."""
+        for part in parts:
+            self.parts[part] = None
+            self.parts.move_to_end(part)
+        while len(self.parts) > MAX_PARTS:
+            self.parts.popitem(last=False)
+
+
+@dataclass(slots=True)
+class LoadSection:
+    """Section of the blackboard: loads by upstream."""
+
+    loads: dict[UpstreamId, UpstreamLoad] = field(default_factory=dict)
+
+    def of(self, upstream: UpstreamId) -> UpstreamLoad:
+        """Return the load of an upstream; an idle one if nothing is known."""
+        load = self.loads.get(upstream)
+        if load is None:
+            load = self.loads[upstream] = UpstreamLoad()
+        return load
+
+
+def note_success(load: UpstreamLoad) -> None:
+    """Note that an upstream has answered as it should."""
+    load.failures = 0
+    load.paused_until = float("-inf")
+    load.failure_ratio *= 1.0 - FAILURE_WEIGHT
+
+
+def note_failure(load: UpstreamLoad, now: float, is_certain: bool) -> float:
+    """Note that an upstream has failed; return for how long it is passed over.
+
+    Parameters
+    ----------
+    load : UpstreamLoad
+        Changed in place.
+    now : float
+        Monotonic time in seconds.
+    is_certain : bool
+        Whether the upstream is surely out of service, as one that refuses
+        connections; others may fail a few times first.
+
+    Examples
+    --------
+    >>> load = UpstreamLoad()
+    >>> note_failure(load, 10.0, is_certain=False)
+    0.0
+    >>> note_failure(load, 10.0, is_certain=True)
+    1.0
+    """
+    load.failures += 1
+    load.failure_ratio += (1.0 - load.failure_ratio) * FAILURE_WEIGHT
+    if not is_certain and load.failures <= TOLERATED_FAILURES:
+        return 0.0
+    pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (load.failures - 1))
+    load.paused_until = now + pause_s
+    return pause_s
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -0,0 +1,342 @@
+"""Carries one request through its attempts to its answer."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.deployment import RouteKind
+from cranberryfield.core.errors import (
+    CranberryfieldError,
+    ErrorKind,
+    UnavailableError,
+    WasRun,
+)
+from cranberryfield.core.http1 import Exchange, Response, ResponseHead
+from cranberryfield.core.http1.message import end_to_end
+from cranberryfield.core.ids import DataCentre, UpstreamId
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.registry import UpstreamTable
+from cranberryfield.entry.relay.attempts import (
+    AttemptEnd,
+    AttemptResult,
+    StreamProgress,
+    Upstreams,
+    call_upstream,
+    stream_upstream,
+)
+from cranberryfield.entry.relay.budget import RetryBudget, note_request, take_retry
+from cranberryfield.entry.relay.choose import RelayModel, choose_relay_upstream
+from cranberryfield.entry.relay.loads import (
+    InFlight,
+    LoadSection,
+    note_failure,
+    note_success,
+)
+from cranberryfield.entry.relay.request import RelayRequest, expected_prefill
+from cranberryfield.entry.relay.usage import UsageSection, note_start
+
+__all__ = ["Relay"]
+
+MS_PER_S = 1000
+#: Upstreams of which one request may try to reach in all.
+MAX_TRIES = 6
+#: Shortest and longest time to come back that a refused caller is told, seconds.
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 0.4
+#: Statuses by which an upstream says that it failed, and that may pass.
+SERVER_ERRORS = range(500, 600)
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class _Course:
+    """What has become of a request so far."""
+
+    tried: set[UpstreamId] = field(default_factory=set)
+    sent: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    is_pending: bool = False
+    fallback: Response | None = None
+    log: list[str] = field(default_factory=list)
+
+
+#: Answers a request with an error.
+Refuse = Callable[[Exchange, CranberryfieldError], Awaitable[None]]
+
+
+class Relay:
+    """Sends requests to upstreams and their answers to callers.
+
+    Parameters
+    ----------
+    table : UpstreamTable
+        Announced upstreams.
+    loads : LoadSection
+        Their load, owned by this object.
+    budget : RetryBudget
+        Retries left, owned by this object.
+    usage : UsageSection
+        Requests that began to run, owned by this object.
+    upstreams : Upstreams
+        Connections.
+    refuse : callable
+        Answers with an error.
+    data_centre : DataCentre
+        Where this host runs.
+    clock : Clock
+        Monotonic time.
+    rng : random.Random
+        Spreads the times at which refused callers return.
+    """
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        loads: LoadSection,
+        budget: RetryBudget,
+        usage: UsageSection,
+        upstreams: Upstreams,
+        refuse: Refuse,
+        data_centre: DataCentre,
+        clock: Clock,
+        rng: Random,
+    ):
+        self._table = table
+        self._loads = loads
+        self._budget = budget
+        self._usage = usage
+        self._upstreams = upstreams
+        self._refuse = refuse
+        self._data_centre = data_centre
+        self._clock = clock
+        self._rng = rng
+        self._model = RelayModel()
+
+    async def handle(self, request: RelayRequest, exchange: Exchange) -> None:
+        """Answer a request, or refuse it.
+
+        Parameters
+        ----------
+        request : RelayRequest
+            The request.
+        exchange : Exchange
+            Where its answer goes. If the caller leaves, the task is cancelled
+            and with it whatever an upstream does for the request.
+        """
+        note_request(self._budget, request.service, request.arrived_at)
+        course = _Course()
+        outcome = "caller left"
+        left_s = request.deadline - self._clock()
+        try:
+            with anyio.fail_after(max(0.0, left_s)):
+                outcome = await self._run(request, exchange, course)
+        except TimeoutError:
+            outcome = "deadline passed"
+            await self._end_late(exchange, course)
+        except CranberryfieldError as error:
+            outcome = f"refused: {error.kind.value}: {error.detail}"
+            await self._refuse_or_break(exchange, error)
+        finally:
+            self._log(request, course, outcome)
+
+    async def _run(
+        self, request: RelayRequest, exchange: Exchange, course: _Course
+    ) -> str:
+        is_stream = request.route.kind is RouteKind.STREAM
+        progress = _progress(exchange)
+        for _ in range(MAX_TRIES):
+            record = self._choose(request, course)
+            result = await self._attempt(
+                request, record, progress if is_stream else None, course
+            )
+            course.log.append(f"{record.upstream}: {result.end.value} {result.detail}")
+            if result.end is AttemptEnd.STREAMED:
+                await exchange.finish()
+                return "streamed"
+            if result.end is AttemptEnd.ANSWERED:
+                if not self._may_run_again(request, result, course):
+                    await _deliver(exchange, result.response)
+                    return f"answered {result.response.status}"
+                course.fallback = result.response
+            elif not self._goes_on(request, result, course):
+                break
+        if course.fallback is not None and not exchange.has_started:
+            await _deliver(exchange, course.fallback)
+            return f"answered {course.fallback.status}"
+        raise self._failure(course)
+
+    def _choose(self, request: RelayRequest, course: _Course) -> UpstreamRecord:
+        now = self._clock()
+        record = choose_relay_upstream(
+            self._table.of_service(request.service),
+            self._loads,
+            request,
+            frozenset(course.tried),
+            self._data_centre,
+            now,
+            self._model,
+        )
+        if record is None:
+            raise self._failure(course)
+        if course.sent and not take_retry(self._budget, request.service, now):
+            raise self._failure(course)
+        return record
+
+    def _failure(self, course: _Course) -> CranberryfieldError:
+        retry_after_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
+        if course.may_have_run:
+            return UnavailableError(
+                ErrorKind.UPSTREAM_FAILED,
+                "no upstream gave a whole answer",
+                was_run=WasRun.UNKNOWN,
+                retry_after_s=retry_after_s,
+            )
+        return UnavailableError(
+            ErrorKind.NO_UPSTREAM,
+            "no upstream of the service takes the request now",
+            was_run=WasRun.NO,
+            retry_after_s=retry_after_s,
+        )
+
+    async def _attempt(
+        self,
+        request: RelayRequest,
+        record: UpstreamRecord,
+        progress: StreamProgress | None,
+        course: _Course,
+    ) -> AttemptResult:
+        load = self._loads.of(record.upstream)
+        is_cached = request.affinity is not None and request.affinity in load.parts
+        flight = InFlight(
+            expected_prefill(request, is_cached),
+            request.prompt_tokens + request.output_tokens,
+        )
+        course.is_pending = True
+        load.own[request.id] = flight
+        load.note_parts(tuple(part.id for part in request.prompt))
+
+        def note_first() -> None:
+            flight.prefill_tokens = 0
+            note_start(self._usage, request)
+
+        try:
+            if progress is None:
+                result = await call_upstream(self._upstreams, request, record)
+            else:
+                result = await stream_upstream(
+                    self._upstreams, request, record, progress, note_first
+                )
+        finally:
+            load.own.pop(request.id, None)
+        course.is_pending = False
+        self._note(request, record, result, course)
+        return result
+
+    def _note(
+        self,
+        request: RelayRequest,
+        record: UpstreamRecord,
+        result: AttemptResult,
+        course: _Course,
+    ) -> None:
+        """Learn from an attempt about the upstream and the request."""
+        course.tried.add(record.upstream)
+        load = self._loads.of(record.upstream)
+        now = self._clock()
+        if result.facts is not None and result.facts.running is not None:
+            reported = result.facts.running + (result.facts.queued or 0)
+            load.others = max(0, reported - len(load.own))
+        match result.end:
+            case AttemptEnd.NOT_SENT:
+                note_failure(load, now, is_certain=True)
+            case AttemptEnd.MISDIRECTED:
+                note_failure(load, now, is_certain=True)
+                course.sent += 1
+            case AttemptEnd.NOT_RUN:
+                course.sent += 1
+            case AttemptEnd.BROKEN:
+                note_failure(load, now, is_certain=False)
+                course.sent += 1
+                course.runs += 1
+                course.may_have_run = True
+            case AttemptEnd.ANSWERED:
+                course.sent += 1
+                course.runs += 1
+                course.may_have_run = True
+                if result.response.status in SERVER_ERRORS:
+                    note_failure(load, now, is_certain=False)
+                else:
+                    note_success(load)
+                if request.route.kind is not RouteKind.STREAM:
+                    note_start(self._usage, request)
+            case AttemptEnd.STREAMED:
+                note_success(load)
+
+    def _may_run_again(
+        self, request: RelayRequest, result: AttemptResult, course: _Course
+    ) -> bool:
+        """Say whether a whole answer may be replaced by a better one."""
+        return (
+            result.response.status in SERVER_ERRORS
+            and request.route.is_idempotent
+            and course.runs < request.route.max_attempts
+        )
+
+    def _goes_on(
+        self, request: RelayRequest, result: AttemptResult, course: _Course
+    ) -> bool:
+        """Say whether another upstream may be tried after an attempt failed."""
+        if result.end is AttemptEnd.BROKEN:
+            return (
+                request.route.is_idempotent and course.runs < request.route.max_attempts
+            )
+        return course.sent <= max(1, request.route.max_attempts)
+
+    async def _end_late(self, exchange: Exchange, course: _Course) -> None:
+        if course.may_have_run or course.is_pending:
+            kind, was_run = ErrorKind.DEADLINE_EXCEEDED, WasRun.UNKNOWN
+        else:
+            kind, was_run = ErrorKind.NO_UPSTREAM, WasRun.NO
+        detail = "the time for the request has passed"
+        error = UnavailableError(kind, detail, was_run=was_run)
+        await self._refuse_or_break(exchange, error)
+
+    async def _refuse_or_break(
+        self, exchange: Exchange, error: CranberryfieldError
+    ) -> None:
+        if exchange.has_started:
+            exchange.break_off()
+            return
+        await self._refuse(exchange, error)
+
+    def _log(self, request: RelayRequest, course: _Course, outcome: str) -> None:
+        now = self._clock()
+        logger.info(
+            "request ended",
+            request=request.id,
+            route=request.route.name,
+            workspace=request.workspace.name if request.workspace else None,
+            service=request.service,
+            outcome=outcome,
+            attempts=course.log,
+            took_ms=round((now - request.arrived_at) * MS_PER_S, 1),
+            left_ms=round((request.deadline - now) * MS_PER_S),
+        )
+
+
+def _progress(exchange: Exchange) -> StreamProgress:
+    async def send_head(head: ResponseHead) -> None:
+        await exchange.start(head.status, end_to_end(head.headers))
+
+    return StreamProgress(send_head, exchange.send)
+
+
+async def _deliver(exchange: Exchange, response: Response) -> None:
+    headers = end_to_end(response.headers)
+    await exchange.answer(response.status, headers, response.body)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/usage.py
@@ -0,0 +1,47 @@
+"""Counts the requests that upstreams began to run, by window and workspace."""
+
+from dataclasses import dataclass, field
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.ids import WorkspaceId
+from cranberryfield.entry.relay.request import RelayRequest
+
+__all__ = ["UsageSection", "drop_before", "note_start"]
+
+
+@dataclass(slots=True)
+class UsageSection:
+    """Section of the blackboard: starts of runs by window of wall time.
+
+    Attributes
+    ----------
+    window_s : float
+        Length of a window in seconds; window 0 began with 1970.
+    clock : Clock
+        Wall time.
+    counts : dict
+        By window, the requests of each workspace that began to run in it.
+    """
+
+    window_s: float
+    clock: Clock
+    counts: dict[int, dict[WorkspaceId, int]] = field(default_factory=dict)
+
+    def current_window(self) -> int:
+        """Return the window that the present moment belongs to."""
+        return int(self.clock() // self.window_s)
+
+
+def note_start(section: UsageSection, request: RelayRequest) -> None:
+    """Count a request whose run has begun."""
+    if request.workspace is None:
+        return
+    window = section.counts.setdefault(section.current_window(), {})
+    name = request.workspace.name
+    window[name] = window.get(name, 0) + 1
+
+
+def drop_before(section: UsageSection, window: int) -> None:
+    """Forget the windows before one."""
+    for old in [one for one in section.counts if one < window]:
+        del section.counts[old]
--- a/standins/control_client.py
+++ b/standins/control_client.py
@@ -108,7 +108,7 @@
     )
     with start_blocking_portal() as portal:
         mesh = make_mesh("control-client")
-        proposer = Proposer(mesh, control, monotonic_clock)
+        proposer = Proposer(mesh, lambda: control, monotonic_clock)
         dials = [
             portal.start_task_soon(mesh.dial, host.mesh)
             for host in group.hosts.values()
