Tell by both ends who has dialled a shared test port

Cause: owner_of_port looked a connection up by its local port alone. The kernel gives one local port to several connections that go to different places, so a link was now and then put down to another process and not cut with its own.

Change: the look-up takes both ports. The new test has two processes share a local port; it fails with the local port alone.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -13,26 +13,34 @@
 __all__ = ["SharedPort", "owner_of_port"]
 
 CONNECTIONS = Path("/proc/net/tcp")
-LOCAL_ADDRESS, INODE = 1, 9
+LOCAL_ADDRESS, REMOTE_ADDRESS, INODE = 1, 2, 9
 
 
-def _inode_of_port(port: int) -> str | None:
-    """Return the socket that has a local port and is connected."""
-    wanted = f":{port:04X}"
+def _inode_of_connection(port: int, dialled: int) -> str | None:
+    """Return the socket at a local port that is connected to another port.
+
+    The local port alone does not tell: the kernel gives the same one to several
+    connections, as long as they go to different places.
+    """
+    local, remote = f":{port:04X}", f":{dialled:04X}"
     for line in CONNECTIONS.read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[LOCAL_ADDRESS].endswith(wanted) and fields[INODE] != "0":
+        is_wanted = fields[LOCAL_ADDRESS].endswith(local)
+        is_wanted = is_wanted and fields[REMOTE_ADDRESS].endswith(remote)
+        if is_wanted and fields[INODE] != "0":
             return fields[INODE]
     return None
 
 
-def owner_of_port(port: int, owners: dict[str, int]) -> str | None:
-    """Find which process has a local port.
+def owner_of_port(port: int, dialled: int, owners: dict[str, int]) -> str | None:
+    """Find which process has one end of a connection.
 
     Parameters
     ----------
     port : int
         Local port of a connected socket.
+    dialled : int
+        Port that it is connected to.
     owners : dict
         Process ids by name.
 
@@ -41,7 +49,7 @@
     str or None
         The name; None if it is none of them.
     """
-    wanted = f"socket:[{_inode_of_port(port)}]"
+    wanted = f"socket:[{_inode_of_connection(port, dialled)}]"
     for name, pid in owners.items():
         folder = f"/proc/{pid}/fd"
         try:
@@ -89,7 +97,7 @@
 
     async def _accept(self, client: SocketStream) -> None:
         port = client.extra(SocketAttribute.remote_port)
-        name = owner_of_port(port, self.owners())
+        name = owner_of_port(port, self.port, self.owners())
         if name is None:
             await anyio.aclose_forcefully(client)
             return
--- a/standins/tests/test_links.py
+++ b/standins/tests/test_links.py
@@ -1,5 +1,7 @@
 import os
 import socket
+import subprocess
+import sys
 import threading
 from contextlib import suppress
 
@@ -7,7 +9,7 @@
 
 from standins.links import running_links
 from standins.ports import owner_of_port
-from standins.processes import wait_until
+from standins.processes import free_port, wait_until
 
 TIMEOUT_S = 5.0
 
@@ -102,5 +104,35 @@
         assert links.sent("a", "b") == 1
         assert links.sent("other", "b") == 0
         port = connection.getsockname()[1]
-        assert owner_of_port(port, {"a": os.getpid()}) == "a"
-        assert owner_of_port(port, {}) is None
+        dialled = connection.getpeername()[1]
+        assert owner_of_port(port, dialled, {"a": os.getpid()}) == "a"
+        assert owner_of_port(port, dialled, {}) is None
+
+
+def test_a_local_port_that_serves_two_connections_has_two_owners(echo):
+    """The kernel gives one local port to connections that go to two places."""
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        script = (
+            "import socket, sys; s = socket.socket();"
+            "s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1);"
+            "s.bind(('127.0.0.1', int(sys.argv[1])));"
+            "s.connect(('127.0.0.1', int(sys.argv[2])));"
+            "print('connected', flush=True); sys.stdin.read()"
+        )
+        first = socket.socket()
+        first.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        first.bind(("127.0.0.1", free_port()))
+        port = first.getsockname()[1]
+        dialled = other.getsockname()[1]
+        child = subprocess.Popen(
+            [sys.executable, "-c", script, str(port), str(dialled)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        with first, child:
+            assert child.stdout.readline() == b"connected\n"
+            first.connect(("127.0.0.1", echo))
+            owners = {"here": os.getpid(), "child": child.pid}
+            assert owner_of_port(port, echo, owners) == "here"
+            assert owner_of_port(port, dialled, owners) == "child"
+            child.stdin.close()
