--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -0,0 +1,227 @@
+"""How many upstreams of a service to order in each data centre and class."""
+
+from dataclasses import dataclass
+from math import ceil
+
+from cranberryfield.control.capacity.mix import Offer, cheapest_mix
+from cranberryfield.core.deployment import EngineTraits, PriceOfRunners
+from cranberryfield.core.ids import DataCentre
+from cranberryfield.core.messages.reports import ServiceDemand
+
+__all__ = [
+    "ON_DEMAND",
+    "RECLAIMABLE",
+    "Pool",
+    "PoolState",
+    "RunnerModel",
+    "plan_runners",
+    "runners_needed",
+]
+
+ON_DEMAND = "on-demand"
+RECLAIMABLE = "reclaimable"
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Upstreams of one class in one data centre."""
+
+    data_centre: DataCentre
+    machine_class: str
+
+
+@dataclass(frozen=True, slots=True)
+class PoolState:
+    """What a pool has.
+
+    Attributes
+    ----------
+    running : int
+        Upstreams that serve and have got no notice.
+    leaving : int
+        Upstreams that have been told to leave and are still there.
+    is_refused : bool
+        Whether no more can be had there now.
+    """
+
+    running: int = 0
+    leaving: int = 0
+    is_refused: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerModel:
+    """What one model engine carries within the latency target.
+
+    Attributes
+    ----------
+    prefill_tokens_per_s : float
+        Prompt tokens that it reads in a second.
+    busy_part : float
+        Part of that which is used; the rest is for bursts.
+    filled_part : float
+        Part of its places which is used.
+    """
+
+    prefill_tokens_per_s: float = 80_000.0
+    busy_part: float = 0.45
+    filled_part: float = 0.75
+
+
+def runners_needed(
+    demand: ServiceDemand, engine: EngineTraits, model: RunnerModel
+) -> int:
+    """Return how many engines carry a demand.
+
+    Parameters
+    ----------
+    demand : ServiceDemand
+        What callers ask for.
+    engine : EngineTraits
+        What one engine has.
+    model : RunnerModel
+        What one engine carries.
+
+    Returns
+    -------
+    int
+        At least 1.
+
+    Examples
+    --------
+    >>> model = RunnerModel(prefill_tokens_per_s=100_000.0, busy_part=0.5)
+    >>> engine = EngineTraits(places=32, kv_tokens=600_000)
+    >>> runners_needed(ServiceDemand("drafts", 120_000.0, 20.0), engine, model)
+    3
+    >>> runners_needed(ServiceDemand("drafts", 1_000.0, 70.0), engine, model)
+    3
+    """
+    one_reads = model.prefill_tokens_per_s * model.busy_part
+    one_holds = engine.places * model.filled_part
+    by_prefill = demand.prefill_tokens_per_s / one_reads
+    by_places = demand.in_flight / one_holds
+    return max(1, ceil(max(by_prefill, by_places)))
+
+
+def plan_runners(
+    spec: PriceOfRunners, pools: dict[Pool, PoolState], need: int
+) -> dict[Pool, int]:
+    """Return how many upstreams to order in each pool.
+
+    Parameters
+    ----------
+    spec : PriceOfRunners
+        Prices and bounds.
+    pools : dict
+        What there is; pools that are missing are empty.
+    need : int
+        Upstreams that must be left when the reclaimable ones of two data
+        centres are taken away, the second before the first are replaced.
+
+    Returns
+    -------
+    dict
+        For every pool of the service's data centres, the number of upstreams.
+        The cheapest mix that meets the need; if none does, all that can be
+        had. Each data centre has at least the number that the bounds ask for,
+        and at most what they allow.
+    """
+    cheap = tuple(_reclaimable_in(spec, one, pools) for one in sorted(spec.price_of))
+    plans = [
+        plan
+        for sure in range(need + 1)
+        if (plan := _plan_with(spec, pools, cheap, need, sure)) is not None
+    ]
+    if plans:
+        return min(plans, key=lambda plan: _price(spec, plan))
+    wanted = {Pool(one.data_centre, RECLAIMABLE): one.available for one in cheap}
+    return _with_on_demand(spec, pools, wanted, need)
+
+
+def _plan_with(
+    spec: PriceOfRunners,
+    pools: dict[Pool, PoolState],
+    cheap: tuple[Offer, ...],
+    need: int,
+    sure: int,
+) -> dict[Pool, int] | None:
+    """Return the cheapest plan with a number of on-demand upstreams."""
+    left = _need_after_one_loss(need - sure, len(spec.price_of))
+    mix = cheapest_mix(cheap, left)
+    if mix is None:
+        return None
+    wanted = {
+        Pool(one.data_centre, RECLAIMABLE): mix.hosts.get(one, 0) for one in cheap
+    }
+    plan = _with_on_demand(spec, pools, wanted, sure)
+    found = sum(plan[one] for one in plan if one.machine_class == ON_DEMAND)
+    return plan if found >= sure else None
+
+
+def _need_after_one_loss(need: int, centres: int) -> int:
+    """Return what one loss must leave, so that a second one leaves the need.
+
+    Examples
+    --------
+    >>> _need_after_one_loss(4, 4), _need_after_one_loss(4, 2)
+    (6, 4)
+    """
+    if centres <= 2:
+        return need
+    return ceil(need * (centres - 1) / (centres - 2))
+
+
+def _reclaimable_in(
+    spec: PriceOfRunners, centre: DataCentre, pools: dict[Pool, PoolState]
+) -> Offer:
+    state = pools.get(Pool(centre, RECLAIMABLE), PoolState())
+    # What runs on demand holds its places until others have replaced it.
+    sure = pools.get(Pool(centre, ON_DEMAND), PoolState())
+    most = max(state.running, spec.most - sure.running)
+    if state.is_refused:
+        most = min(most, state.running)
+    price = spec.price_of[centre] * spec.reclaimable_ratio
+    return Offer(centre, RECLAIMABLE, price, 1, most)
+
+
+def _with_on_demand(
+    spec: PriceOfRunners,
+    pools: dict[Pool, PoolState],
+    wanted: dict[Pool, int],
+    sure: int,
+) -> dict[Pool, int]:
+    """Add a number of on-demand upstreams, and what the lower bounds ask for.
+
+    Those that run are kept before others are started.
+    """
+    plan = dict(wanted)
+    centres = sorted(spec.price_of, key=lambda one: spec.price_of[one])
+    for centre in centres:
+        cheap, on_demand = Pool(centre, RECLAIMABLE), Pool(centre, ON_DEMAND)
+        missing = max(0, spec.least - plan[cheap])
+        room = _reclaimable_in(spec, centre, pools).available - plan[cheap]
+        added = max(0, min(missing, room))
+        plan[cheap] += added
+        plan[on_demand] = missing - added
+        sure -= missing - added
+    kept = [(centre, _running(pools, centre)) for centre in centres]
+    for centre, count in (*kept, *((centre, spec.most) for centre in centres)):
+        on_demand = Pool(centre, ON_DEMAND)
+        room = spec.most - plan[Pool(centre, RECLAIMABLE)] - plan[on_demand]
+        added = max(0, min(sure, room, count - plan[on_demand]))
+        plan[on_demand] += added
+        sure -= added
+    return plan
+
+
+def _running(pools: dict[Pool, PoolState], centre: DataCentre) -> int:
+    return pools.get(Pool(centre, ON_DEMAND), PoolState()).running
+
+
+def _price(spec: PriceOfRunners, plan: dict[Pool, int]) -> float:
+    return sum(
+        count
+        * spec.price_of[pool.data_centre]
+        * (spec.reclaimable_ratio if pool.machine_class == RECLAIMABLE else 1.0)
+        for pool, count in plan.items()
+    )
--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -14,6 +14,7 @@
     adopt_tree,
     apply_change,
 )
+from cranberryfield.control.usage.machine import UsageState, apply_usage_command
 from cranberryfield.core.errors import ErrorKind
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.base import Message
@@ -26,6 +27,7 @@
 )
 from cranberryfield.core.messages.deployment import DeclareDeployment
 from cranberryfield.core.messages.orders import ConfirmOrder, PlaceOrder
+from cranberryfield.core.messages.reports import SettleUsage, UsageReported
 from cranberryfield.core.settings import effective_settings
 
 __all__ = ["ControlState", "apply_command"]
@@ -46,6 +48,8 @@
         Orders to engines.
     deployment : DeploymentState
         The deployment declared as a whole, if one was.
+    usage : UsageState
+        Usage that is reported.
     """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
@@ -53,6 +57,7 @@
     hosts: dict[NodeId, bool] = msgspec.field(default_factory=dict)
     orders: OrdersState = msgspec.field(default_factory=OrdersState)
     deployment: DeploymentState = msgspec.field(default_factory=DeploymentState)
+    usage: UsageState = msgspec.field(default_factory=UsageState)
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
@@ -82,6 +87,8 @@
             return command
         case DeclareDeployment():
             return apply_declaration(state.deployment, command)
+        case SettleUsage() | UsageReported():
+            return apply_usage_command(state.usage, command)
         case PlaceOrder() | ConfirmOrder():
             return apply_order_command(state.orders, command)
         case Noop():
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -30,6 +30,7 @@
     step,
 )
 from cranberryfield.control.consensus.membership import next_members
+from cranberryfield.control.consensus.replication import leader_lease_until
 from cranberryfield.control.deployment import DeploymentPublisher
 from cranberryfield.control.followers import Followers
 from cranberryfield.control.joining import Joining
@@ -47,7 +48,7 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import DaemonConfig
-from cranberryfield.core.ids import LogIndex, NodeId
+from cranberryfield.core.ids import LogIndex, NodeId, Term
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.codec import decode_message, encode_message
@@ -210,6 +211,18 @@
         """
         await self._reads.wait()
 
+    @property
+    def leader_since(self) -> float:
+        """Monotonic time in seconds at which this replica last became leader."""
+        return self._section.replica.leader_since
+
+    def leading_term(self) -> Term | None:
+        """Return the term in which this replica leads; None if it does not."""
+        replica = self._section.replica
+        if leader_lease_until(replica) <= self._clock():
+            return None
+        return replica.term
+
     async def propose(self, command: bytes) -> Message:
         """Put a command through the log.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -18,6 +18,7 @@
     links,
     membership,
     orders,
+    reports,
     requests,
     settings,
 )
@@ -47,6 +48,7 @@
     links,
     membership,
     orders,
+    reports,
     requests,
     settings,
 )
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
@@ -0,0 +1,296 @@
+"""Orders upstreams by what callers ask for."""
+
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+
+from cranberryfield.control.capacity.runners import (
+    ON_DEMAND,
+    Pool,
+    PoolState,
+    RunnerModel,
+    plan_runners,
+    runners_needed,
+)
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.deployment import Deployment, ServiceSpec
+from cranberryfield.core.ids import ServiceName
+from cranberryfield.daemon.cluster.duties import (
+    CloudCalls,
+    DutyEnd,
+    Fence,
+    Leadership,
+)
+from cranberryfield.entry.registry import UpstreamTable
+from cranberryfield.entry.reports.collector import CollectedReports
+
+__all__ = ["CapacityKeeper", "count_pools", "steady_need"]
+
+POLL_S = 0.25
+#: Plans made in a row, as orders are refused.
+MAX_ROUNDS = 8
+#: Time for which a smaller need must last before upstreams are given up, in
+#: seconds.
+SHRINK_AFTER_S = 8.0
+#: First and longest time after a refused order in which no more are asked for in
+#: a pool, in seconds; doubled with each refusal in a row.
+FIRST_REFUSED_S = 2.0
+LONGEST_REFUSED_S = 8.0
+#: Time after which an order is repeated if the upstreams have not come, beyond
+#: their time to start, in seconds.
+REPEAT_S = 4.0
+#: An upstream that has not announced itself for this time is gone, in seconds.
+SILENT_S = 4.0
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class _Order:
+    desired: int
+    at: float
+    refused_until: float = float("-inf")
+    refusals: int = 0
+    was_met: bool = False
+
+
+@dataclass(slots=True)
+class _Need:
+    """What a service needs, and the largest need of late."""
+
+    value: int = 0
+    found_running: int | None = None
+    lower_since: float | None = None
+    highest_lower: int = 0
+
+
+@dataclass(slots=True)
+class _Service:
+    need: _Need = field(default_factory=_Need)
+    orders: dict[Pool, _Order] = field(default_factory=dict)
+
+
+def steady_need(need: _Need, wanted: int, now: float) -> int:
+    """Follow a growing need at once, and a shrinking one after some time.
+
+    Examples
+    --------
+    >>> need = _Need()
+    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 10)]
+    >>> [steady_need(need, wanted, at) for wanted, at in asked]
+    [5, 5, 5, 4]
+    """
+    if wanted >= need.value:
+        need.value, need.lower_since = wanted, None
+        return need.value
+    if need.lower_since is None:
+        need.lower_since, need.highest_lower = now, wanted
+    need.highest_lower = max(need.highest_lower, wanted)
+    if now - need.lower_since >= SHRINK_AFTER_S:
+        need.value, need.lower_since = need.highest_lower, None
+    return need.value
+
+
+def count_pools(
+    table: UpstreamTable, service: ServiceName, now: float
+) -> dict[Pool, PoolState]:
+    """Count the upstreams of a service by pool."""
+    running: dict[Pool, int] = {}
+    leaving: dict[Pool, int] = {}
+    for entry in table.entries.values():
+        record = entry.record
+        if record.service != service or now - entry.heard_at > SILENT_S:
+            continue
+        pool = Pool(record.data_centre, record.machine_class)
+        counts = leaving if record.leaving else running
+        counts[pool] = counts.get(pool, 0) + 1
+    return {
+        pool: PoolState(running.get(pool, 0), leaving.get(pool, 0))
+        for pool in running.keys() | leaving.keys()
+    }
+
+
+class CapacityKeeper:
+    """Keeps as many upstreams as callers need, at the lowest price.
+
+    Parameters
+    ----------
+    table : UpstreamTable
+        Announced upstreams.
+    reports : CollectedReports
+        What callers ask for.
+    leadership : Leadership
+        Whether this host may act.
+    calls : CloudCalls
+        The cloud API.
+    deployment : callable
+        Returns the deployment that this host has applied.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        reports: CollectedReports,
+        leadership: Leadership,
+        calls: CloudCalls,
+        deployment,
+        clock: Clock,
+    ):
+        self._table = table
+        self._reports = reports
+        self._leadership = leadership
+        self._calls = calls
+        self._deployment = deployment
+        self._clock = clock
+        self._model = RunnerModel()
+        self._services: dict[ServiceName, _Service] = {}
+        self._fence: Fence | None = None
+
+    async def run(self) -> None:
+        """Order until cancelled."""
+        while True:
+            await anyio.sleep(POLL_S)
+            fence = self._leadership.fence()
+            deployment: Deployment | None = self._deployment()
+            if fence is None or deployment is None:
+                continue
+            if fence != self._fence:
+                self._fence, self._services = fence, {}
+            for spec in deployment.services:
+                if spec.scaling is not None and spec.engine is not None:
+                    await self._keep(fence, spec)
+
+    async def _keep(self, fence: Fence, spec: ServiceSpec) -> None:
+        service = self._services.setdefault(spec.name, _Service())
+        for _ in range(MAX_ROUNDS):
+            if not await self._keep_once(fence, spec, service):
+                return
+
+    async def _keep_once(
+        self, fence: Fence, spec: ServiceSpec, service: _Service
+    ) -> bool:
+        """Order what is missing; say whether a refusal calls for another plan."""
+        now = self._clock()
+        pools = count_pools(self._table, spec.name, now)
+        for pool, order in service.orders.items():
+            state = pools.get(pool, PoolState())
+            refused = now < order.refused_until
+            pools[pool] = PoolState(state.running, state.leaving, refused)
+        need = self._need(service, spec, pools, now)
+        wanted = plan_runners(spec.scaling, pools, need)
+        have = {pool: state.running for pool, state in pools.items()}
+        for pool in _in_order(wanted, have):
+            if _holds_back(pool, wanted, have, service.orders):
+                continue
+            end = await self._order(fence, spec, service, pool, wanted[pool], have)
+            if end is DutyEnd.REFUSED:
+                return True
+        return False
+
+    def _need(
+        self,
+        service: _Service,
+        spec: ServiceSpec,
+        pools: dict[Pool, PoolState],
+        now: float,
+    ) -> int:
+        demand = self._reports.demand_for(spec.name, now)
+        if not demand.in_flight and not demand.prefill_tokens_per_s:
+            # Nothing is known of the demand yet: keep as many as were found.
+            if service.need.found_running is None:
+                running = sum(state.running for state in pools.values())
+                service.need.found_running = running
+            running = service.need.found_running
+            centres = max(1, len(spec.scaling.price_of))
+            wanted = max(1, running - -(-running // centres))
+        else:
+            wanted = runners_needed(demand, spec.engine, self._model)
+        return steady_need(service.need, wanted, now)
+
+    async def _order(
+        self,
+        fence: Fence,
+        spec: ServiceSpec,
+        service: _Service,
+        pool: Pool,
+        desired: int,
+        have: dict[Pool, int],
+    ) -> DutyEnd | None:
+        now = self._clock()
+        order = service.orders.get(pool)
+        if not _is_due(order, desired, have.get(pool, 0), spec.scaling.start_s, now):
+            return None
+        end = await self._calls.order(fence, spec.name, pool, desired)
+        logger.info(
+            "upstreams ordered",
+            service=spec.name,
+            data_centre=pool.data_centre,
+            machine_class=pool.machine_class,
+            desired=desired,
+            running=have.get(pool, 0),
+            need=service.need.value,
+            end=end.value,
+            number=fence.number,
+        )
+        service.orders[pool] = _Order(desired, now)
+        if end is DutyEnd.REFUSED:
+            refusals = order.refusals + 1 if order is not None else 1
+            pause_s = min(LONGEST_REFUSED_S, FIRST_REFUSED_S * 2 ** (refusals - 1))
+            service.orders[pool] = _Order(
+                have.get(pool, 0), now, now + pause_s, refusals
+            )
+        elif end is DutyEnd.FENCED:
+            self._leadership.note_fenced(fence)
+        return end
+
+
+def _is_due(
+    order: _Order | None, desired: int, running: int, start_s: float, now: float
+) -> bool:
+    """Say whether a number is to be ordered, for the first time or again.
+
+    An order that was met and is not met any more is repeated at once: what it
+    had started is gone.
+    """
+    if order is None:
+        return desired != running
+    if running == order.desired:
+        order.was_met = True
+    if desired > order.desired and now < order.refused_until:
+        return False
+    if desired != order.desired:
+        return True
+    if running == desired:
+        return False
+    return order.was_met or now - order.at >= start_s + REPEAT_S
+
+
+def _holds_back(
+    pool: Pool,
+    wanted: dict[Pool, int],
+    have: dict[Pool, int],
+    orders: dict[Pool, _Order],
+) -> bool:
+    """Say whether upstreams are needed until others have started.
+
+    That holds for upstreams that serve and for those that are starting.
+    """
+    coming = orders[pool].desired if pool in orders else 0
+    if wanted[pool] >= max(have.get(pool, 0), coming):
+        return False
+    return any(have.get(one, 0) < count for one, count in wanted.items())
+
+
+def _in_order(wanted: dict[Pool, int], have: dict[Pool, int]) -> list[Pool]:
+    """Return the pools that grow before those that shrink."""
+    return sorted(
+        wanted,
+        key=lambda pool: (
+            wanted[pool] < have.get(pool, 0),
+            pool.machine_class == ON_DEMAND,
+            pool.data_centre,
+        ),
+    )
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -1,15 +1,23 @@
 """A host of the control group."""
 
+from collections.abc import Callable
 from random import Random
 
 import anyio
 
-from cranberryfield.control.runtime import ControlRuntime
+from cranberryfield.control.runtime import ControlRuntime, ControlSection
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import ClusterConfig
 from cranberryfield.core.config.daemon import split_address
-from cranberryfield.core.http1 import Exchange, ServerLimits, ServerState, serve_http
+from cranberryfield.core.deployment import Deployment, decode_deployment
+from cranberryfield.core.http1 import (
+    ConnectionPool,
+    Exchange,
+    ServerLimits,
+    ServerState,
+    serve_http,
+)
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.deployment import (
     DeclareDeployment,
@@ -19,8 +27,12 @@
 )
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.daemon.cluster.capacity import CapacityKeeper
+from cranberryfield.daemon.cluster.duties import Leadership, UsageReporter
 from cranberryfield.daemon.cluster.faces import Faces, OperatorServices
+from cranberryfield.entry.quota import QuotaKeeper
 from cranberryfield.entry.registry import RegistryHub, UpstreamTable
+from cranberryfield.entry.reports import ReportCollector
 
 __all__ = ["ControlHost"]
 
@@ -29,6 +41,7 @@
 PROPOSE_TIMEOUT_S = 2.5
 READ_TIMEOUT_S = 0.9
 MAX_BODY_BYTES = 32 << 20
+MS_PER_S = 1000
 
 
 class ControlHost:
@@ -46,6 +59,8 @@
         The table of upstreams.
     proposer : Proposer
         Reaches the leader.
+    duties : tuple
+        What the leader does besides.
     """
 
     def __init__(
@@ -55,12 +70,14 @@
         runtime: ControlRuntime,
         hub: RegistryHub,
         proposer: Proposer,
+        duties: tuple[UsageReporter | CapacityKeeper, ...],
     ):
         self._address = address
         self._faces = faces
         self._runtime = runtime
         self._hub = hub
         self._proposer = proposer
+        self._duties = duties
         self._state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
         self._services = OperatorServices(
             self._declare, self._read, hub.announce, hub.depart
@@ -80,15 +97,49 @@
         """Build the role; see `ControlRuntime.from_config`."""
         board.add(SettingsSection())
         runtime = ControlRuntime.from_config(config, mesh, board, clock, rng, names)
-        hub = RegistryHub(board.add(UpstreamTable()), mesh, clock)
+        table = board.add(UpstreamTable())
+        hub = RegistryHub(table, mesh, clock)
         proposer = Proposer(mesh, names.known, clock)
-        return cls(config.control.operators, faces, runtime, hub, proposer)
+        section = board.read(ControlSection)
+        deployment = _applied_deployment(section)
+        QuotaKeeper(
+            mesh,
+            runtime.leading_term,
+            deployment,
+            lambda: runtime.leader_since,
+            config.quota_debt,
+            clock,
+        )
+        collector = ReportCollector(mesh, runtime.leading_term, clock)
+        duties = ()
+        if config.cloud is not None:
+            calls = faces.cloud_calls(ConnectionPool(clock), config.cloud.address)
+            leadership = Leadership(
+                config.node_id, runtime, config.duty_handover_ms / MS_PER_S, clock
+            )
+            duties = (
+                UsageReporter(
+                    section,
+                    collector.reports,
+                    leadership,
+                    runtime.propose,
+                    calls,
+                    config.usage_window_s,
+                    config.usage_due_s,
+                ),
+                CapacityKeeper(
+                    table, collector.reports, leadership, calls, deployment, clock
+                ),
+            )
+        return cls(config.control.operators, faces, runtime, hub, proposer, duties)
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._runtime.run)
             tasks.start_soon(self._hub.run)
+            for duty in self._duties:
+                tasks.start_soon(duty.run)
             address = split_address(self._address)
             tasks.start_soon(serve_http, address, self._answer, self._state)
 
@@ -103,3 +154,19 @@
 
     async def _read(self) -> DeploymentView:
         return await self._proposer.ask(ReadDeployment(), READ_TIMEOUT_S)
+
+
+def _applied_deployment(
+    section: ControlSection,
+) -> Callable[[], Deployment | None]:
+    """Return a function that decodes the applied deployment once a version."""
+    decoded: Deployment | None = None
+
+    def deployment() -> Deployment | None:
+        nonlocal decoded
+        state = section.state.deployment
+        if state.version >= 0 and (decoded is None or decoded.version != state.version):
+            decoded = decode_deployment(state.content)
+        return decoded
+
+    return deployment
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/faces.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/faces.py
@@ -7,7 +7,7 @@
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.deployment import RouteTable
 from cranberryfield.core.errors import CranberryfieldError
-from cranberryfield.core.http1 import Exchange
+from cranberryfield.core.http1 import ConnectionPool, Exchange
 from cranberryfield.core.ids import UpstreamId
 from cranberryfield.core.messages.deployment import (
     DeclareDeployment,
@@ -15,6 +15,7 @@
     DeploymentView,
 )
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.daemon.cluster.duties import CloudCalls
 from cranberryfield.entry.relay import RelayRequest, UpstreamDialect
 
 __all__ = ["Faces", "OperatorServices"]
@@ -59,6 +60,8 @@
         Answers the balancer.
     answer_operator : callable
         Answers an operator or an upstream at a control host.
+    cloud_calls : callable
+        Returns the calls of the cloud API at an address.
     """
 
     read_request: Callable[[Exchange, RouteTable, Clock, Random], RelayRequest]
@@ -66,3 +69,4 @@
     refuse: Callable[[Exchange, CranberryfieldError], Awaitable[None]]
     answer_readiness: Callable[[Exchange, bool], Awaitable[None]]
     answer_operator: Callable[[Exchange, OperatorServices], Awaitable[None]]
+    cloud_calls: Callable[[ConnectionPool, str], CloudCalls]
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -22,6 +22,7 @@
     ServerState,
     serve_http,
 )
+from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.daemon.cluster.faces import Faces
 from cranberryfield.entry.deployment import (
@@ -29,10 +30,13 @@
     DeploymentSection,
     may_serve,
 )
+from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import RegistryMirror, UpstreamTable
 from cranberryfield.entry.relay import LoadSection, Relay, RetryBudget
 from cranberryfield.entry.relay.attempts import Upstreams
+from cranberryfield.entry.relay.demand import DemandSection
 from cranberryfield.entry.relay.usage import UsageSection
+from cranberryfield.entry.reports import HostReporter
 
 __all__ = ["RelayHost"]
 
@@ -68,6 +72,8 @@
         Follows the upstreams.
     relay : Relay
         Carries requests.
+    reporter : HostReporter
+        Tells the leader of this host.
     pool : ConnectionPool
         Connections to upstreams.
     clock : Clock
@@ -84,6 +90,7 @@
         follower: DeploymentFollower,
         mirror: RegistryMirror,
         relay: Relay,
+        reporter: HostReporter,
         pool: ConnectionPool,
         clock: Clock,
         rng: Random,
@@ -94,6 +101,7 @@
         self._follower = follower
         self._mirror = mirror
         self._relay = relay
+        self._reporter = reporter
         self._pool = pool
         self._clock = clock
         self._rng = rng
@@ -144,11 +152,22 @@
             )
         )
         pool = ConnectionPool(clock)
+        loads = board.add(LoadSection())
+        demand = board.add(DemandSection())
+        usage = board.add(UsageSection(config.usage_window_s or 1.0, wall_clock))
+        follower = DeploymentFollower(deployment, mesh, names, clock)
+
+        def leader() -> NodeId | None:
+            return follower.leader
+
+        reporter = HostReporter(mesh, leader, loads, demand, usage, clock)
         relay = Relay(
             table,
-            board.add(LoadSection()),
+            loads,
+            demand,
+            QuotaClient(mesh, leader, lambda: reporter.hosts, clock, rng),
             budget,
-            board.add(UsageSection(config.usage_window_s or 1.0, wall_clock)),
+            usage,
             Upstreams(pool, faces.dialect, clock),
             faces.refuse,
             config.zone,
@@ -159,9 +178,10 @@
             config,
             faces,
             deployment,
-            DeploymentFollower(deployment, mesh, names, clock),
+            follower,
             RegistryMirror(table, mesh, names, clock, rng),
             relay,
+            reporter,
             pool,
             clock,
             rng,
@@ -176,6 +196,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._mirror.run)
+            tasks.start_soon(self._reporter.run)
             tasks.start_soon(self._close_idle)
             readiness = split_address(self._config.relay.readiness)
             tasks.start_soon(serve_http, readiness, self._answer_ready, ServerState())
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/limits/tokens.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/limits/tokens.py
@@ -72,10 +72,24 @@
     demand_at: float = 0.0
 
 
-def refill(keeper: KeeperTokens, rate_per_s: float, now: float) -> None:
-    """Add the tokens of the time since the last call, up to the burst."""
+def refill(
+    keeper: KeeperTokens, rate_per_s: float, now: float, burst: float | None = None
+) -> None:
+    """Add the tokens of the time since the last call, up to the burst.
+
+    Parameters
+    ----------
+    keeper : KeeperTokens
+        Changed in place.
+    rate_per_s : float
+        The limit.
+    now : float
+        Monotonic time in seconds.
+    burst : float, optional
+        Most tokens that may gather; by default those of a short time.
+    """
     elapsed_s = 0.0 if keeper.at is None else max(0.0, now - keeper.at)
-    most = max(1.0, rate_per_s * BURST_S)
+    most = max(1.0, rate_per_s * BURST_S) if burst is None else burst
     keeper.tokens = min(most, keeper.tokens + elapsed_s * rate_per_s)
     keeper.at = now
 
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
@@ -0,0 +1,216 @@
+"""Admits requests of workspaces within what the leader has granted."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import ceil
+from random import Random
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.deployment import WorkspaceSpec
+from cranberryfield.core.errors import CranberryfieldError, ErrorKind, UnavailableError
+from cranberryfield.core.ids import NodeId, WorkspaceId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.reports import LeaseQuota, QuotaGrant, QuotaWish
+
+__all__ = ["Holding", "QuotaClient", "next_wish", "note_wish", "refill_locally"]
+
+MS_PER_S = 1000
+#: A host asks for what it needs and for its demand of this time, in seconds.
+AHEAD_S = 0.4
+#: Time over which demand is averaged, in seconds.
+AVERAGE_S = 2.0
+#: Unused grants are given back after this time, in seconds.
+KEEP_S = 1.5
+ASK_TIMEOUT_S = 0.3
+#: Longest time without asking again after nothing was granted, in seconds.
+LONGEST_WAIT_S = 0.3
+#: Part of an even share of the quota that a host uses while no leader answers.
+LOCAL_PART = 0.6
+MIN_RETRY_AFTER_S = 0.1
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class Holding:
+    """What this host holds of one workspace's quota.
+
+    Attributes
+    ----------
+    amount : float
+        What may be used without asking.
+    granted_at : float
+        Monotonic time in seconds of the last grant.
+    none_until : float
+        Monotonic time in seconds before which the leader has no more.
+    demand_per_s : float
+        What is asked for here in a second, as of `demand_at`.
+    local_at : float
+        Monotonic time in seconds up to which the local share is counted, while
+        no leader answers.
+    """
+
+    amount: float = 0.0
+    granted_at: float = float("-inf")
+    none_until: float = float("-inf")
+    demand_per_s: float = 0.0
+    demand_at: float = 0.0
+    local_at: float | None = None
+    asking: anyio.Event | None = field(default=None)
+
+
+def note_wish(holding: Holding, cost: float, now: float) -> None:
+    """Count a request that wants to be admitted into the demand."""
+    elapsed_s = max(0.0, now - holding.demand_at)
+    holding.demand_per_s *= max(0.0, 1.0 - elapsed_s / AVERAGE_S)
+    holding.demand_per_s += cost / AVERAGE_S
+    holding.demand_at = now
+
+
+def next_wish(
+    workspace: WorkspaceId, holding: Holding, cost: float, now: float
+) -> QuotaWish:
+    """Return what to ask for, and give back what was not used for long.
+
+    Examples
+    --------
+    >>> next_wish("notary", Holding(100.0, 5.0, demand_per_s=1000.0), 300.0, 5.5)
+    QuotaWish(workspace='notary', needed=200, ahead=400, returned=0)
+    >>> next_wish("notary", Holding(100.0, 5.0), 300.0, 9.0)
+    QuotaWish(workspace='notary', needed=300, ahead=0, returned=100)
+    """
+    returned = 0
+    if now - holding.granted_at > KEEP_S:
+        returned, holding.amount = int(holding.amount), 0.0
+    needed = ceil(max(0.0, cost - holding.amount))
+    ahead = int(holding.demand_per_s * AHEAD_S)
+    return QuotaWish(workspace, needed, ahead, returned)
+
+
+def refill_locally(
+    holding: Holding, spec: WorkspaceSpec, hosts: int, now: float
+) -> None:
+    """Add this host's share of the quota for the time without a leader."""
+    share_per_s = LOCAL_PART * spec.rate_per_s / max(1, hosts)
+    if holding.local_at is not None:
+        gained = (now - holding.local_at) * share_per_s
+        most = max(holding.amount, share_per_s * AVERAGE_S)
+        holding.amount = min(most, holding.amount + gained)
+        holding.granted_at = now
+    holding.local_at = now
+
+
+class QuotaClient:
+    """Admits requests on one host.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links to other processes.
+    leader : callable
+        Returns the leader of the control group, if known.
+    hosts : callable
+        Returns the number of hosts that share each quota.
+    clock : Clock
+        Monotonic time that counts suspensions.
+    rng : random.Random
+        Spreads the times at which refused callers return.
+    """
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        leader: Callable[[], NodeId | None],
+        hosts: Callable[[], int],
+        clock: Clock,
+        rng: Random,
+    ):
+        self._mesh = mesh
+        self._leader = leader
+        self._hosts = hosts
+        self._clock = clock
+        self._rng = rng
+        self._holdings: dict[WorkspaceId, Holding] = {}
+
+    async def admit(self, spec: WorkspaceSpec, cost: float) -> None:
+        """Take what a request costs out of its workspace's quota.
+
+        Parameters
+        ----------
+        spec : WorkspaceSpec
+            The workspace, with the quota in force.
+        cost : float
+            What the request counts.
+
+        Raises
+        ------
+        UnavailableError
+            Of kind ``over_limit`` if the quota does not allow it now, with a
+            time at which it may.
+        """
+        if not spec.rate_per_s:
+            return
+        holding = self._holdings.setdefault(spec.name, Holding())
+        now = self._clock()
+        note_wish(holding, cost, now)
+        is_stale = now - holding.granted_at > KEEP_S
+        if (is_stale or holding.amount < cost) and now >= holding.none_until:
+            await self._ask(spec, holding, cost)
+        if holding.amount < cost:
+            raise self._over_limit(spec, holding, cost)
+        holding.amount -= cost
+
+    def give_back(self, spec: WorkspaceSpec | None, cost: float) -> None:
+        """Return what a request cost that was not run after all."""
+        if spec is not None and spec.name in self._holdings:
+            self._holdings[spec.name].amount += cost
+
+    async def _ask(self, spec: WorkspaceSpec, holding: Holding, cost: float) -> None:
+        while holding.asking is not None:
+            await holding.asking.wait()
+            if holding.amount >= cost or self._clock() < holding.none_until:
+                return
+        holding.asking = anyio.Event()
+        try:
+            await self._lease(spec, holding, cost)
+        finally:
+            holding.asking.set()
+            holding.asking = None
+
+    async def _lease(self, spec: WorkspaceSpec, holding: Holding, cost: float) -> None:
+        leader = self._leader()
+        wish = next_wish(spec.name, holding, cost, self._clock())
+        try:
+            if leader is None:
+                raise UnavailableError(ErrorKind.NO_QUORUM, "no leader is known")
+            reply = await self._mesh.request(leader, LeaseQuota((wish,)), ASK_TIMEOUT_S)
+        except CranberryfieldError as error:
+            holding.amount += wish.returned
+            refill_locally(holding, spec, self._hosts(), self._clock())
+            logger.debug("quota not leased", workspace=spec.name, detail=error.detail)
+            return
+        holding.local_at = None
+        for grant in reply.grants:
+            self._take(holding, grant)
+
+    def _take(self, holding: Holding, grant: QuotaGrant) -> None:
+        now = self._clock()
+        holding.amount += grant.amount
+        holding.granted_at = now
+        if grant.next_ms:
+            holding.none_until = now + min(grant.next_ms / MS_PER_S, LONGEST_WAIT_S)
+
+    def _over_limit(
+        self, spec: WorkspaceSpec, holding: Holding, cost: float
+    ) -> CranberryfieldError:
+        missing_s = (cost - holding.amount) / spec.rate_per_s
+        wait_s = max(MIN_RETRY_AFTER_S, missing_s) * self._rng.uniform(1.0, 2.0)
+        return UnavailableError(
+            ErrorKind.OVER_LIMIT,
+            f"the quota of {spec.name} is used up: {cost:.0f} wanted, "
+            f"{holding.amount:.0f} held, {spec.rate_per_s:.0f} a second in all",
+            retry_after_s=wait_s,
+        )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/hub.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/hub.py
@@ -26,6 +26,9 @@
 #: Announcements that come within this time travel together, in seconds.
 FLUSH_S = 0.02
 FORGET_INTERVAL_S = 5.0
+#: Control hosts tell each other whom they have heard this often, in seconds.
+HEARD_INTERVAL_S = 0.5
+CONTROL_ROLE = "control"
 
 logger = structlog.get_logger(__name__)
 
@@ -52,6 +55,7 @@
         self._mesh = mesh
         self._clock = clock
         self._changed: set[UpstreamId] = set()
+        self._heard: set[UpstreamId] = set()
         self._wake = anyio.Event()
         mesh.handle(UpstreamUpdate, self._on_update)
         mesh.handle(AskUpstreams, self._on_ask)
@@ -59,6 +63,7 @@
 
     def announce(self, record: UpstreamRecord) -> None:
         """Take in what an upstream said here."""
+        self._heard.add(record.upstream)
         if accept_record(self._table, record, self._clock()):
             logger.info(
                 "upstream announced",
@@ -86,6 +91,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._flush_often)
             tasks.start_soon(self._forget_often)
+            tasks.start_soon(self._tell_heard)
 
     async def _flush_often(self) -> None:
         while True:
@@ -103,6 +109,18 @@
             for upstream in forget_silent(self._table, self._clock()):
                 logger.info("upstream forgotten", upstream=upstream)
 
+    async def _tell_heard(self) -> None:
+        """Tell the other control hosts which upstreams are still there."""
+        while True:
+            await anyio.sleep(HEARD_INTERVAL_S)
+            heard, self._heard = self._heard, set()
+            if not heard:
+                continue
+            update = self._update(heard)
+            for peer in self._mesh.peers:
+                if CONTROL_ROLE in peer.roles:
+                    self._mesh.send(peer.node, update)
+
     def _update(self, upstreams: set[UpstreamId]) -> UpstreamUpdate:
         now = self._clock()
         entries = self._table.entries
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
@@ -0,0 +1,63 @@
+"""Moving averages of what callers ask of each service on this host."""
+
+from dataclasses import dataclass, field
+
+from cranberryfield.core.ids import ServiceName
+from cranberryfield.core.messages.reports import ServiceDemand
+
+__all__ = ["DemandSection", "current_demand", "note_asked", "note_ended"]
+
+#: Time over which demand is averaged, in seconds.
+AVERAGE_S = 4.0
+
+
+@dataclass(slots=True)
+class _Demand:
+    tokens_per_s: float = 0.0
+    at: float = 0.0
+    running: int = 0
+    in_flight: float = 0.0
+
+
+@dataclass(slots=True)
+class DemandSection:
+    """Section of the blackboard: demand by service."""
+
+    services: dict[ServiceName, _Demand] = field(default_factory=dict)
+
+
+def _advance(demand: _Demand, now: float) -> None:
+    weight = min(1.0, max(0.0, now - demand.at) / AVERAGE_S)
+    demand.tokens_per_s *= 1.0 - weight
+    demand.in_flight += (demand.running - demand.in_flight) * weight
+    demand.at = now
+
+
+def note_asked(
+    section: DemandSection, service: ServiceName, prefill_tokens: int, now: float
+) -> None:
+    """Count a request and the prompt tokens that it brings."""
+    demand = section.services.setdefault(service, _Demand(at=now))
+    _advance(demand, now)
+    demand.tokens_per_s += prefill_tokens / AVERAGE_S
+    demand.running += 1
+
+
+def note_ended(section: DemandSection, service: ServiceName, now: float) -> None:
+    """Note that a request has ended."""
+    demand = section.services[service]
+    _advance(demand, now)
+    demand.running -= 1
+
+
+def current_demand(section: DemandSection, now: float) -> tuple[ServiceDemand, ...]:
+    """Return the averages as of now."""
+    found = []
+    for service, demand in section.services.items():
+        _advance(demand, now)
+        found.append(
+            ServiceDemand(
+                service, round(demand.tokens_per_s, 1), round(demand.in_flight, 2)
+            )
+        )
+    return tuple(found)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -8,7 +8,7 @@
 import structlog
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.deployment import RouteKind
+from cranberryfield.core.deployment import RouteKind, WorkspaceSpec
 from cranberryfield.core.errors import (
     CranberryfieldError,
     ErrorKind,
@@ -19,6 +19,7 @@
 from cranberryfield.core.http1.message import end_to_end
 from cranberryfield.core.ids import DataCentre, UpstreamId
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import UpstreamTable
 from cranberryfield.entry.relay.attempts import (
     AttemptEnd,
@@ -30,6 +31,7 @@
 )
 from cranberryfield.entry.relay.budget import RetryBudget, note_request, take_retry
 from cranberryfield.entry.relay.choose import RelayModel, choose_relay_upstream
+from cranberryfield.entry.relay.demand import DemandSection, note_asked, note_ended
 from cranberryfield.entry.relay.loads import (
     InFlight,
     LoadSection,
@@ -62,6 +64,7 @@
     runs: int = 0
     may_have_run: bool = False
     is_pending: bool = False
+    charged: WorkspaceSpec | None = None
     fallback: Response | None = None
     log: list[str] = field(default_factory=list)
 
@@ -79,6 +82,10 @@
         Announced upstreams.
     loads : LoadSection
         Their load, owned by this object.
+    demand : DemandSection
+        What callers ask for, owned by this object.
+    quota : QuotaClient
+        Admits requests within their workspaces' quotas.
     budget : RetryBudget
         Retries left, owned by this object.
     usage : UsageSection
@@ -99,6 +106,8 @@
         self,
         table: UpstreamTable,
         loads: LoadSection,
+        demand: DemandSection,
+        quota: QuotaClient,
         budget: RetryBudget,
         usage: UsageSection,
         upstreams: Upstreams,
@@ -109,6 +118,8 @@
     ):
         self._table = table
         self._loads = loads
+        self._demand = demand
+        self._quota = quota
         self._budget = budget
         self._usage = usage
         self._upstreams = upstreams
@@ -131,6 +142,8 @@
         """
         note_request(self._budget, request.service, request.arrived_at)
         course = _Course()
+        prefill = expected_prefill(request, True)
+        note_asked(self._demand, request.service, prefill, request.arrived_at)
         outcome = "caller left"
         left_s = request.deadline - self._clock()
         try:
@@ -143,11 +156,17 @@
             outcome = f"refused: {error.kind.value}: {error.detail}"
             await self._refuse_or_break(exchange, error)
         finally:
+            note_ended(self._demand, request.service, self._clock())
+            if not (course.may_have_run or course.is_pending):
+                self._quota.give_back(course.charged, request.quota_cost)
             self._log(request, course, outcome)
 
     async def _run(
         self, request: RelayRequest, exchange: Exchange, course: _Course
     ) -> str:
+        if request.workspace is not None:
+            await self._quota.admit(request.workspace, request.quota_cost)
+            course.charged = request.workspace
         is_stream = request.route.kind is RouteKind.STREAM
         progress = _progress(exchange)
         for _ in range(MAX_TRIES):
@@ -249,9 +268,6 @@
         course.tried.add(record.upstream)
         load = self._loads.of(record.upstream)
         now = self._clock()
-        if result.facts is not None and result.facts.running is not None:
-            reported = result.facts.running + (result.facts.queued or 0)
-            load.others = max(0, reported - len(load.own))
         match result.end:
             case AttemptEnd.NOT_SENT:
                 note_failure(load, now, is_certain=True)
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/collector.py
@@ -0,0 +1,136 @@
+"""Gathers the reports of relay hosts on the leader."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.ids import NodeId, ServiceName, UpstreamId, WorkspaceId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.reports import (
+    HostReport,
+    HostsView,
+    LoadShare,
+    ServiceDemand,
+)
+
+__all__ = ["CollectedReports", "ReportCollector", "take_usage", "total_loads"]
+
+#: A host that has not reported for this time does not count, in seconds.
+SILENT_S = 2.0
+KEPT_WINDOWS = 8
+
+
+@dataclass(slots=True)
+class _Host:
+    report: HostReport
+    heard_at: float
+
+
+@dataclass(slots=True)
+class CollectedReports:
+    """Section of the blackboard: what relay hosts have reported in one term.
+
+    Attributes
+    ----------
+    hosts : dict
+        Latest report of each host.
+    usage : dict
+        By window, the counts of each start of each host by workspace.
+    """
+
+    hosts: dict[NodeId, _Host] = field(default_factory=dict)
+    usage: dict[int, dict[tuple[NodeId, int, WorkspaceId], int]] = field(
+        default_factory=dict
+    )
+
+    def usage_of(self, window: int) -> dict[WorkspaceId, int]:
+        """Return the counts of a window over all hosts."""
+        total: dict[WorkspaceId, int] = {}
+        for (_, _, workspace), count in self.usage.get(window, {}).items():
+            total[workspace] = total.get(workspace, 0) + count
+        return total
+
+    def demand_for(self, service: ServiceName, now: float) -> ServiceDemand:
+        """Return what all hosts' callers ask of a service."""
+        found = [
+            one
+            for host in self.hosts.values()
+            if now - host.heard_at < SILENT_S
+            for one in host.report.demand
+            if one.service == service
+        ]
+        return ServiceDemand(
+            service,
+            sum(one.prefill_tokens_per_s for one in found),
+            sum(one.in_flight for one in found),
+        )
+
+
+def take_usage(reports: CollectedReports, node: NodeId, report: HostReport) -> None:
+    """Take in the counts of a report; later ones replace earlier ones."""
+    for share in report.usage:
+        window = reports.usage.setdefault(share.window, {})
+        window[node, report.incarnation, share.workspace] = share.count
+    for old in sorted(reports.usage)[:-KEPT_WINDOWS]:
+        del reports.usage[old]
+
+
+def total_loads(
+    reports: CollectedReports, but: NodeId, now: float
+) -> tuple[LoadShare, ...]:
+    """Return the loads that all hosts but one have put on upstreams."""
+    total: dict[UpstreamId, tuple[int, int]] = {}
+    for node, host in reports.hosts.items():
+        if node == but or now - host.heard_at >= SILENT_S:
+            continue
+        for share in host.report.loads:
+            runs, tokens = total.get(share.upstream, (0, 0))
+            total[share.upstream] = (
+                runs + share.in_flight,
+                tokens + share.prefill_tokens,
+            )
+    return tuple(LoadShare(one, runs, tokens) for one, (runs, tokens) in total.items())
+
+
+class ReportCollector:
+    """Answers reports while this host leads.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links to other processes.
+    leading_term : callable
+        Returns the term in which this host leads; None if it does not.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self, mesh: Mesh, leading_term: Callable[[], int | None], clock: Clock
+    ):
+        self._leading_term = leading_term
+        self._clock = clock
+        self._term: int | None = None
+        self._reports = CollectedReports()
+        mesh.handle(HostReport, self._on_report)
+
+    @property
+    def reports(self) -> CollectedReports:
+        """What was reported in the present term."""
+        return self._reports
+
+    def _on_report(self, sender: NodeId, report: HostReport) -> HostsView:
+        term = self._leading_term()
+        if term is None:
+            return HostsView(0)
+        if term != self._term:
+            self._term = term
+            self._reports.hosts.clear()
+            self._reports.usage.clear()
+        now = self._clock()
+        self._reports.hosts[sender] = _Host(report, now)
+        take_usage(self._reports, sender, report)
+        hosts = sum(
+            now - one.heard_at < SILENT_S for one in self._reports.hosts.values()
+        )
+        return HostsView(term, hosts, total_loads(self._reports, sender, now))
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/reporter.py
@@ -0,0 +1,160 @@
+"""Tells the leader of this host's load, demand and usage."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import CranberryfieldError
+from cranberryfield.core.ids import NodeId, WorkspaceId
+from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.reports import (
+    HostReport,
+    HostsView,
+    LoadShare,
+    UsageShare,
+)
+from cranberryfield.entry.relay.demand import DemandSection, current_demand
+from cranberryfield.entry.relay.loads import LoadSection
+from cranberryfield.entry.relay.usage import UsageSection, drop_before
+
+__all__ = ["HostReporter", "unreported_usage"]
+
+INTERVAL_S = 0.25
+REQUEST_TIMEOUT_S = 0.5
+#: Windows whose counts are kept for a leader that has not heard of them.
+KEPT_WINDOWS = 5
+#: Time after which a smaller number of hosts is believed, in seconds: a new
+#: leader has not heard of all of them yet.
+FEWER_HOSTS_AFTER_S = 20.0
+#: Number of hosts that is assumed before a leader has told it.
+ASSUMED_HOSTS = 12
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class _Told:
+    """What the leader of one term has been told of usage."""
+
+    leader: NodeId | None = None
+    term: int = 0
+    counts: dict[tuple[int, WorkspaceId], int] = field(default_factory=dict)
+
+
+def unreported_usage(
+    section: UsageSection, told: dict[tuple[int, WorkspaceId], int]
+) -> tuple[UsageShare, ...]:
+    """Return the counts that differ from what a leader was told."""
+    return tuple(
+        UsageShare(window, workspace, count)
+        for window, counts in section.counts.items()
+        for workspace, count in counts.items()
+        if told.get((window, workspace)) != count
+    )
+
+
+class HostReporter:
+    """Reports to the leader and takes in what it knows of the other hosts.
+
+    Parameters
+    ----------
+    mesh : Mesh
+        Links to other processes.
+    leader : callable
+        Returns the leader of the control group, if known.
+    loads : LoadSection
+        Loads; what other hosts add to them is written here.
+    demand : DemandSection
+        What callers ask for.
+    usage : UsageSection
+        Runs begun.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        leader: Callable[[], NodeId | None],
+        loads: LoadSection,
+        demand: DemandSection,
+        usage: UsageSection,
+        clock: Clock,
+    ):
+        self._mesh = mesh
+        self._leader = leader
+        self._loads = loads
+        self._demand = demand
+        self._usage = usage
+        self._clock = clock
+        self._told = _Told()
+        self._hosts = ASSUMED_HOSTS
+        self._hosts_at = clock()
+
+    @property
+    def hosts(self) -> int:
+        """Relay hosts, as far as leaders have told."""
+        return self._hosts
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            await anyio.sleep(INTERVAL_S)
+            drop_before(self._usage, self._usage.current_window() - KEPT_WINDOWS)
+            leader = self._leader()
+            if leader is not None:
+                await self._report(leader)
+
+    async def _report(self, leader: NodeId) -> None:
+        if leader != self._told.leader:
+            self._told = _Told(leader)
+        usage = unreported_usage(self._usage, self._told.counts)
+        report = HostReport(
+            self._mesh.hello.incarnation,
+            self._own_loads(),
+            usage,
+            current_demand(self._demand, self._clock()),
+        )
+        try:
+            view = await self._mesh.request(leader, report, REQUEST_TIMEOUT_S)
+        except CranberryfieldError as error:
+            logger.debug("report not taken", host=leader, detail=error.detail)
+            return
+        if view.term:
+            self._take(view, usage)
+
+    def _own_loads(self) -> tuple[LoadShare, ...]:
+        return tuple(
+            LoadShare(
+                upstream,
+                len(load.own),
+                sum(one.prefill_tokens for one in load.own.values()),
+            )
+            for upstream, load in self._loads.loads.items()
+            if load.own
+        )
+
+    def _take(self, view: HostsView, usage: tuple[UsageShare, ...]) -> None:
+        if view.term != self._told.term:
+            self._told = _Told(self._told.leader, view.term)
+        else:
+            counts = {(one.window, one.workspace): one.count for one in usage}
+            self._told.counts.update(counts)
+        self._note_hosts(view.hosts)
+        others = {one.upstream: one for one in view.loads}
+        for upstream, load in self._loads.loads.items():
+            share = others.pop(upstream, None)
+            load.others = share.in_flight if share else 0
+            load.others_prefill = share.prefill_tokens if share else 0
+        for upstream, share in others.items():
+            load = self._loads.of(upstream)
+            load.others = share.in_flight
+            load.others_prefill = share.prefill_tokens
+
+    def _note_hosts(self, hosts: int) -> None:
+        now = self._clock()
+        if hosts >= self._hosts or now - self._hosts_at > FEWER_HOSTS_AFTER_S:
+            self._hosts, self._hosts_at = max(1, hosts), now
