--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -323,6 +323,9 @@
             raise _BadRequestError(BAD_REQUEST, "no request came")
         headers = event.headers.raw_items()
         _refuse_ambiguous(headers)
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size + len(event.target) > self._state.limits.max_header_bytes:
+            raise _BadRequestError(HEADERS_TOO_LARGE, "the head is larger than allowed")
         length = find_header(headers, b"content-length")
         if length is not None and int(length) > self._state.limits.max_body_bytes:
             raise _BadRequestError(TOO_LARGE, "the body is larger than allowed")
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
@@ -0,0 +1,84 @@
+"""Quotas over several hosts: steady load, one hot workspace, large requests."""
+
+from random import Random
+
+import pytest
+
+from cranberryfield.core.deployment import WorkspaceSpec
+from cranberryfield.core.messages.reports import QuotaWish
+from cranberryfield.entry.limits.tokens import KeeperTokens
+from cranberryfield.entry.quota.client import Holding, next_wish, refill_locally
+from cranberryfield.entry.quota.keeper import grant_quota
+
+RATE = 10_000.0
+SPEC = WorkspaceSpec("notary", rate_per_s=RATE, burst=RATE, counts_tokens=True)
+DEBT = 50_000.0
+STEP_S = 0.01
+
+
+def play(hosts, demand, sizes, seconds, seed=1):
+    """Return by size what was asked and what was admitted, in requests."""
+    rng = Random(seed)
+    keeper = KeeperTokens(at=0.0)
+    holdings = [Holding() for _ in range(hosts)]
+    asked, admitted = dict.fromkeys(sizes, 0), dict.fromkeys(sizes, 0)
+    now = 0.0
+    chance = demand * RATE * STEP_S / (sum(sizes) / len(sizes))
+    while now < seconds:
+        now += STEP_S
+        for _ in range(int(chance) + (rng.random() < chance % 1)):
+            cost = rng.choice(sizes)
+            holding = rng.choice(holdings)
+            asked[cost] += 1
+            if holding.amount < cost and now >= holding.none_until:
+                wish = next_wish("notary", holding, cost, now)
+                granted, next_ms = grant_quota(keeper, SPEC, wish, DEBT, now)
+                holding.amount += granted
+                holding.granted_at = now
+                holding.none_until = now + min(0.3, next_ms / 1000)
+            if holding.amount >= cost:
+                holding.amount -= cost
+                admitted[cost] += 1
+    return asked, admitted
+
+
+@pytest.mark.parametrize("hosts", [1, 9, 60])
+def test_a_workspace_below_its_quota_is_not_refused(hosts):
+    asked, admitted = play(hosts, 0.6, (400, 1_200), 20)
+    assert sum(admitted.values()) >= 0.98 * sum(asked.values())
+
+
+@pytest.mark.parametrize("hosts", [1, 9, 60])
+@pytest.mark.parametrize("demand", [1.5, 8.0])
+def test_a_hot_workspace_gets_its_quota_and_no_more(hosts, demand):
+    seconds = 20
+    _, admitted = play(hosts, demand, (400, 1_200), seconds)
+    used = sum(size * count for size, count in admitted.items())
+    assert 0.9 * RATE * seconds <= used <= RATE * (seconds + 1) + DEBT
+
+
+@pytest.mark.parametrize("hosts", [1, 9])
+def test_large_requests_are_admitted_as_often_as_small_ones(hosts):
+    asked, admitted = play(hosts, 2.0, (500, 15_000), 60)
+    small, large = (admitted[size] / asked[size] for size in (500, 15_000))
+    assert large >= 0.5 * small
+
+
+@pytest.mark.parametrize(("seconds", "hosts"), [(5.0, 9), (5.0, 1)])
+def test_without_a_leader_all_hosts_together_stay_below_the_quota(seconds, hosts):
+    used = 0.0
+    for _ in range(hosts):
+        holding = Holding()
+        now = 0.0
+        while now <= seconds:
+            refill_locally(holding, SPEC, hosts, now)
+            used, holding.amount = used + holding.amount, 0.0
+            now += 0.1
+    assert 0 < used <= RATE * seconds
+
+
+def test_a_new_leader_starts_with_an_empty_bucket():
+    keeper = KeeperTokens(at=100.0)
+    wish = QuotaWish("notary", 500, 0)
+    assert grant_quota(keeper, SPEC, wish, DEBT, 100.0)[0] == 0
+    assert grant_quota(keeper, SPEC, wish, DEBT, 100.1)[0] == 500
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
@@ -0,0 +1,81 @@
+"""What the leader makes of reports, also of hosts that restart or fall silent."""
+
+import pytest
+
+from cranberryfield.core.messages.reports import (
+    HostReport,
+    LoadShare,
+    ServiceDemand,
+    UsageShare,
+)
+from cranberryfield.entry.relay.demand import (
+    DemandSection,
+    current_demand,
+    note_asked,
+    note_ended,
+)
+from cranberryfield.entry.relay.usage import UsageSection
+from cranberryfield.entry.reports.collector import (
+    SILENT_S,
+    CollectedReports,
+    _Host,
+    take_usage,
+    total_loads,
+)
+from cranberryfield.entry.reports.reporter import unreported_usage
+
+
+def report(incarnation=1, loads=(), usage=(), demand=()):
+    return HostReport(incarnation, loads, usage, demand)
+
+
+def test_counts_of_a_window_add_up_over_hosts_and_starts():
+    reports = CollectedReports()
+    for node, incarnation, count in [
+        ("a", 1, 2),
+        ("a", 1, 5),
+        ("b", 1, 3),
+        ("a", 2, 1),
+    ]:
+        share = UsageShare(7, "notary", count)
+        take_usage(reports, node, report(incarnation, usage=(share,)))
+    assert reports.usage_of(7) == {"notary": 9}
+    assert reports.usage_of(8) == {}
+
+
+@pytest.mark.parametrize(("age_s", "expected"), [(0.0, 4), (SILENT_S, 0)])
+def test_loads_of_others_leave_out_the_asker_and_silent_hosts(age_s, expected):
+    reports = CollectedReports()
+    for node, runs in (("a", 4), ("b", 2)):
+        loads = (LoadShare("u1", runs, 10 * runs),)
+        reports.hosts[node] = _Host(report(loads=loads), 10.0)
+    found = total_loads(reports, "b", 10.0 + age_s)
+    assert sum(one.in_flight for one in found) == expected
+
+
+def test_demand_adds_up_over_hosts():
+    reports = CollectedReports()
+    for node in "ab":
+        demand = (ServiceDemand("drafts", 100.0, 2.0),)
+        reports.hosts[node] = _Host(report(demand=demand), 10.0)
+    assert reports.demand_for("drafts", 10.5).prefill_tokens_per_s == 200.0
+    assert reports.demand_for("other", 10.5).in_flight == 0
+
+
+def test_only_counts_that_a_leader_lacks_are_sent():
+    section = UsageSection(5.0, lambda: 0.0, {1: {"a": 3, "b": 1}})
+    assert unreported_usage(section, {(1, "a"): 3}) == (UsageShare(1, "b", 1),)
+
+
+def test_demand_follows_a_burst_and_its_end():
+    section = DemandSection()
+    for step in range(100):
+        note_asked(section, "drafts", 500, step * 0.1)
+    (busy,) = current_demand(section, 10.0)
+    assert 4_000 < busy.prefill_tokens_per_s < 6_000
+    assert busy.in_flight > 50
+    for _ in range(100):
+        note_ended(section, "drafts", 10.0)
+    (calm,) = current_demand(section, 30.0)
+    assert calm.prefill_tokens_per_s < 100
+    assert calm.in_flight < 1
--- /dev/null
+++ b/standins/raw_upstream.py
@@ -0,0 +1,99 @@
+"""A plain service or engine whose answers are scripted byte by byte."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import SocketStream
+
+from standins.processes import free_port
+
+__all__ = ["RawUpstream", "SeenRequest"]
+
+
+@dataclass(frozen=True, slots=True)
+class SeenRequest:
+    """A request as it arrived.
+
+    Attributes
+    ----------
+    head : str
+        Request line and headers.
+    body : bytes
+        What its length announces.
+    connection : int
+        Number of the connection.
+    """
+
+    head: str
+    body: bytes
+    connection: int
+
+    def header(self, name: str) -> str | None:
+        """Return a header's value."""
+        for line in self.head.split("\r\n")[1:]:
+            found, _, value = line.partition(":")
+            if found.lower() == name.lower():
+                return value.strip()
+        return None
+
+
+#: Answers a request by writing to the connection; returns whether to keep it.
+Script = Callable[[SeenRequest, SocketStream], Awaitable[bool]]
+
+
+@dataclass(slots=True)
+class RawUpstream:
+    """Answers each request as its script says.
+
+    Attributes
+    ----------
+    script : callable
+        Writes the answer.
+    seen : list of SeenRequest
+        All requests, in order.
+    ended : int
+        Connections that the other side has closed.
+    """
+
+    script: Script
+    seen: list[SeenRequest] = field(default_factory=list)
+    ended: int = 0
+    port: int = field(default_factory=free_port)
+    _connections: int = 0
+
+    @property
+    def address(self) -> str:
+        """Its ``IP:PORT``."""
+        return f"127.0.0.1:{self.port}"
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        )
+        async with listener:
+            task_status.started()
+            await listener.serve(self._serve)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        self._connections += 1
+        number = self._connections
+        buffer = b""
+        async with stream:
+            try:
+                while True:
+                    while b"\r\n\r\n" not in buffer:
+                        buffer += await stream.receive()
+                    head, _, buffer = buffer.partition(b"\r\n\r\n")
+                    request = SeenRequest(head.decode("latin-1"), b"", number)
+                    size = int(request.header("content-length") or 0)
+                    while len(buffer) < size:
+                        buffer += await stream.receive()
+                    request = SeenRequest(request.head, buffer[:size], number)
+                    buffer = buffer[size:]
+                    self.seen.append(request)
+                    if not await self.script(request, stream):
+                        return
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                self.ended += 1
--- /dev/null
+++ b/tests/test_relay_path.py
@@ -0,0 +1,378 @@
+"""The relay between a caller and upstreams that break off, refuse and mix up."""
+
+from random import Random
+
+import anyio
+import msgspec
+import pytest
+
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.core.deployment import Route, RouteKind, WeightedService
+from cranberryfield.core.http1 import (
+    ConnectionPool,
+    RequestHead,
+    ServerLimits,
+    ServerState,
+    find_header,
+    serve_http,
+)
+from cranberryfield.core.http1.message import end_to_end
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.quota import QuotaClient
+from cranberryfield.entry.registry import UpstreamTable, accept_record
+from cranberryfield.entry.relay import (
+    AnswerFacts,
+    LoadSection,
+    Relay,
+    RelayRequest,
+    RetryBudget,
+    UpstreamDialect,
+)
+from cranberryfield.entry.relay.attempts import Upstreams
+from cranberryfield.entry.relay.demand import DemandSection
+from cranberryfield.entry.relay.usage import UsageSection
+from standins.processes import free_port
+from standins.raw_upstream import RawUpstream
+
+TIMEOUT_S = 30.0
+HEAD = b"HTTP/1.1 %d X\r\nSigned: yes\r\nId: %s\r\n"
+
+
+def _encode(request, record, left_ms, last_event):
+    headers = [*request.head.headers, (b"Left", str(left_ms).encode())]
+    if last_event is not None:
+        headers.append((b"After", last_event.encode()))
+    return headers
+
+
+def _read(head):
+    return AnswerFacts(
+        not_run=find_header(head.headers, b"not-run") is not None,
+        is_misdirected=head.status == 421,
+        request_id=find_header(head.headers, b"id"),
+        is_signed=find_header(head.headers, b"signed") is not None,
+    )
+
+
+def whole(status=200, body=b"answer", extra=b""):
+    """Answer with a length."""
+
+    async def script(request, stream):
+        head = HEAD % (status, request.header("id").encode()) + extra
+        await stream.send(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        return True
+
+    return script
+
+
+def refuse(status=503):
+    return whole(status, b"", b"Not-Run: 1\r\n")
+
+
+def events(first, last, ends=True):
+    """Stream numbered events, after the last one that the caller has."""
+
+    async def script(request, stream):
+        start = max(first, int(request.header("after") or 0) + 1)
+        await stream.send(HEAD % (200, request.header("id").encode()))
+        await stream.send(b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in range(start, last + 1):
+            event = b"id: %d\ndata: e%d\n\n" % (number, number)
+            await stream.send(b"%x\r\n" % len(event) + event + b"\r\n")
+        if ends:
+            await stream.send(b"0\r\n\r\n")
+        else:
+            await stream.send(b"8\r\nid: 99\nd\r\n")
+        return ends
+
+    return script
+
+
+async def reset(request, stream):
+    return False
+
+
+async def silent(request, stream):
+    await anyio.sleep_forever()
+
+
+def foreign_first(body):
+    """Send an answer to another request before the right one."""
+    right = whole(body=body)
+
+    async def script(request, stream):
+        other = HEAD % (200, b"other") + b"Content-Length: 5\r\n\r\nwrong"
+        await stream.send(other)
+        return await right(request, stream)
+
+    return script
+
+
+def in_turn(*scripts):
+    """Let the first request be answered by the first script, and so on."""
+    left = list(scripts)
+
+    async def script(request, stream):
+        chosen = left.pop(0) if len(left) > 1 else left[0]
+        return await chosen(request, stream)
+
+    return script
+
+
+class Path:
+    """A relay, its upstreams, and a caller's raw connection to it."""
+
+    def __init__(self, scripts, kind=RouteKind.IDEMPOTENT, **route):
+        self.upstreams = [RawUpstream(script) for script in scripts]
+        fields = {"timeout_ms": 8_000.0, "target_ms": 500.0, "max_attempts": 2}
+        self.route = Route(
+            "r",
+            "a.example",
+            "/x/",
+            kind,
+            (WeightedService("drafts", 1),),
+            **{**fields, **route},
+        )
+        self.port = free_port()
+        self.table = UpstreamTable()
+        for number, one in enumerate(self.upstreams):
+            record = UpstreamRecord(
+                f"u{number}", 1, 1, "drafts", "fann", one.address, "", (), 8, 0
+            )
+            accept_record(self.table, record, 0.0)
+        clock = monotonic_clock
+        quota = QuotaClient(None, lambda: None, lambda: 1, clock, Random(1))
+        pool = ConnectionPool(clock)
+        self.relay = Relay(
+            self.table,
+            LoadSection(),
+            DemandSection(),
+            quota,
+            RetryBudget(0.2, 50.0, 10.0),
+            UsageSection(5.0, clock),
+            Upstreams(pool, UpstreamDialect(_encode, _read), clock),
+            self._refuse,
+            "fann",
+            clock,
+            Random(1),
+        )
+
+    async def _refuse(self, exchange, error):
+        body = msgspec.json.encode({"kind": error.kind.value, "run": error.was_run})
+        await exchange.answer(error.answer.status, [], body)
+
+    async def _handle(self, exchange):
+        headers = exchange.head.headers
+        now = monotonic_clock()
+        left_s = float(find_header(headers, b"time") or 8.0)
+        request = RelayRequest(
+            find_header(headers, b"id"),
+            RequestHead(
+                exchange.head.method, exchange.head.target, end_to_end(headers)
+            ),
+            exchange.body,
+            self.route,
+            "drafts",
+            None,
+            now,
+            now + left_s,
+        )
+        await self.relay.handle(request, exchange)
+
+    async def run(self, conversation):
+        """Run the conversation with a raw connection to the relay."""
+        state = ServerState(ServerLimits(max_body_bytes=1_000))
+        with anyio.fail_after(TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                for one in self.upstreams:
+                    await tasks.start(one.run)
+                address = ("127.0.0.1", self.port)
+                await tasks.start(serve_http, address, self._handle, state)
+                async with await anyio.connect_tcp(*address) as stream:
+                    await conversation(stream)
+                tasks.cancel_scope.cancel()
+
+    @property
+    def seen(self):
+        return [request for one in self.upstreams for request in one.seen]
+
+
+async def read_all(stream):
+    data = b""
+    try:
+        async for part in stream:
+            data += part
+    except anyio.BrokenResourceError:
+        pass
+    return data
+
+
+def ask(path, sent):
+    """Send bytes as a caller; return all that comes until the connection ends."""
+    found = b""
+
+    async def conversation(stream):
+        nonlocal found
+        await stream.send(sent)
+        found = await read_all(stream)
+
+    anyio.run(path.run, conversation)
+    return found
+
+
+def get(*lines, target=b"/x/y?q=%20A"):
+    head = b"GET " + target + b" HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
+    return (
+        head + b"".join(line + b"\r\n" for line in lines) + b"Connection: close\r\n\r\n"
+    )
+
+
+def test_a_request_and_its_answer_pass_unchanged():
+    path = Path([whole(body=b"\x00bytes", extra=b"X-Answer: Kept\r\n")])
+    sent = (
+        b"POST /x/%7Ea//b?q=%20A HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
+        b"X-MiXed: CaSe\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    found = ask(path, sent)
+    (request,) = path.seen
+    assert request.head.startswith("POST /x/%7Ea//b?q=%20A HTTP/1.1\r\n")
+    assert "X-MiXed: CaSe" in request.head
+    assert request.header("x-hop") is None
+    assert request.body == b"abcde"
+    assert found.startswith(b"HTTP/1.1 200")
+    assert b"X-Answer: Kept" in found
+    assert found.endswith(b"\r\n\r\n\x00bytes")
+
+
+@pytest.mark.parametrize(
+    ("kind", "scripts", "status", "runs"),
+    [
+        (RouteKind.IDEMPOTENT, [reset, whole()], 200, 2),
+        (RouteKind.IDEMPOTENT, [reset, reset], 502, 2),
+        (RouteKind.IDEMPOTENT, [whole(500), whole()], 200, 2),
+        (RouteKind.IDEMPOTENT, [whole(500), whole(500)], 500, 2),
+        (RouteKind.IDEMPOTENT, [whole(404), whole()], 404, 1),
+        (RouteKind.NON_IDEMPOTENT, [reset, whole()], 502, 1),
+        (RouteKind.NON_IDEMPOTENT, [whole(500), whole()], 500, 1),
+        (RouteKind.NON_IDEMPOTENT, [refuse(), whole()], 200, 2),
+        (RouteKind.NON_IDEMPOTENT, [refuse(), refuse()], 503, 2),
+        (RouteKind.NON_IDEMPOTENT, [whole(421), whole()], 200, 2),
+        (RouteKind.NON_IDEMPOTENT, [whole(503), whole()], 503, 1),
+        (RouteKind.STREAM, [refuse(), events(1, 3)], 200, 2),
+        (RouteKind.STREAM, [reset, events(1, 3)], 502, 1),
+    ],
+)
+def test_what_may_run_again_is_tried_elsewhere(kind, scripts, status, runs):
+    # The same script order whichever upstream is chosen first.
+    shared = in_turn(*scripts)
+    path = Path([shared, shared], kind)
+    found = ask(path, get())
+    assert found.startswith(b"HTTP/1.1 %d" % status)
+    assert len(path.seen) == runs
+
+
+def test_an_answer_to_another_request_is_never_delivered():
+    path = Path([foreign_first(b"mine")])
+    found = ask(path, get())
+    assert found.endswith(b"\r\n\r\nmine")
+    assert b"wrong" not in found
+    assert len(path.seen) == 1
+
+
+@pytest.mark.parametrize(
+    ("resumable", "is_whole", "after"), [(True, True, "2"), (False, False, None)]
+)
+def test_a_broken_stream_goes_on_elsewhere_if_it_may(resumable, is_whole, after):
+    shared = in_turn(events(1, 2, ends=False), events(1, 4))
+    path = Path([shared, shared], RouteKind.STREAM, resumable=resumable)
+    found = ask(path, get())
+    assert found.endswith(b"0\r\n\r\n") is is_whole
+    last = 4 if is_whole else 2
+    for number in range(1, last + 1):
+        assert found.count(b"data: e%d\n\n" % number) == 1
+    assert b"id: 99" not in found
+    resumed = [one.header("after") for one in path.seen if one.header("after")]
+    assert resumed == ([after] if after else [])
+
+
+@pytest.mark.parametrize("kind", list(RouteKind))
+def test_the_caller_who_leaves_ends_the_work(kind):
+    path = Path([silent], kind)
+
+    async def conversation(stream):
+        await stream.send(get())
+        while not path.seen:
+            await anyio.sleep(0.01)
+        await stream.aclose()
+        while not path.upstreams[0].ended and kind is not None:
+            await anyio.sleep(0.01)
+            if path.upstreams[0].ended:
+                return
+            # The stand-in sleeps in its script; its end shows in the relay.
+            if not any(load.own for load in path.relay._loads.loads.values()):
+                return
+
+    anyio.run(path.run, conversation)
+
+
+@pytest.mark.parametrize(
+    ("kind", "scripts", "status"),
+    [
+        (RouteKind.IDEMPOTENT, [silent], 504),
+        (RouteKind.NON_IDEMPOTENT, [silent], 504),
+        (RouteKind.STREAM, [silent], 504),
+    ],
+)
+def test_the_deadline_ends_a_request_with_an_answer(kind, scripts, status):
+    path = Path(scripts, kind)
+    found = ask(path, get(b"Time: 0.3"))
+    assert found.startswith(b"HTTP/1.1 %d" % status)
+    assert b'"unknown"' in found
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (
+            b"POST /x/ HTTP/1.1\r\nHost: a\r\nId: r1\r\nContent-Length: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"GET /x/ HTTP/1.1\r\nHost: a\r\nHost: b\r\nId: r1\r\n\r\n", 400),
+        (b"GET /x/ HTTP/1.1\r\nId: r1\r\nNo Colon\r\n\r\n", 400),
+        (b"GET /x/ HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 20_000 + b"\r\n\r\n", 431),
+        (
+            b"POST /x/ HTTP/1.1\r\nHost: a\r\nId: r1\r\nContent-Length: 2000\r\n\r\n",
+            413,
+        ),
+    ],
+)
+def test_what_two_readers_could_read_differently_is_refused(sent, status):
+    path = Path([whole()])
+    found = ask(path, sent)
+    assert found.startswith(b"HTTP/1.1 %d" % status)
+    assert path.seen == []
+
+
+def test_connections_to_upstreams_are_kept_and_never_with_surplus_bytes():
+    surplus = whole(extra=b"")
+
+    async def with_surplus(request, stream):
+        await surplus(request, stream)
+        await stream.send(b"HTTP/1.1 200 X\r\nSigned: yes\r\nId: r1\r\n\r\n")
+        return True
+
+    path = Path([in_turn(whole(), whole(), with_surplus, whole())])
+    one = b"GET /x/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n"
+
+    async def conversation(stream):
+        for _ in range(4):
+            await stream.send(one)
+            found = b""
+            while not found.endswith(b"answer"):
+                found += await stream.receive()
+            await anyio.sleep(0.05)
+
+    anyio.run(path.run, conversation)
+    assert [request.connection for request in path.seen] == [1, 1, 1, 2]
