Write logs to standard output without ever blocking; test the group's growth

Change: a bounded queue before the descriptor, asked for readiness before each write; lines beyond it are dropped and counted in the log. test_daemon_start.py reads the log lines from standard output now, and asks besides that standard error is empty, which is stricter. Tables for next_members with growth.

Cost per line: not measured.

--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/tests/test_growth.py
@@ -0,0 +1,103 @@
+"""A group that grows by itself, and replaces members that are gone for good."""
+
+from random import Random
+
+import pytest
+
+from cranberryfield.control.consensus.membership import (
+    MAX_VOTERS,
+    REPLACE_SILENT_S,
+    Joiner,
+    next_members,
+)
+from cranberryfield.control.consensus.replica import Progress, Replica, ReplicaRole
+from cranberryfield.core.ids import LogIndex
+from cranberryfield.core.messages.consensus import LogEntry, Members
+
+NOW = 100.0
+
+
+def leader(voters, learners=(), silent_s=None, caught_up=True):
+    """Return the leader ``a~1``, with times since others were last heard."""
+    replica = Replica(f"{voters[0]}", Random(1))
+    replica.role = ReplicaRole.LEADER
+    members = Members(tuple(voters), tuple(learners))
+    replica.log.append((LogEntry(LogIndex(1), 1, b"", members),))
+    replica.leader_since = 0.0
+    for number, one in enumerate((*voters[1:], *learners)):
+        age_s = (silent_s or {}).get(one, 0.0)
+        replica.round_started[number] = NOW - age_s
+        is_member = one in voters or caught_up
+        replica.progress[one] = Progress(
+            LogIndex(2),
+            match_index=LogIndex(1 if is_member else 0),
+            acknowledged_round=number,
+        )
+    return replica
+
+
+def joiners(*replicas, age_s=0.0):
+    return {one.partition("~")[0]: Joiner(one, NOW - age_s) for one in replicas}
+
+
+VOTERS = ["a~1", "b~1", "c~1"]
+LOST = {"c~1": REPLACE_SILENT_S + 1}
+BRIEFLY = {"c~1": REPLACE_SILENT_S - 1}
+
+
+@pytest.mark.parametrize(
+    ("replica", "asking", "grows", "voters", "learners"),
+    [
+        # A host that the group does not know learns first.
+        (leader(VOTERS), ["d~1"], True, VOTERS, ["d~1"]),
+        (leader(VOTERS), ["d~1"], False, None, None),
+        (leader(VOTERS, ["d~1"]), ["d~1"], True, [*VOTERS, "d~1"], []),
+        (leader(VOTERS, ["d~1"], caught_up=False), ["d~1"], True, None, None),
+        # It takes the place of one that is gone, and only of such a one.
+        (leader(VOTERS, ["d~1"], LOST), ["d~1"], True, ["a~1", "b~1"], ["d~1"]),
+        (leader(VOTERS, ["d~1"], BRIEFLY), ["d~1"], True, [*VOTERS, "d~1"], []),
+        # Without anybody to take its place a silent voter stays.
+        (leader(VOTERS, silent_s=LOST), [], True, None, None),
+        # A host that has lost its disk comes back as a new replica.
+        (leader(VOTERS, silent_s=LOST), ["c~2"], True, VOTERS, ["c~2"]),
+        (leader(VOTERS), ["c~2"], True, None, None),
+        # A learner that has gone is dropped.
+        (leader(VOTERS, ["d~1"], {"d~1": 9.0}, False), [], True, VOTERS, []),
+    ],
+)
+def test_the_next_change_of_the_group(replica, asking, grows, voters, learners):
+    found = next_members(replica, joiners(*asking), NOW, grows)
+    if voters is None:
+        assert found is None
+    else:
+        assert (list(found.voters), list(found.learners)) == (voters, learners)
+
+
+def test_a_group_does_not_outgrow_its_bound():
+    voters = [f"n{number}~1" for number in range(MAX_VOTERS)]
+    replica = leader(voters, ["x~1"])
+    assert next_members(replica, joiners("x~1"), NOW, True) is None
+
+
+def test_who_asked_long_ago_does_not_join():
+    found = next_members(leader(VOTERS), joiners("d~1", age_s=9.0), NOW, True)
+    assert found is None
+
+
+@pytest.mark.parametrize("lost", [["d~1", "e~1"], ["b~1", "c~1"]])
+def test_two_lost_of_five_are_replaced_one_at_a_time_with_a_majority_alive(lost):
+    voters = [*VOTERS, "d~1", "e~1"]
+    silent = dict.fromkeys(lost, 9.0)
+    waiting = ["x~1", "y~1"]
+    for _ in range(12):
+        learners = [one for one in waiting if one not in voters]
+        replica = leader(voters, learners, silent)
+        found = next_members(replica, {}, NOW, True)
+        if found is None:
+            break
+        assert len(set(found.voters) ^ set(voters)) <= 1
+        alive = [one for one in found.voters if one not in silent]
+        assert len(alive) * 2 > len(found.voters)
+        voters = list(found.voters)
+    assert set(waiting) <= set(voters)
+    assert not set(lost) & set(voters)
--- a/packages/cranberryfield-core/src/cranberryfield/core/logs.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/logs.py
@@ -1,14 +1,18 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line on standard output, never blocking."""
 
 import logging
-import sys
+import os
 
+import msgspec
 import structlog
 
+from cranberryfield.core.log_output import BoundedOutput
+
 __all__ = ["configure_logs"]
 
 #: Libraries log below this level what operators cannot act on.
 LIBRARY_LEVEL = logging.WARNING
+STDOUT = 1
 
 _SHARED = [
     structlog.contextvars.merge_contextvars,
@@ -18,6 +22,35 @@
 ]
 
 
+class _LineLogger:
+    """Hands rendered lines to the output."""
+
+    def __init__(self, output: BoundedOutput):
+        self._output = output
+
+    def msg(self, line: str) -> None:
+        """Write a line."""
+        self._output.write(line)
+
+    log = debug = info = warning = warn = error = critical = exception = fatal = msg
+
+
+class _LineHandler(logging.Handler):
+    """Hands what libraries log to the output."""
+
+    def __init__(self, output: BoundedOutput):
+        super().__init__()
+        self._output = output
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record as a line."""
+        self._output.write(self.format(record))
+
+
+def _dump_json(value: object, **options: object) -> str:
+    return msgspec.json.encode(value, enc_hook=str).decode()
+
+
 def configure_logs(node: str, level: str = "info") -> None:
     """Set the process's logs to JSON lines that name the node.
 
@@ -31,19 +64,22 @@
         Lowest level that is written: ``debug``, ``info``, ``warning`` or
         ``error``.
     """
+    # A second descriptor, without the buffer of sys.stdout.
+    output = BoundedOutput(os.fdopen(os.dup(STDOUT), "wb", buffering=0))
     lowest = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
-        processors=[*_SHARED, structlog.processors.JSONRenderer()],
+        processors=[*_SHARED, structlog.processors.JSONRenderer(_dump_json)],
         wrapper_class=structlog.make_filtering_bound_logger(lowest),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=lambda *names: _LineLogger(output),
+        cache_logger_on_first_use=True,
     )
     structlog.contextvars.clear_contextvars()
     structlog.contextvars.bind_contextvars(node=node)
-    _configure_library_logs(max(lowest, LIBRARY_LEVEL))
+    _configure_library_logs(output, max(lowest, LIBRARY_LEVEL))
 
 
-def _configure_library_logs(lowest: int) -> None:
-    handler = logging.StreamHandler(sys.stderr)
+def _configure_library_logs(output: BoundedOutput, lowest: int) -> None:
+    handler = _LineHandler(output)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=[structlog.stdlib.add_logger_name, *_SHARED],
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -94,7 +94,8 @@
 def test_what_the_host_lacks_is_told_in_log_lines(tmp_path, changes, code, message):
     ended = start(tmp_path, good(**changes), "--check")
     assert ended.returncode == code
-    lines = [json.loads(line) for line in ended.stderr.splitlines()]
+    assert ended.stderr == ""
+    lines = [json.loads(line) for line in ended.stdout.splitlines()]
     assert {line["event"] for line in lines} == {"cannot start"}
     assert any(message in line["detail"] for line in lines)
 
@@ -104,6 +105,7 @@
         taken.bind(("127.0.0.1", 0))
         taken.listen()
         ended = start(tmp_path, good(callers=taken.getsockname()[1]))
-    line = json.loads(ended.stderr)
+    assert ended.stderr == ""
+    line = json.loads(ended.stdout)
     assert (ended.returncode, line["kind"]) == (13, "address_unavailable")
     assert line["detail"].startswith("callers: 127.0.0.1:")
