Serve metrics as text, abort links that carry nothing, end calls at a stop

Cause: counters and histograms were not served; a link that fell silent was noticed by its pings after up to 3 s, most of the lease of a relay; a control host cut calls in progress at a stop.

Change: /metrics of each host in the Prometheus format with requests and first events by workspace and rank; a link is aborted after two requests without a reply and without any bytes meanwhile; a control host lets calls end for 2 s.

--- a/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
@@ -95,6 +95,8 @@
         Set for a host of the control group.
     cloud : CloudSettings, optional
         Where upstreams are ordered and usage is reported.
+    metrics : str, optional
+        ``IP:PORT`` at which counters and histograms are served as text.
     key_validity_ms : float
         A key must not be honoured for longer after its withdrawal was
         acknowledged, in milliseconds.
@@ -130,6 +132,7 @@
     relay: RelaySettings | None = None
     control: ControlSettings | None = None
     cloud: CloudSettings | None = None
+    metrics: IpAddress | None = None
     key_validity_ms: Positive = 5_000.0
     stop_s: Positive = 8.0
     retry_ratio: NotNegative = 0.2
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
@@ -25,6 +25,9 @@
 MAX_WAITING_ENVELOPES = 10_000
 MAX_BATCH_ENVELOPES = 500
 CLOSE_TIMEOUT_S = 1.0
+#: Requests without a reply, and without any other bytes meanwhile, after which
+#: the link is taken for dead before its pings say so.
+MAX_UNHEARD_REQUESTS = 2
 
 
 class _Call:
@@ -62,6 +65,7 @@
             MAX_WAITING_ENVELOPES
         )
         self._open = True
+        self._unheard = 0
         self.bytes_sent = 0
         self.bytes_received = 0
         self.envelopes = 0
@@ -109,6 +113,7 @@
         """
         number = next(self._numbers)
         call = self._calls[number] = _Call()
+        received = self.bytes_received
         try:
             if not self.send(Envelope(EnvelopeKind.REQUEST, number, message)):
                 raise UnavailableError(ErrorKind.NOT_READY, "the link is down")
@@ -117,6 +122,7 @@
         finally:
             del self._calls[number]
         if call.reply is None:
+            self._note_unheard(received)
             raise UnavailableError(
                 ErrorKind.NOT_READY, f"no reply from {self._peer.node}"
             )
@@ -124,6 +130,16 @@
             raise error_of_kind(ErrorKind(call.reply.kind), call.reply.detail)
         return call.reply
 
+    def _note_unheard(self, received_before: int) -> None:
+        """Abort a link that carries nothing more, though nothing has ended it."""
+        if self.bytes_received > received_before:
+            self._unheard = 0
+            return
+        self._unheard += 1
+        if self._unheard >= MAX_UNHEARD_REQUESTS and self._open:
+            self._open = False
+            self._connection.transport.abort()
+
     async def run(self, on_envelope) -> None:
         """Carry envelopes until the connection ends.
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -42,6 +42,9 @@
 READ_TIMEOUT_S = 0.9
 MAX_BODY_BYTES = 32 << 20
 MS_PER_S = 1000
+#: Longest time for calls in progress at a stop, in seconds.
+STOP_S = 2.0
+STOP_POLL_S = 0.05
 
 
 class ControlHost:
@@ -144,7 +147,12 @@
             tasks.start_soon(serve_http, address, self._answer, self._state)
 
     async def stop(self) -> None:
-        """Let calls in progress end."""
+        """Let calls in progress end, for a short time."""
+        self._state.closing = True
+        self._state.closed.set()
+        with anyio.move_on_after(STOP_S):
+            while self._state.active:
+                await anyio.sleep(STOP_POLL_S)
 
     async def _answer(self, exchange: Exchange) -> None:
         await self._faces.answer_operator(exchange, self._services)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -10,9 +10,13 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import suspension_clock
 from cranberryfield.core.config import ClusterConfig
+from cranberryfield.core.config.daemon import split_address
+from cranberryfield.core.http1 import Exchange, ServerState, serve_http
 from cranberryfield.core.ids import Incarnation
 from cranberryfield.core.mesh import ControlDirectory, Mesh
 from cranberryfield.core.messages.links import Hello
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.metrics.text import render_metrics
 from cranberryfield.daemon.cluster.control import ControlHost
 from cranberryfield.daemon.cluster.faces import Faces
 from cranberryfield.daemon.cluster.relay import RelayHost
@@ -56,6 +60,7 @@
     mesh = Mesh(_hello(config), config.mesh_key)
     clock = suspension_clock
     rng = Random(config.node)
+    metrics = Metrics()
     directory = ControlDirectory(mesh, config.mesh_seeds, config.first_start, clock)
     hosts = []
     if config.control is not None:
@@ -67,12 +72,15 @@
     if config.relay is not None:
         hosts.append(
             RelayHost.from_config(
-                config, faces, mesh, board, directory.names, clock, rng
+                config, faces, mesh, board, metrics, directory.names, clock, rng
             )
         )
     async with anyio.create_task_group() as tasks:
         await tasks.start(mesh.listen, config.mesh)
         tasks.start_soon(directory.run)
+        if config.metrics is not None:
+            address = split_address(config.metrics)
+            tasks.start_soon(serve_http, address, _show(metrics), ServerState())
         for host in hosts:
             tasks.start_soon(host.run)
         logger.info(
@@ -89,6 +97,14 @@
         tasks.cancel_scope.cancel()
 
 
+def _show(metrics: Metrics):
+    async def answer(exchange: Exchange) -> None:
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        await exchange.answer(200, headers, render_metrics(metrics))
+
+    return answer
+
+
 async def _wait_for_stop() -> None:
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -24,6 +24,7 @@
 )
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import ControlHostNames, Mesh
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.daemon.cluster.faces import Faces
 from cranberryfield.entry.deployment import (
     DeploymentFollower,
@@ -115,6 +116,7 @@
         faces: Faces,
         mesh: Mesh,
         board: Blackboard,
+        metrics: Metrics,
         names: ControlHostNames,
         clock: Clock,
         rng: Random,
@@ -131,6 +133,8 @@
             Links to other processes.
         board : Blackboard
             Gains the role's sections.
+        metrics : Metrics
+            Counters and histograms.
         names : ControlHostNames
             The control hosts.
         clock : Clock
@@ -170,6 +174,7 @@
             usage,
             Upstreams(pool, faces.dialect, clock),
             faces.refuse,
+            metrics,
             config.zone,
             clock,
             rng,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -19,6 +19,7 @@
 from cranberryfield.core.http1.message import end_to_end
 from cranberryfield.core.ids import DataCentre, UpstreamId
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import UpstreamTable
 from cranberryfield.entry.relay.attempts import (
@@ -94,6 +95,8 @@
         Connections.
     refuse : callable
         Answers with an error.
+    metrics : Metrics
+        Counters and histograms.
     data_centre : DataCentre
         Where this host runs.
     clock : Clock
@@ -112,6 +115,7 @@
         usage: UsageSection,
         upstreams: Upstreams,
         refuse: Refuse,
+        metrics: Metrics,
         data_centre: DataCentre,
         clock: Clock,
         rng: Random,
@@ -124,6 +128,7 @@
         self._usage = usage
         self._upstreams = upstreams
         self._refuse = refuse
+        self._metrics = metrics
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
@@ -160,6 +165,7 @@
             if not (course.may_have_run or course.is_pending):
                 self._quota.give_back(course.charged, request.quota_cost)
             self._log(request, course, outcome)
+            self._count(request, outcome)
 
     async def _run(
         self, request: RelayRequest, exchange: Exchange, course: _Course
@@ -242,6 +248,8 @@
 
         def note_first() -> None:
             flight.prefill_tokens = 0
+            waited_s = self._clock() - request.arrived_at
+            self._metrics.observe("first_event", waited_s, **_labels(request))
             note_start(self._usage, request)
 
         try:
@@ -331,6 +339,13 @@
             return
         await self._refuse(exchange, error)
 
+    def _count(self, request: RelayRequest, outcome: str) -> None:
+        labels = _labels(request)
+        took_s = self._clock() - request.arrived_at
+        self._metrics.observe("request", took_s, **labels)
+        name = outcome.partition(":")[0].replace(" ", "_")
+        self._metrics.count(f"requests_{name}", **labels)
+
     def _log(self, request: RelayRequest, course: _Course, outcome: str) -> None:
         now = self._clock()
         logger.info(
@@ -346,6 +361,12 @@
         )
 
 
+def _labels(request: RelayRequest) -> dict[str, str]:
+    """Return what counters and histograms are kept for."""
+    workspace = request.workspace.name if request.workspace is not None else "-"
+    return {"workspace": workspace, "priority": str(request.rank)}
+
+
 def _progress(exchange: Exchange) -> StreamProgress:
     async def send_head(head: ResponseHead) -> None:
         await exchange.start(head.status, end_to_end(head.headers))
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -18,6 +18,7 @@
 )
 from cranberryfield.core.http1.message import end_to_end
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import UpstreamTable, accept_record
 from cranberryfield.entry.relay import (
@@ -152,6 +153,7 @@
             UsageSection(5.0, clock),
             Upstreams(pool, UpstreamDialect(_encode, _read), clock),
             self._refuse,
+            Metrics(),
             "fann",
             clock,
             Random(1),
