Charge streams to their quota, and outlive a disk that is full

Change: a stream counts as run. The log keeps what a full disk refused and writes it again; nothing is acknowledged before.

Ruled out: overlapping grants of two leaders, and the local shares without one.

--- a/packages/cranberryfield-control/src/cranberryfield/control/compaction.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/compaction.py
@@ -15,8 +15,9 @@
 SNAPSHOT_ENTRIES = 8_000
 #: Segments on disk at which a snapshot is taken even of fewer entries.
 SNAPSHOT_SEGMENTS = 4
-#: Entries that stay in memory for replicas that lag a little.
+#: Entries, and bytes of them, that stay in memory for replicas that lag a little.
 KEPT_ENTRIES = 1_000
+KEPT_BYTES = 8 << 20
 
 logger = structlog.get_logger(__name__)
 
@@ -43,15 +44,16 @@
         """Check again and again until cancelled."""
         while True:
             if self._is_due():
-                await self._take_snapshot()
+                try:
+                    await self._take_snapshot()
+                except OSError as error:
+                    logger.warning("no snapshot taken", why=str(error))
             await anyio.sleep(CHECK_INTERVAL_S)
 
     def _is_due(self) -> bool:
         new = self._section.applied_index - self._stored.snapshots.head.last_index
         segments = self._stored.journal.segments
-        return new >= SNAPSHOT_ENTRIES or (
-            new > KEPT_ENTRIES and segments >= SNAPSHOT_SEGMENTS
-        )
+        return new >= SNAPSHOT_ENTRIES or (new > 0 and segments >= SNAPSHOT_SEGMENTS)
 
     async def _take_snapshot(self) -> None:
         index = self._section.applied_index
@@ -63,4 +65,16 @@
         await self._stored.snapshots.write(head, state)
         self._stored.journal.drop_up_to(index)
         logger.info("snapshot taken", index=index, bytes=len(state))
-        self._submit(Compacted(LogIndex(index - KEPT_ENTRIES)))
+        self._submit(Compacted(self._first_kept(index)))
+
+    def _first_kept(self, index: LogIndex) -> LogIndex:
+        """Return the entry up to which memory is freed."""
+        log = self._section.replica.log
+        kept_bytes = 0
+        first = index
+        while index - first < KEPT_ENTRIES and first > log.base_index:
+            kept_bytes += len(log.slice(first, first)[0].command)
+            if kept_bytes > KEPT_BYTES:
+                break
+            first = LogIndex(first - 1)
+        return first
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -1,6 +1,7 @@
 """Runs one replica: turns messages into events and performs the actions."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -63,6 +64,9 @@
 
 __all__ = ["ControlRuntime", "ControlSection"]
 
+#: Time between two tries to write to a disk that refuses it, in seconds.
+DISK_RETRY_S = 0.2
+
 logger = structlog.get_logger(__name__)
 
 
@@ -304,7 +308,26 @@
                     journal.save_entries(entries)
                 case InstallSnapshot():
                     await self._store_snapshot(action)
-        journal.sync()
+        await self._until_written(journal.sync)
+
+    async def _until_written(self, write: Callable[[], None]) -> None:
+        """Write until the disk takes it; nothing is acknowledged before.
+
+        Other replicas elect a leader without this one meanwhile.
+        """
+        is_refused = False
+        while True:
+            try:
+                write()
+            except OSError as error:
+                if not is_refused:
+                    logger.error("the disk refuses writes", why=str(error))
+                is_refused = True
+                await anyio.sleep(DISK_RETRY_S)
+                continue
+            if is_refused:
+                logger.info("the disk takes writes again")
+            return
 
     async def _store_snapshot(self, action: InstallSnapshot) -> None:
         head = SnapshotHead(
--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/journal.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/journal.py
@@ -6,6 +6,7 @@
 
 import cbor2
 import msgspec
+import structlog
 
 from cranberryfield.control.storage.records import encode_record
 from cranberryfield.control.storage.segments import (
@@ -23,6 +24,8 @@
 
 SEGMENT_BYTES = 4 << 20
 
+logger = structlog.get_logger(__name__)
+
 
 class _VoteRecord(msgspec.Struct, array_like=True, tag="v"):
     term: Term
@@ -182,18 +185,46 @@
         self._waiting.append(encode_record(cbor2.dumps(plain)))
 
     def sync(self) -> None:
-        """Write all that was added and sync it to the disk."""
+        """Write all that was added and sync it to the disk.
+
+        Raises
+        ------
+        OSError
+            If the disk refuses it. What was added is kept and the file is as
+            long as before, so that `sync` may be called again.
+        """
         if not self._waiting:
             return
         data = b"".join(self._waiting)
+        self._waiting = [data]
+        try:
+            self._append(data)
+        except OSError:
+            self._cut_back()
+            raise
         self._waiting.clear()
+        self._size += len(data)
+        if self._size >= self._segment_bytes:
+            try:
+                self._begin_segment()
+            except OSError as error:
+                # The present segment grows on, until a later sync.
+                logger.warning("no new segment of the log", why=str(error))
+
+    def _append(self, data: bytes) -> None:
         written = 0
         while written < len(data):
             written += self._stream.write(data[written:])
         os.fdatasync(self._stream.fileno())
-        self._size += len(data)
-        if self._size >= self._segment_bytes:
-            self._begin_segment()
+
+    def _cut_back(self) -> None:
+        """Remove what a failed write has left behind the last synced record."""
+        self._stream.seek(self._size)
+        try:
+            self._stream.truncate(self._size)
+        except OSError as error:
+            # What is left is written over, or cut as a torn tail at a start.
+            logger.warning("the log was not cut back", why=str(error))
 
     def _begin_segment(self) -> None:
         number = self._manifest.last + 1
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -300,6 +300,9 @@
                 if request.route.kind is not RouteKind.STREAM:
                     note_start(self._usage, request)
             case AttemptEnd.STREAMED:
+                course.sent += 1
+                course.runs += 1
+                course.may_have_run = True
                 note_success(load)
 
     def _may_run_again(
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -7,7 +7,12 @@
 import pytest
 
 from cranberryfield.core.clock import monotonic_clock
-from cranberryfield.core.deployment import Route, RouteKind, WeightedService
+from cranberryfield.core.deployment import (
+    Route,
+    RouteKind,
+    WeightedService,
+    WorkspaceSpec,
+)
 from cranberryfield.core.http1 import (
     ConnectionPool,
     RequestHead,
@@ -19,7 +24,6 @@
 from cranberryfield.core.http1.message import end_to_end
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
-from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import UpstreamTable, accept_record
 from cranberryfield.entry.relay import (
     AnswerFacts,
@@ -120,6 +124,20 @@
     return script
 
 
+class CountingQuota:
+    """Admits everything and counts what is held."""
+
+    def __init__(self):
+        self.used = 0.0
+
+    async def admit(self, spec, cost):
+        self.used += cost
+
+    def give_back(self, spec, cost):
+        if spec is not None:
+            self.used -= cost
+
+
 class Path:
     """A relay, its upstreams, and a caller's raw connection to it."""
 
@@ -142,13 +160,13 @@
             )
             accept_record(self.table, record, 0.0)
         clock = monotonic_clock
-        quota = QuotaClient(None, lambda: None, lambda: 1, clock, Random(1))
+        self.quota = CountingQuota()
         pool = ConnectionPool(clock)
         self.relay = Relay(
             self.table,
             LoadSection(),
             DemandSection(),
-            quota,
+            self.quota,
             RetryBudget(0.2, 50.0, 10.0),
             UsageSection(5.0, clock),
             Upstreams(pool, UpstreamDialect(_encode, _read), clock),
@@ -175,7 +193,7 @@
             exchange.body,
             self.route,
             "drafts",
-            None,
+            WorkspaceSpec("notary"),
             now,
             now + left_s,
         )
@@ -274,6 +292,24 @@
     assert len(path.seen) == runs
 
 
+@pytest.mark.parametrize(
+    ("kind", "script", "used"),
+    [
+        (RouteKind.IDEMPOTENT, whole(), 1),
+        (RouteKind.IDEMPOTENT, whole(500), 1),
+        (RouteKind.IDEMPOTENT, refuse(), 0),
+        (RouteKind.NON_IDEMPOTENT, reset, 1),
+        (RouteKind.STREAM, events(1, 3), 1),
+        (RouteKind.STREAM, events(1, 2, ends=False), 1),
+        (RouteKind.STREAM, refuse(), 0),
+    ],
+)
+def test_a_quota_is_charged_for_what_may_have_run(kind, script, used):
+    path = Path([script], kind)
+    ask(path, get())
+    assert path.quota.used == used
+
+
 def test_an_answer_to_another_request_is_never_delivered():
     path = Path([foreign_first(b"mine")])
     found = ask(path, get())
