--- a/packages/cranberryfield-core/src/cranberryfield/core/logs.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/logs.py
@@ -64,8 +64,9 @@
         Lowest level that is written: ``debug``, ``info``, ``warning`` or
         ``error``.
     """
-    # A second descriptor, without the buffer of sys.stdout.
-    output = BoundedOutput(os.fdopen(os.dup(STDOUT), "wb", buffering=0))
+    # The same descriptor, without the buffer of sys.stdout.
+    stream = os.fdopen(STDOUT, "wb", buffering=0, closefd=False)
+    output = BoundedOutput(stream)
     lowest = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
         processors=[*_SHARED, structlog.processors.JSONRenderer(_dump_json)],
