Send a read of the deployment on to the leader

Cause: a replica that does not lead answered a read with no_quorum in place of naming the leader, so that the asking control host went on asking it until its time had passed.

Change: it answers with a redirect, as for proposals.

Ruled out: a group that does not recover (relays were confirmed by its leader at the time), and the time that a read may take.

Test: test_a_read_goes_to_the_leader failed before for followers.

--- a/packages/cranberryfield-control/src/cranberryfield/control/deployment/publisher.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/deployment/publisher.py
@@ -6,9 +6,9 @@
 from cranberryfield.control.consensus.replication import leader_lease_until
 from cranberryfield.control.deployment.machine import DeploymentState
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.errors import ControlError, ErrorKind
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.commands import ProposalRedirected
 from cranberryfield.core.messages.deployment import (
     DeploymentView,
     FollowDeployment,
@@ -94,10 +94,11 @@
             self._asked_at[sender] = self._clock()
         return self._view(message.version)
 
-    async def _on_read(self, sender: NodeId, message: ReadDeployment) -> DeploymentView:
+    async def _on_read(
+        self, sender: NodeId, message: ReadDeployment
+    ) -> DeploymentView | ProposalRedirected:
         if self._replica.role is not ReplicaRole.LEADER:
-            leader = self._replica.leader_node
-            raise ControlError(ErrorKind.NO_QUORUM, f"the leader is {leader}")
+            return ProposalRedirected(self._replica.leader_node)
         await self._wait_current()
         state = self._state
         node = self._replica.leader_node
--- /dev/null
+++ b/packages/cranberryfield-control/src/cranberryfield/control/deployment/tests/test_publisher.py
@@ -0,0 +1,102 @@
+"""Reads and follows of the deployment at leaders, followers and stale leaders."""
+
+from random import Random
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from cranberryfield.control.consensus.replica import Progress, Replica, ReplicaRole
+from cranberryfield.control.deployment import DeploymentPublisher
+from cranberryfield.control.machine import ControlState, apply_command
+from cranberryfield.core.ids import LogIndex
+from cranberryfield.core.messages.commands import ProposalRedirected
+from cranberryfield.core.messages.consensus import LogEntry, Members
+from cranberryfield.core.messages.deployment import (
+    DeclareDeployment,
+    DeploymentView,
+    FollowDeployment,
+    ReadDeployment,
+)
+
+NOW = 100.0
+VERSION = 7
+
+
+class FakeMesh:
+    """Keeps handlers and what is sent."""
+
+    def __init__(self):
+        self.handlers, self.sent = {}, []
+
+    def handle(self, kind, handler):
+        self.handlers[kind] = handler
+
+    def send(self, node, message):
+        self.sent.append((node, message))
+
+
+def publisher(role, heard_s=0.0):
+    """Return a replica's publisher; its quorum was heard so long ago."""
+    replica = Replica("a~1", Random(1))
+    members = Members(("a~1", "b~1", "c~1"))
+    replica.log.append((LogEntry(LogIndex(1), 1, b"", members),))
+    replica.term, replica.commit_index, replica.role = 1, LogIndex(1), role
+    replica.leader = "a~1" if role is ReplicaRole.LEADER else "b~1"
+    replica.round_number = 3
+    replica.round_started = {3: NOW - heard_s}
+    for other in ("b~1", "c~1"):
+        replica.progress[other] = Progress(LogIndex(2), LogIndex(1), 3)
+    state = ControlState()
+    apply_command(state, DeclareDeployment(VERSION, b"content"))
+    mesh = FakeMesh()
+
+    async def wait_current():
+        return
+
+    section = SimpleNamespace(replica=replica, state=state)
+    found = DeploymentPublisher(section, mesh, wait_current, lambda: NOW)
+    return found, mesh, state
+
+
+@pytest.mark.parametrize(
+    ("role", "expected"),
+    [
+        (ReplicaRole.LEADER, DeploymentView(VERSION, b"content", True, "a")),
+        (ReplicaRole.FOLLOWER, ProposalRedirected("b")),
+        (ReplicaRole.CANDIDATE, ProposalRedirected("b")),
+    ],
+)
+def test_a_read_goes_to_the_leader(role, expected):
+    _, mesh, _ = publisher(role)
+    found = anyio.run(mesh.handlers[ReadDeployment], "relay-1", ReadDeployment())
+    assert found == expected
+
+
+@pytest.mark.parametrize(
+    ("role", "heard_s", "known", "content", "is_current"),
+    [
+        (ReplicaRole.LEADER, 0.0, -1, b"content", True),
+        (ReplicaRole.LEADER, 0.0, VERSION, b"", True),
+        (ReplicaRole.LEADER, 5.0, VERSION, b"", False),
+        (ReplicaRole.FOLLOWER, 0.0, -1, b"content", False),
+    ],
+)
+def test_only_a_leader_within_its_lease_confirms(
+    role, heard_s, known, content, is_current
+):
+    _, mesh, _ = publisher(role, heard_s)
+    view = mesh.handlers[FollowDeployment]("relay-1", FollowDeployment(known))
+    assert (view.content, view.is_current) == (content, is_current)
+
+
+@pytest.mark.parametrize(("version", "is_sent"), [(8, True), (7, False), (6, False)])
+def test_a_new_version_is_sent_once_to_those_who_follow(version, is_sent):
+    found, mesh, state = publisher(ReplicaRole.LEADER)
+    mesh.handlers[FollowDeployment]("relay-1", FollowDeployment(VERSION))
+    apply_command(state, DeclareDeployment(version, b"next"))
+    found.publish()
+    found.publish()
+    assert len(mesh.sent) == is_sent
+    if is_sent:
+        assert mesh.sent[0] == ("relay-1", DeploymentView(8, b"next", True, "a"))
