--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 empty :=
 space := $(empty) $(empty)
 # The sources of this tree go before whatever the environment has installed.
-export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PARTS),$(CURDIR)/packages/cranberryfield-$(p)/src)):$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PARTS),$(CURDIR)/packages/cranberryfield-$(p)/src)):$(CURDIR)/platform/src:$(CURDIR)
 RUN := $(VENV)/bin/python
 
 .PHONY: setup format lint test demo local docs matrix bench
@@ -20,10 +20,10 @@
 	test -x $(RUN)
 endif
 
-$(VENV)/.cranberryfield-ready: requirements.lock $(wildcard packages/*/pyproject.toml)
+$(VENV)/.cranberryfield-ready: requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install -q -r requirements.lock
-	$(VENV)/bin/pip install -q --no-deps --no-build-isolation $(foreach p,$(PARTS),-e packages/cranberryfield-$(p))
+	$(VENV)/bin/pip install -q --no-deps --no-build-isolation $(foreach p,$(PARTS),-e packages/cranberryfield-$(p)) -e platform
 	touch $@
 
 format: setup
