Pass on no promise that an upstream has not made

Cause: a 503 of an upstream without its word that it has not run the request was passed on for a request that must not run twice; callers take 503 as that word.

Change: such an answer counts as a broken attempt and is answered 502.

Ruled out: passing it on under another status, with the upstream's signature.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -41,6 +41,8 @@
 STREAM_SILENCE_S = 2.0
 #: Statuses of a response that a request succeeded.
 SUCCESS = range(200, 300)
+#: Statuses that tell a caller that its request has not run.
+PROMISES = frozenset({408, 421, 429, 503})
 
 
 class AttemptEnd(Enum):
@@ -164,6 +166,9 @@
     if facts.not_run:
         detail = f"the upstream refused: {opened.head.status}"
         return AttemptResult(AttemptEnd.NOT_RUN, detail, facts=facts)
+    if opened.head.status in PROMISES and not request.route.is_idempotent:
+        detail = f"{opened.head.status} from an upstream that may have run it"
+        return AttemptResult(AttemptEnd.BROKEN, detail)
     if opened.head.status in SUCCESS and not facts.is_signed:
         detail = "a success that no upstream has signed"
         return AttemptResult(AttemptEnd.BROKEN, detail)
