Give up a kept connection that brings no answer, if that harms nobody

Cause: connections to upstreams may fall silent without an end; the kernel tells after 3 s, later than most deadlines of plain calls.

Change: a request that may run again leaves a kept connection after 45 in 100 of its time and is sent once more, within the retry budget; others wait as before.

Test: test_a_kept_connection_that_has_fallen_silent_is_given_up.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -39,6 +39,9 @@
 MAX_FOREIGN_RESPONSES = 2
 #: Silence after which a resumable stream is looked for elsewhere, in seconds.
 STREAM_SILENCE_S = 2.0
+#: Part of the time left after which a kept connection without any answer is
+#: taken for dead, if the request may be sent again.
+UNANSWERED_PART = 0.45
 #: Statuses of a response that a request succeeded.
 SUCCESS = range(200, 300)
 #: Statuses that tell a caller that its request has not run.
@@ -145,7 +148,7 @@
         head = RequestHead(request.head.method, request.head.target, headers)
         await connection.send(head, request.body)
         for _ in range(MAX_FOREIGN_RESPONSES + 1):
-            found = await connection.read_head()
+            found = await _read_head(request, connection, left_ms / MS_PER_S)
             facts = upstreams.dialect.read(found)
             if facts.request_id in (None, request.id):
                 return _Opened(connection, found, facts)
@@ -158,6 +161,20 @@
         raise
 
 
+async def _read_head(
+    request: RelayRequest, connection: UpstreamConnection, left_s: float
+) -> ResponseHead:
+    """Read a head; give a kept connection up early if that harms nobody."""
+    if not (connection.was_used and request.route.is_idempotent):
+        return await connection.read_head()
+    try:
+        with anyio.fail_after(UNANSWERED_PART * left_s):
+            return await connection.read_head()
+    except TimeoutError as error:
+        detail = "a kept connection has brought no answer"
+        raise BrokenExchangeError(detail) from error
+
+
 def _judge(request: RelayRequest, opened: _Opened) -> AttemptResult | None:
     """Return the result of an attempt that its head ends, if it does."""
     facts = opened.facts
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -430,6 +430,29 @@
     anyio.run(path.run, conversation)
 
 
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [(RouteKind.IDEMPOTENT, 200), (RouteKind.NON_IDEMPOTENT, 504)],
+)
+def test_a_kept_connection_that_has_fallen_silent_is_given_up(kind, status):
+    shared = in_turn(whole(), whole(), silent, whole())
+    path = Path([shared, shared], kind)
+    one = b"GET /x/ HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nTime: 1\r\n\r\n"
+
+    async def conversation(stream):
+        found = b""
+        for number in range(3):
+            # Both upstreams have a connection by the third request.
+            path.relay._loads.of("u0").failure_ratio = float(number == 0)
+            path.relay._loads.of("u1").failure_ratio = float(number == 1)
+            await stream.send(one)
+            found = await stream.receive()
+            await anyio.sleep(0.02)
+        assert found.startswith(b"HTTP/1.1 %d" % status)
+
+    anyio.run(path.run, conversation)
+
+
 def test_connections_to_upstreams_are_kept_and_never_with_surplus_bytes():
     surplus = whole(extra=b"")
 
