Begin a leader's need with what it finds, and keep what cannot be had again

In a wave with none to be had the plan gave up reclaimable engines that still ran, since they do not count as safe.

Change: the first need is the one that was met by what runs, and shrinks after 10 s; reclaimable engines are not given up while others are refused; a refused order of any direction waits for its pause.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
@@ -7,6 +7,7 @@
 
 from cranberryfield.control.capacity.runners import (
     ON_DEMAND,
+    RECLAIMABLE,
     Pool,
     PoolState,
     RunnerModel,
@@ -25,14 +26,14 @@
 from cranberryfield.entry.registry import UpstreamTable
 from cranberryfield.entry.reports.collector import CollectedReports
 
-__all__ = ["CapacityKeeper", "count_pools", "steady_need"]
+__all__ = ["CapacityKeeper", "count_pools", "need_met_by", "steady_need"]
 
 POLL_S = 0.25
 #: Plans made in a row, as orders are refused.
 MAX_ROUNDS = 8
 #: Time for which a smaller need must last before upstreams are given up, in
 #: seconds.
-SHRINK_AFTER_S = 8.0
+SHRINK_AFTER_S = 10.0
 #: First and longest time after a refused order in which no more are asked for in
 #: a pool, in seconds; doubled with each refusal in a row.
 FIRST_REFUSED_S = 2.0
@@ -60,7 +61,7 @@
     """What a service needs, and the largest need of late."""
 
     value: int = 0
-    found_running: int | None = None
+    is_found: bool = False
     lower_since: float | None = None
     highest_lower: int = 0
 
@@ -77,7 +78,7 @@
     Examples
     --------
     >>> need = _Need()
-    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 10)]
+    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 11)]
     >>> [steady_need(need, wanted, at) for wanted, at in asked]
     [5, 5, 5, 4]
     """
@@ -92,6 +93,24 @@
     return need.value
 
 
+def need_met_by(pools: dict[Pool, PoolState], centres: int) -> int:
+    """Return the need that was met by what runs, for a leader that knows no other.
+
+    The first demand that it hears of is that of callers who are only coming
+    back, as after a loss of all hosts.
+
+    Examples
+    --------
+    >>> pools = {Pool("a", ON_DEMAND): PoolState(5), Pool("b", "x"): PoolState(4)}
+    >>> need_met_by(pools, 4)
+    6
+    >>> need_met_by({}, 4)
+    1
+    """
+    running = sum(state.running for state in pools.values())
+    return max(1, running - -(-running // max(1, centres)))
+
+
 def count_pools(
     table: UpstreamTable, service: ServiceName, now: float
 ) -> dict[Pool, PoolState]:
@@ -183,7 +202,7 @@
         wanted = plan_runners(spec.scaling, pools, need)
         have = {pool: state.running for pool, state in pools.items()}
         for pool in _in_order(wanted, have):
-            if _holds_back(pool, wanted, have, service.orders):
+            if _holds_back(pool, wanted, pools, service.orders):
                 continue
             end = await self._order(fence, spec, service, pool, wanted[pool], have)
             if end is DutyEnd.REFUSED:
@@ -197,17 +216,13 @@
         pools: dict[Pool, PoolState],
         now: float,
     ) -> int:
+        if not service.need.is_found:
+            service.need.is_found = True
+            service.need.value = need_met_by(pools, len(spec.scaling.price_of))
         demand = self._reports.demand_for(spec.name, now)
         if not demand.in_flight and not demand.prefill_tokens_per_s:
-            # Nothing is known of the demand yet: keep as many as were found.
-            if service.need.found_running is None:
-                running = sum(state.running for state in pools.values())
-                service.need.found_running = running
-            running = service.need.found_running
-            centres = max(1, len(spec.scaling.price_of))
-            wanted = max(1, running - -(-running // centres))
-        else:
-            wanted = runners_needed(demand, spec.engine, self._model)
+            return service.need.value
+        wanted = runners_needed(demand, spec.engine, self._model)
         return steady_need(service.need, wanted, now)
 
     async def _order(
@@ -259,7 +274,7 @@
         return desired != running
     if running == order.desired:
         order.was_met = True
-    if desired > order.desired and now < order.refused_until:
+    if now < order.refused_until and desired != running:
         return False
     if desired != order.desired:
         return True
@@ -271,16 +286,22 @@
 def _holds_back(
     pool: Pool,
     wanted: dict[Pool, int],
-    have: dict[Pool, int],
+    pools: dict[Pool, PoolState],
     orders: dict[Pool, _Order],
 ) -> bool:
     """Say whether upstreams are needed until others have started.
 
-    That holds for upstreams that serve and for those that are starting.
+    That holds for upstreams that serve and for those that are starting. What
+    could not be had again is kept as well.
     """
+    have = {one: state.running for one, state in pools.items()}
     coming = orders[pool].desired if pool in orders else 0
     if wanted[pool] >= max(have.get(pool, 0), coming):
         return False
+    if pool.machine_class == RECLAIMABLE and any(
+        state.is_refused for state in pools.values()
+    ):
+        return True
     return any(have.get(one, 0) < count for one, count in wanted.items())
 
 
