Share the retry allowance over the hosts that there are

Cause: nothing told the retry budget how many hosts share the allowance of a window, so each of nine relays took half of it: up to 4.5 times the bound.

Change: the number is asked for where it is used and can't be left out; it comes from the leader. An argument that the adapter did not use is gone.

Tests: test_retries_of_all_hosts_stay_within_the_bound_of_a_window has the number given as the daemon gives it.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/faces.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/faces.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from random import Random
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.deployment import RouteTable
@@ -64,7 +63,7 @@
         Returns the calls of the cloud API at an address.
     """
 
-    read_request: Callable[[Exchange, RouteTable, Clock, Random], RelayRequest]
+    read_request: Callable[[Exchange, RouteTable, Clock], RelayRequest]
     dialect: UpstreamDialect
     refuse: Callable[[Exchange, CranberryfieldError], Awaitable[None]]
     answer_readiness: Callable[[Exchange, bool], Awaitable[None]]
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -33,7 +33,12 @@
 )
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import RegistryMirror, UpstreamTable
-from cranberryfield.entry.relay import LoadSection, Relay, RetryBudget
+from cranberryfield.entry.relay import (
+    LoadSection,
+    Relay,
+    RelayRequest,
+    RetryBudget,
+)
 from cranberryfield.entry.relay.attempts import Upstreams
 from cranberryfield.entry.relay.demand import DemandSection
 from cranberryfield.entry.relay.usage import UsageSection
@@ -79,8 +84,6 @@
         Connections to upstreams.
     clock : Clock
         Monotonic time that counts suspensions.
-    rng : random.Random
-        Seeded generator.
     """
 
     def __init__(
@@ -94,7 +97,6 @@
         reporter: HostReporter,
         pool: ConnectionPool,
         clock: Clock,
-        rng: Random,
     ):
         self._config = config
         self._faces = faces
@@ -105,7 +107,6 @@
         self._reporter = reporter
         self._pool = pool
         self._clock = clock
-        self._rng = rng
         self._stopping = False
         self._state = ServerState()
 
@@ -150,11 +151,6 @@
         lease_s = LEASE_PART * config.key_validity_ms / MS_PER_S
         deployment = board.add(DeploymentSection(lease_s))
         table = board.add(UpstreamTable())
-        budget = board.add(
-            RetryBudget(
-                config.retry_ratio, config.retry_allowance, config.retry_window_s
-            )
-        )
         pool = ConnectionPool(clock)
         loads = board.add(LoadSection())
         demand = board.add(DemandSection())
@@ -165,12 +161,19 @@
             return follower.leader
 
         reporter = HostReporter(mesh, leader, loads, demand, usage, clock)
+
+        def hosts() -> int:
+            return reporter.hosts
+
+        budget = RetryBudget(
+            config.retry_ratio, config.retry_allowance, config.retry_window_s, hosts
+        )
         relay = Relay(
             table,
             loads,
             demand,
-            QuotaClient(mesh, leader, lambda: reporter.hosts, clock, rng),
-            budget,
+            QuotaClient(mesh, leader, hosts, clock, rng),
+            board.add(budget),
             usage,
             Upstreams(pool, faces.dialect, clock),
             faces.refuse,
@@ -189,7 +192,6 @@
             reporter,
             pool,
             clock,
-            rng,
         )
 
     def is_ready(self) -> bool:
@@ -246,7 +248,7 @@
             return
         await self._relay.handle(request, exchange)
 
-    def _take(self, exchange: Exchange):
+    def _take(self, exchange: Exchange) -> RelayRequest:
         if not may_serve(self._deployment, self._clock()):
             raise UnavailableError(
                 ErrorKind.NOT_READY,
@@ -256,7 +258,7 @@
             )
         table = self._deployment.table
         self._adopt_limits()
-        return self._faces.read_request(exchange, table, self._clock, self._rng)
+        return self._faces.read_request(exchange, table, self._clock)
 
     def _adopt_limits(self) -> None:
         limits = self._deployment.table.deployment.limits
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/budget.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/budget.py
@@ -4,6 +4,7 @@
 requests and has its share of a fixed allowance for each window.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cranberryfield.core.ids import ServiceName
@@ -32,19 +33,19 @@
         Further retries permitted to all hosts together in one window.
     window_s : float
         Length of the window in seconds.
-    hosts : int
-        Hosts that share the allowance.
+    hosts : callable
+        Returns the number of hosts that share the allowance.
     """
 
     ratio: float
     allowance: float
     window_s: float
-    hosts: int = 1
+    hosts: Callable[[], int]
     _saved: dict[ServiceName, _Saved] = field(default_factory=dict)
 
     def most(self) -> float:
         """Return how many retries may be saved up."""
-        return max(1.0, USED_PART * self.allowance / max(1, self.hosts))
+        return max(1.0, USED_PART * self.allowance / max(1, self.hosts()))
 
     def refilled(self, service: ServiceName, now: float) -> _Saved:
         """Return what is saved for a service, with the allowance since."""
@@ -69,7 +70,7 @@
 
     Examples
     --------
-    >>> budget = RetryBudget(ratio=0.2, allowance=4.0, window_s=10.0, hosts=2)
+    >>> budget = RetryBudget(0.2, allowance=4.0, window_s=10.0, hosts=lambda: 2)
     >>> take_retry(budget, "drafts", 0.0), take_retry(budget, "drafts", 0.0)
     (True, False)
     """
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_choosing.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_choosing.py
@@ -128,7 +128,9 @@
 
 def test_retries_of_all_hosts_stay_within_the_bound_of_a_window():
     ratio, allowance, window_s, hosts, per_s = 0.2, 54.0, 10.0, 9, 4
-    budgets = [RetryBudget(ratio, allowance, window_s, hosts) for _ in range(hosts)]
+    budgets = [
+        RetryBudget(ratio, allowance, window_s, lambda: hosts) for _ in range(hosts)
+    ]
     spent = 0
     for step in range(int(window_s * per_s)):
         now = step / per_s
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -1,6 +1,5 @@
 """Headers of clients' requests, and of what runners get and answer."""
 
-from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -49,7 +48,7 @@
     sent.update({name.replace("_", "-"): value for name, value in headers.items()})
     pairs = [(k.encode(), v.encode()) for k, v in sent.items() if v is not None]
     exchange = SimpleNamespace(head=RequestHead(b"POST", target, pairs), body=b"body")
-    return read_request(exchange, found or table(), lambda: NOW, Random(1))
+    return read_request(exchange, found or table(), lambda: NOW)
 
 
 def test_a_request_is_read_under_the_products_names():
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -167,7 +167,7 @@
             LoadSection(),
             DemandSection(),
             self.quota,
-            RetryBudget(0.2, 50.0, 10.0),
+            RetryBudget(0.2, 50.0, 10.0, lambda: 1),
             UsageSection(5.0, clock),
             Upstreams(pool, UpstreamDialect(_encode, _read), clock),
             self._refuse,
