--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from collections.abc import AsyncIterator, Awaitable, Callable
 from random import Random
 
 import anyio
@@ -24,6 +25,7 @@
 __all__ = ["run_cluster_host"]
 
 NS_PER_MS = 1_000_000
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 logger = structlog.get_logger(__name__)
 
@@ -75,6 +77,19 @@
                 config, faces, mesh, board, metrics, directory.names, clock, rng
             )
         )
+    # Signals may come while the process is still starting.
+    with anyio.open_signal_receiver(*SIGNALS) as signals:
+        await _run_hosts(config, mesh, directory, hosts, metrics, signals)
+
+
+async def _run_hosts(
+    config: ClusterConfig,
+    mesh: Mesh,
+    directory: ControlDirectory,
+    hosts: list[ControlHost | RelayHost],
+    metrics: Metrics,
+    signals: AsyncIterator[signal.Signals],
+) -> None:
     async with anyio.create_task_group() as tasks:
         await tasks.start(mesh.listen, config.mesh)
         tasks.start_soon(directory.run)
@@ -90,14 +105,14 @@
             first_start=config.first_start,
             seeds=config.mesh_seeds,
         )
-        await _wait_for_stop()
+        await _wait_for_stop(signals)
         for host in hosts:
             await host.stop()
         logger.info("stopped")
         tasks.cancel_scope.cancel()
 
 
-def _show(metrics: Metrics):
+def _show(metrics: Metrics) -> Callable[[Exchange], Awaitable[None]]:
     async def answer(exchange: Exchange) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await exchange.answer(200, headers, render_metrics(metrics))
@@ -105,14 +120,11 @@
     return answer
 
 
-async def _wait_for_stop() -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                # Settings that change in place are read by a restart.
-                logger.info("settings file may have changed")
-                continue
-            logger.info("stopping", signal=number)
-            return
+async def _wait_for_stop(signals: AsyncIterator[signal.Signals]) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            # What may change in place, the seeds, matters at a start only.
+            logger.info("settings file may have changed")
+            continue
+        logger.info("stopping", signal=number)
+        return
