Read nothing of a response that no decision uses

Cause: the load that upstreams report with answers was decoded and not used any more, since loads come from the leader.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
@@ -118,17 +118,12 @@
         Id of the request that the response belongs to, if it says so.
     is_signed : bool
         Whether an upstream has vouched for the response as its own.
-    running, queued, places : int or None
-        Its load, if it says so.
     """
 
     not_run: bool = False
     is_misdirected: bool = False
     request_id: str | None = None
     is_signed: bool = False
-    running: int | None = None
-    queued: int | None = None
-    places: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
