--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
@@ -208,6 +208,9 @@
     ) -> CranberryfieldError:
         missing_s = (cost - holding.amount) / spec.rate_per_s
         wait_s = max(MIN_RETRY_AFTER_S, missing_s) * self._rng.uniform(1.0, 2.0)
+        # All who are refused want the same; each waits for a turn.
+        wanted_per_s = holding.demand_per_s * self._hosts()
+        wait_s *= max(1.0, wanted_per_s / spec.rate_per_s)
         return UnavailableError(
             ErrorKind.OVER_LIMIT,
             f"the quota of {spec.name} is used up: {cost:.0f} wanted, "
