Keep two cheap engines in each data centre, and follow demand sooner

Change: while reclaimable engines cost a quarter of the others or less, each data centre keeps two; demand is averaged over 2 s in place of 4; reclaimable engines of the last two data centres that have any do not count as safe.

Ruled out: a larger part of each engine held free, which helps only where the need is above one.

--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -18,6 +18,11 @@
     "runners_needed",
 ]
 
+#: Reclaimable upstreams that each data centre has at least, while they cost no
+#: more than this part of the others: a burst meets them, since starting takes
+#: longer than the worst of a burst.
+RESERVE_PER_CENTRE = 2
+CHEAP_RATIO = 0.25
 ON_DEMAND = "on-demand"
 RECLAIMABLE = "reclaimable"
 
@@ -146,7 +151,11 @@
     sure: int,
 ) -> dict[Pool, int] | None:
     """Return the cheapest plan with a number of on-demand upstreams."""
-    left = _need_after_one_loss(need - sure, len(spec.price_of))
+    usable = sum(one.available > 0 for one in cheap)
+    if sure < need and usable <= 2 < len(spec.price_of):
+        # The two data centres that still have some may be the next to lose them.
+        return None
+    left = _need_after_one_loss(need - sure, usable)
     mix = cheapest_mix(cheap, left)
     if mix is None:
         return None
@@ -200,6 +209,9 @@
         cheap, on_demand = Pool(centre, RECLAIMABLE), Pool(centre, ON_DEMAND)
         missing = max(0, spec.least - plan[cheap])
         room = _reclaimable_in(spec, centre, pools).available - plan[cheap]
+        if spec.reclaimable_ratio <= CHEAP_RATIO:
+            reserve = min(RESERVE_PER_CENTRE, spec.most) - plan[cheap]
+            missing = max(missing, min(reserve, room))
         added = max(0, min(missing, room))
         plan[cheap] += added
         plan[on_demand] = missing - added
--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
@@ -46,6 +46,14 @@
     assert total(plan, ON_DEMAND) >= 3
 
 
+@pytest.mark.parametrize(
+    ("ratio", "least_total"), [(0.18, 8), (0.25, 8), (0.5, 4), (1.0, 4)]
+)
+def test_a_burst_meets_a_reserve_where_it_is_cheap(ratio, least_total):
+    spec = PriceOfRunners(1, 5, 4.0, ratio, PRICES)
+    assert total(plan_runners(spec, {}, 1), RECLAIMABLE) >= least_total
+
+
 @pytest.mark.parametrize("running", [0, 3, 5])
 def test_places_of_what_still_runs_on_demand_are_not_ordered_twice(running):
     pools = {Pool("b", ON_DEMAND): PoolState(running)}
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
@@ -8,7 +8,7 @@
 __all__ = ["DemandSection", "current_demand", "note_asked", "note_ended"]
 
 #: Time over which demand is averaged, in seconds.
-AVERAGE_S = 4.0
+AVERAGE_S = 2.0
 
 
 @dataclass(slots=True)
