Use a part of what is tolerated beyond a quota

Change: the leader grants half of the tolerated part and 60 in 100 of the fixed number, as burst and as overdraft; the rest is for what hosts hold unused.

Test: test_the_leeway_stays_within_what_is_tolerated_in_any_window.

--- a/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
@@ -22,9 +22,6 @@
 __all__ = ["ClusterConfig", "ControlSettings", "RelaySettings", "read_cluster_config"]
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
-#: Part of the tolerance of quotas that one request may use; the rest is for
-#: grants that several hosts hold at once.
-DEBT_PART = 0.4
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -109,8 +106,9 @@
         Length of the windows in which usage is counted; 0 for no reports.
     usage_due_s : float
         Time after the end of a window in which its report is due.
-    quota_tolerance : float
-        What a workspace may use beyond its quota in a window.
+    quota_overage, quota_tolerance : float
+        What is tolerated of a workspace beyond its quota in a window: a part of
+        the quota, and a fixed number besides.
     duty_handover_ms : float
         Time after an election in which the leader before may still act, in
         milliseconds.
@@ -141,6 +139,7 @@
     usage_window_s: NotNegative = 0.0
     usage_due_s: Positive = 10.0
     duty_handover_ms: Positive = 3_000.0
+    quota_overage: NotNegative = 0.0
     quota_tolerance: NotNegative = 0.0
     group: Name = "cranberryfield"
     log_level: LogLevel = LogLevel.INFO
@@ -160,11 +159,6 @@
         """Where the control role keeps its log."""
         return self.control.data_folder if self.control is not None else None
 
-    @property
-    def quota_debt(self) -> float:
-        """How far one request may overdraw a quota."""
-        return DEBT_PART * self.quota_tolerance
-
     @property
     def roles(self) -> tuple[str, ...]:
         """What the process does, as other processes are told."""
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -30,7 +30,7 @@
 from cranberryfield.daemon.cluster.capacity import CapacityKeeper
 from cranberryfield.daemon.cluster.duties import Leadership, UsageReporter
 from cranberryfield.daemon.cluster.faces import Faces, OperatorServices
-from cranberryfield.entry.quota import QuotaKeeper
+from cranberryfield.entry.quota import QuotaKeeper, QuotaLeeway
 from cranberryfield.entry.registry import RegistryHub, UpstreamTable
 from cranberryfield.entry.reports import ReportCollector
 
@@ -110,7 +110,7 @@
             runtime.leading_term,
             deployment,
             lambda: runtime.leader_since,
-            config.quota_debt,
+            QuotaLeeway.from_tolerance(config.quota_overage, config.quota_tolerance),
             clock,
         )
         collector = ReportCollector(mesh, runtime.leading_term, clock)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/keeper.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/keeper.py
@@ -1,6 +1,7 @@
 """Hands out parts of quotas on the leader of the control group."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from math import ceil
 
 from cranberryfield.core.clock import Clock
@@ -16,13 +17,64 @@
 )
 from cranberryfield.entry.limits.tokens import KeeperTokens, refill
 
-__all__ = ["QuotaKeeper", "grant_quota"]
+__all__ = ["QuotaKeeper", "QuotaLeeway", "grant_quota"]
 
 MS_PER_S = 1000
+#: Parts of the tolerated overage and of the fixed tolerance that are used.
+OVERAGE_PART = 0.5
+BURST_PART = 0.4
+DEBT_PART = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLeeway:
+    """How far beyond its quota a workspace may go.
+
+    Attributes
+    ----------
+    rate_factor : float
+        What the rate is multiplied by.
+    more_burst : float
+        What is added to the burst.
+    debt : float
+        How far one request may overdraw what there is, so that large requests
+        are admitted as readily as small ones. What is overdrawn is waited for
+        before the next grant.
+    """
+
+    rate_factor: float = 1.0
+    more_burst: float = 0.0
+    debt: float = 0.0
+
+    @classmethod
+    def from_tolerance(cls, overage: float, tolerance: float) -> "QuotaLeeway":
+        """Return what may be used of what is tolerated in any window.
+
+        Parameters
+        ----------
+        overage : float
+            Part of the quota that is tolerated beyond it.
+        tolerance : float
+            What is tolerated besides, in each window.
+
+        Returns
+        -------
+        QuotaLeeway
+            Less than that in all; the rest is for what hosts hold unused.
+        """
+        return cls(
+            1.0 + OVERAGE_PART * overage,
+            BURST_PART * tolerance,
+            DEBT_PART * tolerance,
+        )
 
 
 def grant_quota(
-    keeper: KeeperTokens, spec: WorkspaceSpec, wish: QuotaWish, debt: float, now: float
+    keeper: KeeperTokens,
+    spec: WorkspaceSpec,
+    wish: QuotaWish,
+    leeway: QuotaLeeway,
+    now: float,
 ) -> tuple[int, int]:
     """Return how much of a quota a host gets, and when to ask for more.
 
@@ -34,10 +86,8 @@
         The quota in force.
     wish : QuotaWish
         What the host asks for.
-    debt : float
-        How far a request may overdraw the quota, so that large requests are
-        admitted as readily as small ones. What is overdrawn is waited for
-        before the next grant.
+    leeway : QuotaLeeway
+        How far beyond the quota the workspace may go.
     now : float
         Monotonic time in seconds.
 
@@ -54,19 +104,21 @@
     >>> keeper = KeeperTokens(1000.0, 0.0)
     >>> spec = WorkspaceSpec("notary", rate_per_s=100.0, burst=1000.0)
     >>> wish = QuotaWish("notary", needed=600, ahead=300)
-    >>> [grant_quota(keeper, spec, wish, 400.0, 0.0) for _ in range(2)]
+    >>> leeway = QuotaLeeway(debt=400.0)
+    >>> [grant_quota(keeper, spec, wish, leeway, 0.0) for _ in range(2)]
     [(800, 0), (600, 0)]
-    >>> grant_quota(keeper, spec, wish, 400.0, 0.0)
+    >>> grant_quota(keeper, spec, wish, leeway, 0.0)
     (0, 4010)
     """
-    refill(keeper, spec.rate_per_s, now, max(spec.burst, 1.0))
+    rate_per_s = spec.rate_per_s * leeway.rate_factor
+    refill(keeper, rate_per_s, now, max(spec.burst, 1.0) + leeway.more_burst)
     keeper.tokens += wish.returned
     allowed = keeper.tokens >= wish.needed or (
-        keeper.tokens > 0 and keeper.tokens - wish.needed >= -debt
+        keeper.tokens > 0 and keeper.tokens - wish.needed >= -leeway.debt
     )
     if not allowed:
         short = min(wish.needed - keeper.tokens, max(1.0, 1.0 - keeper.tokens))
-        return 0, ceil(short / spec.rate_per_s * MS_PER_S)
+        return 0, ceil(short / rate_per_s * MS_PER_S)
     keeper.tokens -= wish.needed
     ahead = int(max(0.0, min(wish.ahead, keeper.tokens / 2)))
     keeper.tokens -= ahead
@@ -89,8 +141,8 @@
         Returns the deployment that this host has applied.
     leader_since : callable
         Returns the time at which this host began to lead.
-    debt : float
-        How far a request may overdraw a quota.
+    leeway : QuotaLeeway
+        How far beyond its quota a workspace may go.
     clock : Clock
         Monotonic time.
     """
@@ -101,10 +153,10 @@
         leading_term: Callable[[], int | None],
         deployment: Callable[[], Deployment | None],
         leader_since: Callable[[], float],
-        debt: float,
+        leeway: QuotaLeeway,
         clock: Clock,
     ):
-        self._debt = debt
+        self._leeway = leeway
         self._leading_term = leading_term
         self._leader_since = leader_since
         self._deployment = deployment
@@ -135,5 +187,5 @@
         if bucket is None:
             bucket = KeeperTokens(at=self._leader_since())
             self._buckets[wish.workspace] = bucket
-        granted, next_ms = grant_quota(bucket, spec, wish, self._debt, self._clock())
+        granted, next_ms = grant_quota(bucket, spec, wish, self._leeway, self._clock())
         return QuotaGrant(wish.workspace, granted, next_ms)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
@@ -8,11 +8,12 @@
 from cranberryfield.core.messages.reports import QuotaWish
 from cranberryfield.entry.limits.tokens import KeeperTokens
 from cranberryfield.entry.quota.client import Holding, next_wish, refill_locally
-from cranberryfield.entry.quota.keeper import grant_quota
+from cranberryfield.entry.quota.keeper import QuotaLeeway, grant_quota
 
 RATE = 10_000.0
 SPEC = WorkspaceSpec("notary", rate_per_s=RATE, burst=RATE, counts_tokens=True)
 DEBT = 50_000.0
+LEEWAY = QuotaLeeway(debt=DEBT)
 STEP_S = 0.01
 
 
@@ -32,7 +33,7 @@
             asked[cost] += 1
             if holding.amount < cost and now >= holding.none_until:
                 wish = next_wish("notary", holding, cost, now)
-                granted, next_ms = grant_quota(keeper, SPEC, wish, DEBT, now)
+                granted, next_ms = grant_quota(keeper, SPEC, wish, LEEWAY, now)
                 holding.amount += granted
                 holding.granted_at = now
                 holding.none_until = now + min(0.3, next_ms / 1000)
@@ -80,5 +81,24 @@
 def test_a_new_leader_starts_with_an_empty_bucket():
     keeper = KeeperTokens(at=100.0)
     wish = QuotaWish("notary", 500, 0)
-    assert grant_quota(keeper, SPEC, wish, DEBT, 100.0)[0] == 0
-    assert grant_quota(keeper, SPEC, wish, DEBT, 100.1)[0] == 500
+    assert grant_quota(keeper, SPEC, wish, LEEWAY, 100.0)[0] == 0
+    assert grant_quota(keeper, SPEC, wish, LEEWAY, 100.1)[0] == 500
+
+
+@pytest.mark.parametrize("tolerance", [0.0, 20_000.0, 140_000.0])
+@pytest.mark.parametrize("overage", [0.0, 0.1])
+def test_the_leeway_stays_within_what_is_tolerated_in_any_window(overage, tolerance):
+    window_s = 8.0
+    leeway = QuotaLeeway.from_tolerance(overage, tolerance)
+    keeper = KeeperTokens(at=0.0)
+    granted = []
+    for step in range(4_000):
+        now = step * STEP_S
+        wish = QuotaWish("notary", 700, 0)
+        granted.append(grant_quota(keeper, SPEC, wish, leeway, now)[0])
+    steps = int(window_s / STEP_S)
+    most = max(
+        sum(granted[start : start + steps]) for start in range(0, 4_000 - steps, 10)
+    )
+    allowed = (RATE * window_s + SPEC.burst) * (1 + overage) + tolerance
+    assert most <= allowed
