--- /dev/null
+++ b/standins/platform_cluster.py
@@ -0,0 +1,176 @@
+"""A small cluster of the adapter on loopback, with a runner and an operator."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import httpx
+import msgspec
+
+from standins.processes import Process, free_port, wait_until
+
+__all__ = ["CONTROL", "RELAYS", "Cluster", "document", "running_cluster"]
+
+CONTROL = ["control-1", "control-2", "control-3", "control-4"]
+RELAYS = ["relay-1", "relay-2"]
+ROUTE = {
+    "name": "r1",
+    "hostname": "a.example",
+    "path_prefix": "/x/",
+    "route_type": "idempotent",
+    "timeout_ms": 5000,
+    "latency_goal_ms": 500,
+    "service": "s1",
+    "max_attempts": 2,
+}
+
+
+def document(version: int, keys: tuple[str, ...] = ("k1",), **changes) -> dict:
+    """Return a deployment with one route; `changes` are fields of the route."""
+    return {
+        "version": version,
+        "routes": [{**ROUTE, **changes}],
+        "services": [{"name": "s1"}],
+        "limits": {},
+        "tenants": [{"name": "t1", "api_keys": list(keys)}],
+    }
+
+
+class Cluster:
+    """Processes of the adapter, each on a loopback address of its own.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where their files go.
+    """
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.runner_port = free_port()
+        script = ["standins.platform_runner", str(self.runner_port)]
+        self.runner = Process("runner", script, folder)
+        self.mesh, self.front, self.ready, self.control, self.metrics = (
+            free_port() for _ in range(5)
+        )
+        names = [*CONTROL, *RELAYS]
+        self.ip = {name: f"127.0.1.{number}" for number, name in enumerate(names, 1)}
+        self.processes = {name: self._prepare(name) for name in names}
+
+    def _prepare(self, name: str) -> Process:
+        ip = self.ip[name]
+        seeds = [f"{self.ip[one]}:{self.control}" for one in CONTROL[:3]]
+        lines = [
+            f"node: {name}",
+            "data_centre: fann",
+            f'mesh: "{ip}:{self.mesh}"',
+            "mesh_key: loopback-only-key",
+            f"seeds: {msgspec.json.encode(seeds).decode()}",
+            "first_start: true",
+            f'metrics: "{ip}:{self.metrics}"',
+            "stop_s: 8",
+        ]
+        if name in RELAYS:
+            lines += [
+                "relay:",
+                f'  callers: "{ip}:{self.front}"',
+                f'  readiness: "{ip}:{self.ready}"',
+            ]
+        else:
+            lines += [
+                "control:",
+                f'  operators: "{ip}:{self.control}"',
+                f'  data_folder: "{self.folder / name}-data"',
+            ]
+        file = self.folder / f"{name}.yaml"
+        file.write_text("\n".join(lines))
+        arguments = ["standins.platform_host", str(file)]
+        return Process(name, arguments, self.folder)
+
+    def start(self) -> None:
+        """Start all processes."""
+        self.runner.start()
+        for process in self.processes.values():
+            process.start()
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in (self.runner, *self.processes.values()):
+            process.kill()
+
+    def call(
+        self, name: str, method: str, path: str, content: dict | None = None
+    ) -> httpx.Response:
+        """Make an operator's or a runner's call at a control host."""
+        url = f"http://{self.ip[name]}:{self.control}{path}"
+        with httpx.Client(trust_env=False, timeout=5) as client:
+            return client.request(method, url, json=content)
+
+    def is_acknowledged(self, name: str, content: dict) -> int:
+        """Declare a deployment at a control host; return the status, 0 for none."""
+        try:
+            return self.call(name, "POST", "/Config.Replace", content).status_code
+        except httpx.HTTPError:
+            return 0
+
+    def is_ready(self, name: str) -> bool:
+        """Ask a relay as the balancer does."""
+        url = f"http://{self.ip[name]}:{self.ready}/readyz"
+        try:
+            return httpx.get(url, trust_env=False, timeout=2).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def ask(self, name: str, key: str = "k1", number: int = 0) -> httpx.Response | None:
+        """Send a request to a relay; None if no whole answer came."""
+        headers = {
+            "Host": "a.example",
+            "Attempt-Id": f"id{number}-{time.monotonic_ns()}",
+            "Authorization": f"Token {key}",
+            "Deadline-Ms": "4000",
+        }
+        url = f"http://{self.ip[name]}:{self.front}/x/1"
+        try:
+            return httpx.get(url, headers=headers, trust_env=False, timeout=6)
+        except httpx.HTTPError:
+            return None
+
+    def status(self, name: str, key: str = "k1") -> int:
+        """Return the status of a request, 0 for none."""
+        found = self.ask(name, key)
+        return found.status_code if found is not None else 0
+
+
+@contextmanager
+def running_cluster(folder: Path) -> Iterator[Cluster]:
+    """Run a cluster whose relays serve, and end it.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where its files go.
+    """
+    cluster = Cluster(folder)
+    try:
+        cluster.start()
+        wait_until(
+            lambda: cluster.is_acknowledged("control-1", document(7)) == 200,
+            "the first deployment is acknowledged",
+        )
+        heartbeat = {
+            "service": "s1",
+            "address": f"127.0.0.1:{cluster.runner_port}",
+            "zone": "fann",
+            "slots": 8,
+            "state": "ready",
+            "seq": 1,
+            "born": 1,
+        }
+        call = "/Instances.Heartbeat/i-1"
+        cluster.call("control-4", "POST", call, heartbeat).raise_for_status()
+        for relay in RELAYS:
+            wait_until(lambda one=relay: cluster.status(one) == 200, f"{relay} serves")
+        yield cluster
+    finally:
+        cluster.stop()
