Take a setting that a rendered file leaves empty for its default

Cause: a deployment without one of the bounds would render an empty value, and no host would start.

Change: empty values count as not given; a figure that nothing read is gone.

Test: test_what_is_left_empty_has_its_default failed before on two rows.

--- a/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
@@ -62,12 +62,9 @@
     ----------
     address : str
         Its ``IP:PORT``.
-    calls_per_s : float
-        Calls that it accepts in a second from all hosts together.
     """
 
     address: IpAddress
-    calls_per_s: Positive = 1.0
 
 
 class ClusterConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -186,7 +183,11 @@
             With one line per fault: file, line, key and reason.
         """
         document = load_yaml(text, source)
-        config, problems = check_struct(document, (), document.data, cls)
+        given = document.data
+        if isinstance(given, dict):
+            # What a rendered file leaves empty has its default.
+            given = {key: value for key, value in given.items() if value is not None}
+        config, problems = check_struct(document, (), given, cls)
         if config is not None and not config.roles:
             problems = [document.problem(("relay",), "neither relay nor control")]
         raise_problems(problems)
