Soak a cluster of real processes under random faults

Change: tests/soak plays seeds: processes are killed, frozen, stopped, told to reload and started again, overlapping; the links to the runner are reset, silenced, delayed or lose one direction; callers and an operator go on all the while. Checked: at most once, true refusals, own answers only, no read older than an acknowledgement, no run with a key withdrawn for 5 s.

Clocks and storage are not faulty in it yet.

--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -25,12 +25,20 @@
     "max_attempts": 2,
 }
 
+#: A route whose requests must not run twice.
+ONCE_ROUTE = {
+    **ROUTE,
+    "name": "r2",
+    "path_prefix": "/once/",
+    "route_type": "non_idempotent",
+}
+
 
 def document(version: int, keys: tuple[str, ...] = ("k1",), **changes) -> dict:
     """Return a deployment with one route; `changes` are fields of the route."""
     return {
         "version": version,
-        "routes": [{**ROUTE, **changes}],
+        "routes": [{**ROUTE, **changes}, ONCE_ROUTE],
         "services": [{"name": "s1"}],
         "limits": {},
         "tenants": [{"name": "t1", "api_keys": list(keys)}],
@@ -49,7 +57,8 @@
     def __init__(self, folder: Path):
         self.folder = folder
         self.runner_port = free_port()
-        script = ["standins.platform_runner", str(self.runner_port)]
+        self.runs = folder / "runs"
+        script = ["standins.platform_runner", str(self.runner_port), str(self.runs)]
         self.runner = Process("runner", script, folder)
         self.mesh, self.front, self.ready, self.control, self.metrics = (
             free_port() for _ in range(5)
@@ -107,6 +116,20 @@
         with httpx.Client(trust_env=False, timeout=5) as client:
             return client.request(method, url, json=content)
 
+    def announce(self, name: str, port: int, sequence: int) -> None:
+        """Send the runner's heartbeat to a control host."""
+        heartbeat = {
+            "service": "s1",
+            "address": f"127.0.0.1:{port}",
+            "zone": "fann",
+            "slots": 8,
+            "state": "ready",
+            "seq": sequence,
+            "born": 1,
+        }
+        call = "/Instances.Heartbeat/i-1"
+        self.call(name, "POST", call, heartbeat).raise_for_status()
+
     def is_acknowledged(self, name: str, content: dict) -> int:
         """Declare a deployment at a control host; return the status, 0 for none."""
         try:
@@ -122,17 +145,19 @@
         except httpx.HTTPError:
             return False
 
-    def ask(self, name: str, key: str = "k1", number: int = 0) -> httpx.Response | None:
+    def ask(
+        self, name: str, key: str = "k1", path: str = "/x/1", request: str = ""
+    ) -> httpx.Response | None:
         """Send a request to a relay; None if no whole answer came."""
         headers = {
             "Host": "a.example",
-            "Attempt-Id": f"id{number}-{time.monotonic_ns()}",
+            "Attempt-Id": request or f"id-{time.monotonic_ns()}",
             "Authorization": f"Token {key}",
             "Deadline-Ms": "4000",
         }
-        url = f"http://{self.ip[name]}:{self.front}/x/1"
+        url = f"http://{self.ip[name]}:{self.front}{path}"
         try:
-            return httpx.get(url, headers=headers, trust_env=False, timeout=6)
+            return httpx.post(url, headers=headers, trust_env=False, timeout=6)
         except httpx.HTTPError:
             return None
 
@@ -158,17 +183,7 @@
             lambda: cluster.is_acknowledged("control-1", document(7)) == 200,
             "the first deployment is acknowledged",
         )
-        heartbeat = {
-            "service": "s1",
-            "address": f"127.0.0.1:{cluster.runner_port}",
-            "zone": "fann",
-            "slots": 8,
-            "state": "ready",
-            "seq": 1,
-            "born": 1,
-        }
-        call = "/Instances.Heartbeat/i-1"
-        cluster.call("control-4", "POST", call, heartbeat).raise_for_status()
+        cluster.announce("control-4", cluster.runner_port, 1)
         for relay in RELAYS:
             wait_until(lambda one=relay: cluster.status(one) == 200, f"{relay} serves")
         yield cluster
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -2,17 +2,29 @@
 
 import json
 import sys
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+__all__ = ["Runner"]
+
+#: Time that a run takes, in seconds.
+WORK_S = 0.01
+
 
 class Runner(BaseHTTPRequestHandler):
-    """Answers each request with its headers."""
+    """Notes each run in a journal and answers it with its headers."""
 
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    journal = None
 
     def do_GET(self) -> None:
-        """Answer with the headers as they came."""
+        """Run a request: a line in the journal, then the answer."""
+        self.rfile.read(int(self.headers.get("Content-Length") or 0))
         headers = {name.lower(): value for name, value in self.headers.items()}
+        if self.journal is not None:
+            self.journal.write(f"{headers['attempt-id']} {headers.get('tenant')}\n")
+            time.sleep(WORK_S)
         body = json.dumps({"headers": headers, "path": self.path}).encode()
         self.send_response(200)
         self.send_header("Content-Type", "application/json")
@@ -22,9 +34,15 @@
         self.end_headers()
         self.wfile.write(body)
 
+    do_POST = do_GET  # noqa: N815 - the name that the library calls
+
     def log_message(self, *arguments: object) -> None:
         """Write no log."""
 
 
 if __name__ == "__main__":
-    ThreadingHTTPServer(("127.0.0.1", int(sys.argv[1])), Runner).serve_forever()
+    if len(sys.argv) > 2:
+        Runner.journal = open(sys.argv[2], "a", buffering=1)  # noqa: SIM115
+    server = ThreadingHTTPServer(("127.0.0.1", int(sys.argv[1])), Runner)
+    server.request_queue_size = 128
+    server.serve_forever()
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,54 @@
+"""Plays seeds of the soak: ``python -m tests.soak --seeds 50 --seconds 20``."""
+
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+from cyclopts import App
+
+from tests.soak.run import play
+
+app = App(name="soak")
+
+
+@app.default
+def main(*, first: int = 1, seeds: int = 1, seconds: float = 20.0) -> None:
+    """Play seeds one after the other; keep the files of those that failed.
+
+    Parameters
+    ----------
+    first : int
+        First seed.
+    seeds : int
+        How many.
+    seconds : float
+        How long faults are drawn for each.
+    """
+    failed = 0
+    for seed in range(first, first + seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        try:
+            outcome = play(folder, seed, seconds)
+        except TimeoutError as error:
+            failed += 1
+            print(f"seed {seed}: FAILED {error}; files in {folder}")
+            continue
+        print(
+            f"seed {seed}: {len(outcome.faults)} faults, "
+            f"{outcome.served} of {outcome.asked} served, "
+            f"{len(outcome.broken)} promises broken",
+            flush=True,
+        )
+        for line in outcome.broken[:10]:
+            print(f"    {line}; files in {folder}")
+        if outcome.broken:
+            failed += 1
+        else:
+            shutil.rmtree(folder)
+    print(f"{seeds - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,94 @@
+"""What must hold of a soak, from what callers, operators and the runner saw."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+__all__ = ["Evidence", "Sent", "broken_promises"]
+
+#: Statuses by which a caller is told that its request has not run.
+NOT_RUN = frozenset({429, 503})
+#: Time after which a withdrawn key must be dead everywhere, in seconds.
+KEY_VALIDITY_S = 5.0
+OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One request of a caller.
+
+    Attributes
+    ----------
+    status : int
+        Of the answer; 0 for none.
+    answered : str or None
+        Id of the request that a success says it answers.
+    """
+
+    id: str
+    at: float
+    is_once: bool
+    key: str
+    status: int
+    answered: str | None
+
+
+@dataclass(slots=True)
+class Evidence:
+    """All that was seen.
+
+    Attributes
+    ----------
+    sent : list of Sent
+        Requests of callers.
+    runs : list of str
+        Ids in the order of the runner's journal.
+    acknowledged : list of (float, int)
+        Times and versions of acknowledged deployments.
+    reads : list of (float, int)
+        Times at which reads were sent, and the versions they gave.
+    withdrawn_at : float or None
+        When the withdrawal of the key ``k2`` was acknowledged.
+    """
+
+    sent: list[Sent] = field(default_factory=list)
+    runs: list[str] = field(default_factory=list)
+    acknowledged: list[tuple[float, int]] = field(default_factory=list)
+    reads: list[tuple[float, int]] = field(default_factory=list)
+    withdrawn_at: float | None = None
+
+
+def broken_promises(evidence: Evidence) -> list[str]:
+    """Name each promise that was broken, with the request or read that shows it.
+
+    Examples
+    --------
+    >>> sent = Sent("r1", 1.0, True, "k1", 503, None)
+    >>> broken_promises(Evidence([sent], ["r1"]))
+    ['r1 was refused as not run (503) and ran']
+    """
+    runs = Counter(evidence.runs)
+    known = {one.id for one in evidence.sent}
+    found = [f"{one} ran and nobody sent it" for one in runs if one not in known]
+    for one in evidence.sent:
+        found += _of_request(one, runs[one.id], evidence.withdrawn_at)
+    for at, version in evidence.reads:
+        newest = max((v for t, v in evidence.acknowledged if t < at), default=-1)
+        if version < newest:
+            found.append(f"a read gave version {version} after {newest}")
+    return found
+
+
+def _of_request(one: Sent, runs: int, withdrawn_at: float | None) -> list[str]:
+    found = []
+    if one.is_once and runs > 1:
+        found.append(f"{one.id} ran {runs} times")
+    if one.is_once and runs and one.status in NOT_RUN:
+        found.append(f"{one.id} was refused as not run ({one.status}) and ran")
+    if one.status == OK and one.answered != one.id:
+        found.append(f"{one.id} got the answer to {one.answered}")
+    if one.status == OK and not runs:
+        found.append(f"{one.id} succeeded without a run")
+    is_late = withdrawn_at is not None and one.at > withdrawn_at + KEY_VALIDITY_S
+    if one.key == "k2" and is_late and runs:
+        found.append(f"{one.id} ran with a key withdrawn {one.at - withdrawn_at:.1f} s")
+    return found
