--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -116,8 +116,8 @@
         with httpx.Client(trust_env=False, timeout=5) as client:
             return client.request(method, url, json=content)
 
-    def announce(self, name: str, port: int, sequence: int) -> None:
-        """Send the runner's heartbeat to a control host."""
+    def announce(self, name: str, port: int, sequence: int) -> bool:
+        """Send the runner's heartbeat to a control host; say whether it was taken."""
         heartbeat = {
             "service": "s1",
             "address": f"127.0.0.1:{port}",
@@ -128,7 +128,10 @@
             "born": 1,
         }
         call = "/Instances.Heartbeat/i-1"
-        self.call(name, "POST", call, heartbeat).raise_for_status()
+        try:
+            return self.call(name, "POST", call, heartbeat).is_success
+        except httpx.HTTPError:
+            return False
 
     def is_acknowledged(self, name: str, content: dict) -> int:
         """Declare a deployment at a control host; return the status, 0 for none."""
@@ -183,7 +186,10 @@
             lambda: cluster.is_acknowledged("control-1", document(7)) == 200,
             "the first deployment is acknowledged",
         )
-        cluster.announce("control-4", cluster.runner_port, 1)
+        wait_until(
+            lambda: cluster.announce("control-4", cluster.runner_port, 1),
+            "the runner is announced",
+        )
         for relay in RELAYS:
             wait_until(lambda one=relay: cluster.status(one) == 200, f"{relay} serves")
         yield cluster
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -124,7 +124,10 @@
     with running_cluster(folder) as cluster, start_blocking_portal() as portal:
         link = FaultProxy(free_port(), cluster.runner_port)
         portal.start_task(link.run)
-        cluster.announce("control-2", link.port, 2)
+        wait_until(
+            lambda: cluster.announce("control-2", link.port, 2),
+            "the runner is announced behind its link",
+        )
         soak = _Soak(cluster, seed)
         before = time.monotonic()
         threads = [
