Count as demand the prompt tokens that engines have to read

Cause: demand took all parts of a prompt for read already, and the last part is the request's own, so that next to nothing was left.

Change: tokens are counted at the attempt, less the leading parts that the chosen engine was sent before; requests that no engine takes count whole, and those beyond a quota not at all. Since tokens are counted in full, one engine is planned to read 0.65 of what it can instead of 0.45.

--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -69,7 +69,7 @@
     """
 
     prefill_tokens_per_s: float = 80_000.0
-    busy_part: float = 0.45
+    busy_part: float = 0.65
     filled_part: float = 0.75
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
@@ -5,7 +5,13 @@
 from cranberryfield.core.ids import ServiceName
 from cranberryfield.core.messages.reports import ServiceDemand
 
-__all__ = ["DemandSection", "current_demand", "note_asked", "note_ended"]
+__all__ = [
+    "DemandSection",
+    "current_demand",
+    "note_asked",
+    "note_ended",
+    "note_prefill",
+]
 
 #: Time over which demand is averaged, in seconds.
 AVERAGE_S = 2.0
@@ -33,16 +39,22 @@
     demand.at = now
 
 
-def note_asked(
-    section: DemandSection, service: ServiceName, prefill_tokens: int, now: float
-) -> None:
-    """Count a request and the prompt tokens that it brings."""
+def note_asked(section: DemandSection, service: ServiceName, now: float) -> None:
+    """Count a request that has come."""
     demand = section.services.setdefault(service, _Demand(at=now))
     _advance(demand, now)
-    demand.tokens_per_s += prefill_tokens / AVERAGE_S
     demand.running += 1
 
 
+def note_prefill(
+    section: DemandSection, service: ServiceName, tokens: int, now: float
+) -> None:
+    """Count prompt tokens that upstreams have to read, or would have had to."""
+    demand = section.services[service]
+    _advance(demand, now)
+    demand.tokens_per_s += tokens / AVERAGE_S
+
+
 def note_ended(section: DemandSection, service: ServiceName, now: float) -> None:
     """Note that a request has ended."""
     demand = section.services[service]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -32,7 +32,12 @@
 )
 from cranberryfield.entry.relay.budget import RetryBudget, note_request, take_retry
 from cranberryfield.entry.relay.choose import RelayModel, choose_relay_upstream
-from cranberryfield.entry.relay.demand import DemandSection, note_asked, note_ended
+from cranberryfield.entry.relay.demand import (
+    DemandSection,
+    note_asked,
+    note_ended,
+    note_prefill,
+)
 from cranberryfield.entry.relay.loads import (
     InFlight,
     LoadSection,
@@ -147,8 +152,7 @@
         """
         note_request(self._budget, request.service, request.arrived_at)
         course = _Course()
-        prefill = prefill_left(request, {part.id for part in request.prompt})
-        note_asked(self._demand, request.service, prefill, request.arrived_at)
+        note_asked(self._demand, request.service, request.arrived_at)
         outcome = "caller left"
         left_s = request.deadline - self._clock()
         try:
@@ -208,6 +212,9 @@
             self._model,
         )
         if record is None:
+            if not course.tried:
+                unread = request.prompt_tokens
+                note_prefill(self._demand, request.service, unread, now)
             raise self._failure(course)
         if course.sent and not take_retry(self._budget, request.service, now):
             raise self._failure(course)
@@ -239,6 +246,7 @@
         load = self._loads.of(record.upstream)
         unread = prefill_left(request, load.parts)
         flight = InFlight(unread, request.prompt_tokens + request.output_tokens)
+        note_prefill(self._demand, request.service, unread, self._clock())
         course.is_pending = True
         load.own[request.id] = flight
         load.note_parts(tuple(part.id for part in request.prompt))
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_lagging_hosts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_lagging_hosts.py
@@ -20,3 +20,13 @@
 def test_hosts_do_not_crowd_the_engine_that_was_idle(hosts, engines, rate_per_s, seed):
     spec = LaggingSpec(hosts, engines, rate_per_s, 10.0, CLASSES)
     assert play(spec, seed).quantile(0.95) <= TARGET_S
+
+
+@pytest.mark.parametrize("hosts", [1, 9, 60])
+def test_demand_is_what_engines_have_to_read(hosts):
+    lasts_s = 10.0
+    steady = PromptClass(1.0, 2_000, 4_000, 200, 1.0)
+    served = play(LaggingSpec(hosts, 8, 100.0, lasts_s, (steady,)), 1)
+    (told_per_s,) = served.demand_per_s
+    read_per_s = served.read_tokens / lasts_s
+    assert 0.6 * read_per_s <= told_per_s <= 2.0 * read_per_s
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
@@ -13,6 +13,7 @@
     current_demand,
     note_asked,
     note_ended,
+    note_prefill,
 )
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports.collector import (
@@ -70,7 +71,8 @@
 def test_demand_follows_a_burst_and_its_end():
     section = DemandSection()
     for step in range(100):
-        note_asked(section, "drafts", 500, step * 0.1)
+        note_asked(section, "drafts", step * 0.1)
+        note_prefill(section, "drafts", 500, step * 0.1)
     (busy,) = current_demand(section, 10.0)
     assert 4_000 < busy.prefill_tokens_per_s < 6_000
     assert busy.in_flight > 50
--- a/standins/lagging.py
+++ b/standins/lagging.py
@@ -9,6 +9,13 @@
 from cranberryfield.core.http1 import RequestHead
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.relay.choose import RelayModel, choose_relay_upstream
+from cranberryfield.entry.relay.demand import (
+    DemandSection,
+    current_demand,
+    note_asked,
+    note_ended,
+    note_prefill,
+)
 from cranberryfield.entry.relay.loads import InFlight, LoadSection, take_others
 from cranberryfield.entry.relay.request import (
     PromptPart,
@@ -83,10 +90,13 @@
         Time to the first event of each request, in seconds.
     read_tokens : int
         Prompt tokens that engines have read.
+    demand_per_s : list of float
+        Prompt tokens a second that hosts expect to be read, at the end.
     """
 
     waits_s: list[float] = field(default_factory=list)
     read_tokens: int = 0
+    demand_per_s: list[float] = field(default_factory=list)
 
     def quantile(self, part: float) -> float:
         """Return the wait that a part of all requests does not exceed."""
@@ -106,6 +116,7 @@
     records: list[UpstreamRecord]
     engines: dict[str, _Engine]
     views: list[LoadSection]
+    demand: DemandSection = field(default_factory=DemandSection)
     events: list = field(default_factory=list)
     serial: int = 0
     served: Served = field(default_factory=Served)
@@ -146,6 +157,9 @@
     while world.events and world.events[0][0] < spec.lasts_s:
         now, _, act = heapq.heappop(world.events)
         act(now)
+    world.served.demand_per_s = [
+        one.prefill_tokens_per_s for one in current_demand(world.demand, spec.lasts_s)
+    ]
     return world.served
 
 
@@ -163,6 +177,8 @@
     )
     load = loads.of(record.upstream)
     unread = prefill_left(request, load.parts)
+    note_asked(world.demand, request.service, now)
+    note_prefill(world.demand, request.service, unread, now)
     flight = InFlight(unread, 0)
     load.own[request.id] = flight
     load.note_parts(tuple(part.id for part in request.prompt))
@@ -177,8 +193,9 @@
     def first(_: float) -> None:
         flight.prefill_tokens = 0
 
-    def end(_: float) -> None:
+    def end(now: float) -> None:
         load.own.pop(request.id)
+        note_ended(world.demand, request.service, now)
 
     world.at(first_at, first)
     world.at(first_at + request.route.timeout_ms / 1000, end)
