Let the first leader of a group act at once

Cause: after each election a leader waits for the time in which its predecessor may act, also the first one, which has none. Nine on-demand engines ran 3 s longer at each start, and engines are the largest price.

Change: a leader whose log begins with a committed entry of its own term acts at once; a predecessor that had acted would have committed something before.

--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/replication.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/replication.py
@@ -21,6 +21,7 @@
 __all__ = [
     "append_commands",
     "commit_up_to",
+    "is_first_leader",
     "leader_lease_until",
     "majority_round",
     "on_append_reply",
@@ -322,3 +323,26 @@
     timing = replica.timing
     lease_s = timing.election_min_s * timing.lease_ratio
     return _quorum_acknowledged_at(replica) + lease_s
+
+
+def is_first_leader(replica: Replica) -> bool:
+    """Say whether a leader is the first one that has committed anything.
+
+    Parameters
+    ----------
+    replica : Replica
+        A leader.
+
+    Returns
+    -------
+    bool
+        True if the log's first entry is of its own term and is committed: the
+        log of any earlier leader that had committed something would begin with
+        that.
+    """
+    first = LogIndex(1)
+    return (
+        replica.role is ReplicaRole.LEADER
+        and replica.commit_index >= first
+        and replica.log.term_at(first) == replica.term
+    )
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -31,7 +31,10 @@
     step,
 )
 from cranberryfield.control.consensus.membership import next_members
-from cranberryfield.control.consensus.replication import leader_lease_until
+from cranberryfield.control.consensus.replication import (
+    is_first_leader,
+    leader_lease_until,
+)
 from cranberryfield.control.deployment import DeploymentPublisher
 from cranberryfield.control.followers import Followers
 from cranberryfield.control.joining import Joining
@@ -227,6 +230,13 @@
             return None
         return replica.term
 
+    def is_first_leader(self) -> bool:
+        """Say whether no leader before this one has committed anything.
+
+        Leaders act on committed entries only, so that none has acted then.
+        """
+        return is_first_leader(self._section.replica)
+
     async def propose(self, command: bytes) -> Message:
         """Put a command through the log.
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/duties.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/duties.py
@@ -73,7 +73,7 @@
 
     The term of the replicated log is the number: it grows with each election
     and belongs to one host. After an election the host waits for the time in
-    which its predecessor may still act.
+    which its predecessor may still act, if there has been one.
 
     Parameters
     ----------
@@ -105,7 +105,8 @@
             self._term, self._since = term, self._clock()
         if term is None or term == self._fenced_term:
             return None
-        if self._clock() - self._since < self._wait_s:
+        waited = self._clock() - self._since >= self._wait_s
+        if not (waited or self._runtime.is_first_leader()):
             return None
         return Fence(self._node, term)
 
--- /dev/null
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_leadership.py
@@ -0,0 +1,56 @@
+"""When a leader acts: the first of a group at once, later ones after a wait."""
+
+from random import Random
+
+import pytest
+
+from cranberryfield.control.consensus.replica import Replica, ReplicaRole
+from cranberryfield.control.consensus.replication import is_first_leader
+from cranberryfield.core.messages.consensus import LogEntry
+from cranberryfield.daemon.cluster.duties import Fence, Leadership
+
+WAIT_S = 3.0
+
+
+class Runtime:
+    """A replica that leads."""
+
+    def __init__(self, term, terms, commit_index):
+        self.replica = Replica("c1", Random(1), term=term, role=ReplicaRole.LEADER)
+        entries = [LogEntry(index, one, b"x") for index, one in enumerate(terms, 1)]
+        self.replica.log.append(tuple(entries))
+        self.replica.commit_index = commit_index
+
+    def leading_term(self):
+        return self.replica.term
+
+    def is_first_leader(self):
+        return is_first_leader(self.replica)
+
+
+@pytest.mark.parametrize(
+    ("term", "terms", "commit_index", "acts_at_once"),
+    [
+        (1, (1, 1), 2, True),
+        (2, (2,), 1, True),
+        (1, (1,), 0, False),
+        (1, (), 0, False),
+        (2, (1, 2), 2, False),
+    ],
+)
+def test_only_a_leader_that_may_have_a_predecessor_waits(
+    term, terms, commit_index, acts_at_once
+):
+    now = 10.0
+    runtime = Runtime(term, terms, commit_index)
+    leadership = Leadership("c1", runtime, WAIT_S, lambda: now)
+    expected = Fence("c1", term) if acts_at_once else None
+    assert leadership.fence() == expected
+    now += WAIT_S
+    assert leadership.fence() == Fence("c1", term)
+
+
+def test_a_log_without_its_beginning_tells_nothing_of_earlier_leaders():
+    runtime = Runtime(1, (1, 1, 1), 3)
+    runtime.replica.log.compact(2)
+    assert not is_first_leader(runtime.replica)
