Tell callers of a host that starts when it usually serves

Cause: a host that has just started told callers to return after 0.3 s; with one retry they were refused for good, since a start of all hosts takes 1.3 s.

Change: the time told is what is left of a usual start, spread by 0.3 of it.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -44,13 +44,19 @@
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports import HostReporter
 
-__all__ = ["RelayHost"]
+__all__ = ["RelayHost", "not_ready_retry_s"]
 
 MS_PER_S = 1000
 #: Part of a key's validity that a confirmation lasts; the rest covers the time
 #: that a request is on its way to an upstream.
 LEASE_PART = 0.8
-NOT_READY_RETRY_S = 0.3
+#: Time after its start at which a host usually serves, if all hosts start at
+#: once, in seconds: an election and a round of confirmations.
+USUAL_START_S = 1.3
+#: Shortest time after which callers of a host that is not ready are to return, in
+#: seconds, and the part of the time told by which it is spread.
+MIN_NOT_READY_RETRY_S = 0.3
+SPREAD_PART = 0.3
 IDLE_CHECK_S = 0.5
 #: Time for the balancer to see that the host is not ready, in seconds.
 NOT_READY_NOTICE_S = 2.6
@@ -61,6 +67,20 @@
 logger = structlog.get_logger(__name__)
 
 
+def not_ready_retry_s(age_s: float, rng: Random) -> float:
+    """Return when callers of a host that is not ready are to return, in seconds.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since the host's start, in seconds.
+    rng : random.Random
+        Spreads the times.
+    """
+    left_s = max(MIN_NOT_READY_RETRY_S, USUAL_START_S - age_s)
+    return left_s * rng.uniform(1.0, 1.0 + SPREAD_PART)
+
+
 class RelayHost:
     """The relay role of a cluster host.
 
@@ -84,6 +104,8 @@
         Connections to upstreams.
     clock : Clock
         Monotonic time that counts suspensions.
+    rng : random.Random
+        Spreads the times at which refused callers return.
     """
 
     def __init__(
@@ -97,6 +119,7 @@
         reporter: HostReporter,
         pool: ConnectionPool,
         clock: Clock,
+        rng: Random,
     ):
         self._config = config
         self._faces = faces
@@ -107,6 +130,8 @@
         self._reporter = reporter
         self._pool = pool
         self._clock = clock
+        self._rng = rng
+        self._started_at = clock()
         self._stopping = False
         self._state = ServerState()
 
@@ -192,6 +217,7 @@
             reporter,
             pool,
             clock,
+            rng,
         )
 
     def is_ready(self) -> bool:
@@ -249,12 +275,13 @@
         await self._relay.handle(request, exchange)
 
     def _take(self, exchange: Exchange) -> RelayRequest:
-        if not may_serve(self._deployment, self._clock()):
+        now = self._clock()
+        if not may_serve(self._deployment, now):
             raise UnavailableError(
                 ErrorKind.NOT_READY,
                 "the deployment in force is not confirmed",
                 was_run=WasRun.NO,
-                retry_after_s=NOT_READY_RETRY_S,
+                retry_after_s=not_ready_retry_s(now - self._started_at, self._rng),
             )
         table = self._deployment.table
         self._adopt_limits()
