Find the need when all upstreams have been heard of

Cause: a leader that acts at once finds the need from the upstreams that it has heard of by then, which may be two of fifty-six: it would give up the others.

Change: the largest need found in the first 3 s counts, from pools that it has not ordered in. A request's line tells the time to its first event.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
@@ -41,6 +41,9 @@
 #: Time after which an order is repeated if the upstreams have not come, beyond
 #: their time to start, in seconds.
 REPEAT_S = 4.0
+#: Time in which a leader hears of all upstreams that there were before its
+#: orders, in seconds.
+HEAR_ALL_S = 3.0
 #: An upstream that has not announced itself for this time is gone, in seconds.
 SILENT_S = 4.0
 
@@ -61,7 +64,7 @@
     """What a service needs, and the largest need of late."""
 
     value: int = 0
-    is_found: bool = False
+    found_at: float | None = None
     lower_since: float | None = None
     highest_lower: int = 0
 
@@ -216,14 +219,22 @@
         pools: dict[Pool, PoolState],
         now: float,
     ) -> int:
-        if not service.need.is_found:
-            service.need.is_found = True
-            service.need.value = need_met_by(pools, len(spec.scaling.price_of))
+        need = service.need
+        if need.found_at is None:
+            need.found_at = now
+        if now - need.found_at < HEAR_ALL_S:
+            found = {
+                pool: state
+                for pool, state in pools.items()
+                if pool not in service.orders
+            }
+            met = need_met_by(found, len(spec.scaling.price_of))
+            need.value = max(need.value, met)
         demand = self._reports.demand_for(spec.name, now)
         if not demand.in_flight and not demand.prefill_tokens_per_s:
-            return service.need.value
+            return need.value
         wanted = runners_needed(demand, spec.engine, self._model)
-        return steady_need(service.need, wanted, now)
+        return steady_need(need, wanted, now)
 
     async def _order(
         self,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_capacity.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_capacity.py
@@ -148,6 +148,15 @@
     assert scene.total() >= 9
 
 
+def test_upstreams_that_a_leader_hears_of_later_count_for_what_was_needed():
+    scene = Scene(on_demand="a")
+    scene.play(0.25)
+    for centre in "aaabbbbccccdddd":
+        scene.start(Pool(centre, ON_DEMAND))
+    scene.play(0.5 * SHRINK_AFTER_S)
+    assert scene.total() >= 12
+
+
 def test_a_wave_with_none_to_be_had_is_made_up_on_demand_at_once():
     scene = Scene()
     scene.play(2 * SHRINK_AFTER_S, runners=3)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -72,6 +72,7 @@
     is_pending: bool = False
     charged: WorkspaceSpec | None = None
     admitted_at: float | None = None
+    first_at: float | None = None
     fallback: Response | None = None
     log: list[str] = field(default_factory=list)
 
@@ -255,9 +256,11 @@
 
         def note_first() -> None:
             flight.prefill_tokens = 0
-            waited_s = self._clock() - request.arrived_at
-            self._metrics.observe("first_event", waited_s, **_labels(request))
             note_start(self._usage, request)
+            if course.first_at is None:
+                course.first_at = self._clock()
+                waited_s = course.first_at - request.arrived_at
+                self._metrics.observe("first_event", waited_s, **_labels(request))
 
         try:
             if progress is None:
@@ -358,9 +361,12 @@
 
     def _log(self, request: RelayRequest, course: _Course, outcome: str) -> None:
         now = self._clock()
-        admitted_s = None
-        if course.admitted_at is not None:
-            admitted_s = course.admitted_at - request.arrived_at
+
+        def passed_ms(moment: float | None) -> float | None:
+            if moment is None:
+                return None
+            return round((moment - request.arrived_at) * MS_PER_S, 1)
+
         logger.info(
             "request ended",
             request=request.id,
@@ -370,8 +376,9 @@
             outcome=outcome,
             attempts=course.log,
             quota_cost=request.quota_cost,
-            admitted_ms=admitted_s and round(admitted_s * MS_PER_S, 1),
-            took_ms=round((now - request.arrived_at) * MS_PER_S, 1),
+            admitted_ms=passed_ms(course.admitted_at),
+            first_event_ms=passed_ms(course.first_at),
+            took_ms=passed_ms(now),
             left_ms=round((request.deadline - now) * MS_PER_S),
         )
 
