Tell callers beyond a quota when all refused before them would be served

Change: the time told is what the host's share of the quota takes to make up for all that it has refused. Hosts without a leader start with the share of a second if the quota was not limited of late.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
@@ -15,7 +15,14 @@
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.reports import LeaseQuota, QuotaGrant, QuotaWish
 
-__all__ = ["Holding", "QuotaClient", "next_wish", "note_wish", "refill_locally"]
+__all__ = [
+    "Holding",
+    "QuotaClient",
+    "next_wish",
+    "note_refused",
+    "note_wish",
+    "refill_locally",
+]
 
 MS_PER_S = 1000
 #: A host asks for what it needs and for its demand of this time, in seconds.
@@ -33,7 +40,13 @@
 LONGEST_WAIT_S = 0.3
 #: Part of an even share of the quota that a host uses while no leader answers.
 LOCAL_PART = 0.6
+#: Time without a limit after which a quota counts as ample, in seconds, and time
+#: whose share is added at once if the leader of an ample quota falls silent.
+AMPLE_S = 5.0
+FIRST_LOCAL_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
+#: Part of the time to come back by which it is spread.
+SPREAD_PART = 0.5
 
 logger = structlog.get_logger(__name__)
 
@@ -58,6 +71,8 @@
     silent_until : float
         Monotonic time in seconds before which a leader that has not answered
         is not asked again.
+    refused : float
+        What was refused here and has not been made up for, as of `refused_at`.
     """
 
     amount: float = 0.0
@@ -67,6 +82,8 @@
     demand_at: float = 0.0
     local_at: float | None = None
     silent_until: float = float("-inf")
+    refused: float = 0.0
+    refused_at: float = 0.0
     asking: anyio.Event | None = field(default=None)
 
 
@@ -98,11 +115,52 @@
     return QuotaWish(workspace, needed, ahead, returned)
 
 
+def note_refused(
+    holding: Holding, cost: float, share_per_s: float, now: float
+) -> float:
+    """Count a refused request; return when there may be room for it, in seconds.
+
+    Parameters
+    ----------
+    holding : Holding
+        Changed in place.
+    cost : float
+        What the request counts.
+    share_per_s : float
+        This host's even share of the quota, a second.
+    now : float
+        Monotonic time in seconds.
+
+    Returns
+    -------
+    float
+        The time that the share takes to make up for all that was refused, so
+        that those who return do not take the place of requests that have just
+        come.
+
+    Examples
+    --------
+    >>> holding = Holding()
+    >>> [note_refused(holding, 500.0, 1_000.0, now) for now in (5.0, 5.1, 5.2, 9.0)]
+    [0.5, 0.9, 1.3, 0.5]
+    """
+    elapsed_s = max(0.0, now - holding.refused_at)
+    left = max(0.0, holding.refused - elapsed_s * share_per_s)
+    holding.refused, holding.refused_at = left + cost, now
+    return round(max(MIN_RETRY_AFTER_S, holding.refused / share_per_s), 3)
+
+
 def refill_locally(
     holding: Holding, spec: WorkspaceSpec, hosts: int, now: float
 ) -> None:
-    """Add this host's share of the quota for the time without a leader."""
+    """Add this host's share of the quota for the time without a leader.
+
+    A workspace that the leader has not limited of late starts with the share of
+    a short time before.
+    """
     share_per_s = LOCAL_PART * spec.rate_per_s / max(1, hosts)
+    if holding.local_at is None and now - holding.none_until > AMPLE_S:
+        holding.local_at = max(holding.granted_at, now - FIRST_LOCAL_S)
     if holding.local_at is not None:
         gained = (now - holding.local_at) * share_per_s
         most = max(holding.amount, share_per_s * AVERAGE_S)
@@ -222,14 +280,11 @@
     def _over_limit(
         self, spec: WorkspaceSpec, holding: Holding, cost: float
     ) -> CranberryfieldError:
-        missing_s = (cost - holding.amount) / spec.rate_per_s
-        wait_s = max(MIN_RETRY_AFTER_S, missing_s) * self._rng.uniform(1.0, 2.0)
-        # All who are refused want the same; each waits for a turn.
-        wanted_per_s = holding.demand_per_s * self._hosts()
-        wait_s *= max(1.0, wanted_per_s / spec.rate_per_s)
+        share_per_s = spec.rate_per_s / max(1, self._hosts())
+        wait_s = note_refused(holding, cost, share_per_s, self._clock())
         return UnavailableError(
             ErrorKind.OVER_LIMIT,
             f"the quota of {spec.name} is used up: {cost:.0f} wanted, "
             f"{holding.amount:.0f} held, {spec.rate_per_s:.0f} a second in all",
-            retry_after_s=wait_s,
+            retry_after_s=wait_s * self._rng.uniform(1.0, 1.0 + SPREAD_PART),
         )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
@@ -14,6 +14,7 @@
     Holding,
     QuotaClient,
     next_wish,
+    note_refused,
     refill_locally,
 )
 from cranberryfield.entry.quota.keeper import QuotaLeeway, grant_quota
@@ -86,6 +87,52 @@
     assert 0 < used <= RATE * seconds
 
 
+@pytest.mark.parametrize("hosts", [1, 9])
+@pytest.mark.parametrize("demand", [2.0, 4.0])
+def test_those_who_return_do_not_take_the_place_of_requests_that_have_just_come(
+    hosts, demand
+):
+    rng = Random(1)
+    size, most_wait_s = 1_000.0, 3.3
+    keeper = KeeperTokens(at=0.0)
+    holdings = [Holding() for _ in range(hosts)]
+    returns: list[float] = []
+    admitted = {"fresh": 0, "returned": 0}
+    for step in range(int(10.0 / STEP_S)):
+        now = step * STEP_S
+        fresh = int(rng.random() < demand * RATE * STEP_S / size)
+        back = sum(at <= now for at in returns)
+        returns = [at for at in returns if at > now]
+        for kind in ["fresh"] * fresh + ["returned"] * back:
+            holding = rng.choice(holdings)
+            if holding.amount < size and now >= holding.none_until:
+                wish = next_wish("notary", holding, size, now)
+                granted, next_ms = grant_quota(keeper, SPEC, wish, QuotaLeeway(), now)
+                holding.amount, holding.granted_at = holding.amount + granted, now
+                holding.none_until = now + min(0.3, next_ms / 1000)
+            if holding.amount >= size:
+                holding.amount -= size
+                admitted[kind] += 1
+            else:
+                wait_s = note_refused(holding, size, RATE / hosts, now)
+                if kind == "fresh":
+                    wait_s = min(most_wait_s, wait_s * rng.uniform(1.0, 1.5))
+                    returns.append(now + wait_s)
+    assert sum(admitted.values()) * size >= 0.9 * RATE * 10.0
+    assert admitted["fresh"] >= 1.5 * admitted["returned"]
+
+
+@pytest.mark.parametrize(
+    ("limited_s_ago", "expected"), [(60.0, pytest.approx(0.6 * RATE / 9)), (1.0, 0.0)]
+)
+def test_an_ample_quota_goes_on_at_once_when_the_leader_falls_silent(
+    limited_s_ago, expected
+):
+    holding = Holding(granted_at=99.0, none_until=100.0 - limited_s_ago)
+    refill_locally(holding, SPEC, 9, 100.0)
+    assert holding.amount == expected
+
+
 class SilentMesh:
     """Links to a leader that does not answer."""
 
