Compare engines with the best one, and prefer those with free places

Cause: steps of 0.1 s have edges: a small load moved a request off the engine that has its subject. Engines of 12 places are full long before they are read to the limit.

Change: engines within 0.1 s of the best count as equal; full ones are taken only if all are full. The model has places now.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/choose.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/choose.py
@@ -111,18 +111,24 @@
     if not steady:
         return min(untried, key=lambda one: loads.of(one.upstream).paused_until)
 
+    roomy = [one for one in steady if loads.of(one.upstream).in_flight < one.capacity]
+    steady = roomy or steady
+    waits_s = [
+        expected_wait_s(one, loads.of(one.upstream), request, data_centre, now, model)
+        for one in steady
+    ]
     equal_s = model.equal_s if request.prompt_tokens else model.plain_equal_s
+    longest_s = min(waits_s) + equal_s
+    equal = [
+        one for one, wait_s in zip(steady, waits_s, strict=True) if wait_s <= longest_s
+    ]
 
-    def order(record: UpstreamRecord) -> tuple[int, int, int]:
-        load = loads.of(record.upstream)
-        wait_s = expected_wait_s(record, load, request, data_centre, now, model)
-        return (
-            round(wait_s / equal_s),
-            prefill_left(request, load.parts),
-            _tie_break(record.upstream, request),
-        )
+    def order(record: UpstreamRecord) -> tuple[int, int]:
+        parts = loads.of(record.upstream).parts
+        unread = prefill_left(request, parts)
+        return unread, _tie_break(record.upstream, request)
 
-    return min(steady, key=order)
+    return min(equal, key=order)
 
 
 def _tie_break(upstream: UpstreamId, request: RelayRequest) -> int:
--- a/standins/lagging.py
+++ b/standins/lagging.py
@@ -71,6 +71,8 @@
         Time that is played, in seconds.
     classes : tuple of PromptClass
         Kinds of request.
+    places : int
+        Requests that an engine runs at once.
     """
 
     hosts: int
@@ -78,6 +80,7 @@
     rate_per_s: float
     lasts_s: float
     classes: tuple[PromptClass, ...]
+    places: int = 32
 
 
 @dataclass(slots=True)
@@ -106,6 +109,7 @@
 @dataclass(slots=True)
 class _Engine:
     free_at: float = 0.0
+    ends: list[float] = field(default_factory=list)
     parts: set[str] = field(default_factory=set)
 
 
@@ -145,7 +149,7 @@
     world = _World(
         spec,
         Random(seed),
-        [_record(number) for number in range(spec.engines)],
+        [_record(number, spec.places) for number in range(spec.engines)],
         {f"u{number}": _Engine() for number in range(spec.engines)},
         [LoadSection() for _ in range(spec.hosts)],
     )
@@ -163,9 +167,9 @@
     return world.served
 
 
-def _record(number: int) -> UpstreamRecord:
+def _record(number: int, places: int) -> UpstreamRecord:
     return UpstreamRecord(
-        f"u{number}", 1, 1, "drafts", "d", "10.0.0.1:80", "on-demand", (), 32, 0
+        f"u{number}", 1, 1, "drafts", "d", "10.0.0.1:80", "on-demand", (), places, 0
     )
 
 
@@ -186,7 +190,12 @@
     tokens = prefill_left(request, engine.parts)
     engine.parts.update(part.id for part in request.prompt)
     world.served.read_tokens += tokens
-    engine.free_at = max(now, engine.free_at) + tokens / READS_PER_S
+    while engine.ends and engine.ends[0] <= now:
+        heapq.heappop(engine.ends)
+    admitted_at = now
+    if len(engine.ends) >= world.spec.places:
+        admitted_at = heapq.heappop(engine.ends)
+    engine.free_at = max(admitted_at, engine.free_at) + tokens / READS_PER_S
     first_at = engine.free_at + FIRST_S
     world.served.waits_s.append(first_at - now)
 
@@ -197,6 +206,7 @@
         load.own.pop(request.id)
         note_ended(world.demand, request.service, now)
 
+    heapq.heappush(engine.ends, first_at + request.route.timeout_ms / 1000)
     world.at(first_at, first)
     world.at(first_at + request.route.timeout_ms / 1000, end)
 
