Serve an ample quota on while there is no leader

Until the next one, each of 60 hosts used a sixtieth of each quota: 770 tokens a second, less than one request. Nearly all prompts were refused for a second and came back late: a third of all were late in the first ten seconds.

Change: where the quota was not limited for 5 s, a host overdraws its share; what it overdraws is asked of the next leader. A limited quota is not overdrawn. One request finds out for all workspaces that the leader is silent. An attempt that has not ended shows in the request's line.

Try beside it: a smaller need is followed after 20 s instead of 10 s.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
@@ -33,7 +33,7 @@
 MAX_ROUNDS = 8
 #: Time for which a smaller need must last before upstreams are given up, in
 #: seconds.
-SHRINK_AFTER_S = 10.0
+SHRINK_AFTER_S = 20.0
 #: First and longest time after a refused order in which no more are asked for in
 #: a pool, in seconds; doubled with each refusal in a row.
 FIRST_REFUSED_S = 2.0
@@ -41,9 +41,6 @@
 #: Time after which an order is repeated if the upstreams have not come, beyond
 #: their time to start, in seconds.
 REPEAT_S = 4.0
-#: Time in which a leader hears of all upstreams that there were before its
-#: orders, in seconds.
-HEAR_ALL_S = 3.0
 #: An upstream that has not announced itself for this time is gone, in seconds.
 SILENT_S = 4.0
 
@@ -81,7 +78,7 @@
     Examples
     --------
     >>> need = _Need()
-    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 11)]
+    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 21)]
     >>> [steady_need(need, wanted, at) for wanted, at in asked]
     [5, 5, 5, 4]
     """
@@ -222,7 +219,8 @@
         need = service.need
         if need.found_at is None:
             need.found_at = now
-        if now - need.found_at < HEAR_ALL_S:
+        # Until then nothing that this leader has ordered can have started.
+        if now - need.found_at < spec.scaling.start_s:
             found = {
                 pool: state
                 for pool, state in pools.items()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
@@ -40,10 +40,12 @@
 LONGEST_WAIT_S = 0.3
 #: Part of an even share of the quota that a host uses while no leader answers.
 LOCAL_PART = 0.6
-#: Time without a limit after which a quota counts as ample, in seconds, and time
-#: whose share is added at once if the leader of an ample quota falls silent.
+#: Time without a limit after which a quota counts as ample, in seconds.
 AMPLE_S = 5.0
-FIRST_LOCAL_S = 1.0
+#: How far a host without a leader overdraws its share of an ample quota, as a
+#: time whose share that is, in seconds. What a workspace has left unused of the
+#: window before covers it, and the leader takes it off what it grants next.
+OVERDRAWN_S = 3.0
 MIN_RETRY_AFTER_S = 0.1
 #: Part of the time to come back by which it is spread.
 SPREAD_PART = 0.5
@@ -68,9 +70,6 @@
     local_at : float
         Monotonic time in seconds up to which the local share is counted, while
         no leader answers.
-    silent_until : float
-        Monotonic time in seconds before which a leader that has not answered
-        is not asked again.
     refused : float
         What was refused here and has not been made up for, as of `refused_at`.
     """
@@ -81,7 +80,6 @@
     demand_per_s: float = 0.0
     demand_at: float = 0.0
     local_at: float | None = None
-    silent_until: float = float("-inf")
     refused: float = 0.0
     refused_at: float = 0.0
     asking: anyio.Event | None = field(default=None)
@@ -108,13 +106,47 @@
     QuotaWish(workspace='notary', needed=300, ahead=0, returned=100)
     """
     returned = 0
-    if now - holding.granted_at > KEEP_S:
+    if now - holding.granted_at > KEEP_S and holding.amount > 0.0:
         returned, holding.amount = int(holding.amount), 0.0
     needed = ceil(max(0.0, cost - holding.amount))
     ahead = int(holding.demand_per_s * AHEAD_S)
     return QuotaWish(workspace, needed, ahead, returned)
 
 
+def may_use(
+    holding: Holding, cost: float, share_per_s: float, is_silent: bool, now: float
+) -> bool:
+    """Say whether a request may be admitted with what this host holds.
+
+    Parameters
+    ----------
+    holding : Holding
+        What there is.
+    cost : float
+        What the request counts.
+    share_per_s : float
+        This host's even share of the quota, a second.
+    is_silent : bool
+        Whether no leader answers. Requests of a quota that was ample then
+        overdraw it: an even share is less than one request where there are
+        many hosts.
+    now : float
+        Monotonic time in seconds.
+
+    Examples
+    --------
+    >>> ample, limited = Holding(50.0), Holding(50.0, none_until=9.0)
+    >>> [may_use(one, 90.0, 20.0, True, 10.0) for one in (ample, limited)]
+    [True, False]
+    >>> may_use(Holding(-61.0), 90.0, 20.0, True, 10.0)
+    False
+    """
+    if holding.amount >= cost:
+        return True
+    is_ample = now - holding.none_until > AMPLE_S
+    return is_silent and is_ample and holding.amount > -OVERDRAWN_S * share_per_s
+
+
 def note_refused(
     holding: Holding, cost: float, share_per_s: float, now: float
 ) -> float:
@@ -153,14 +185,8 @@
 def refill_locally(
     holding: Holding, spec: WorkspaceSpec, hosts: int, now: float
 ) -> None:
-    """Add this host's share of the quota for the time without a leader.
-
-    A workspace that the leader has not limited of late starts with the share of
-    a short time before.
-    """
+    """Add this host's share of the quota for the time without a leader."""
     share_per_s = LOCAL_PART * spec.rate_per_s / max(1, hosts)
-    if holding.local_at is None and now - holding.none_until > AMPLE_S:
-        holding.local_at = max(holding.granted_at, now - FIRST_LOCAL_S)
     if holding.local_at is not None:
         gained = (now - holding.local_at) * share_per_s
         most = max(holding.amount, share_per_s * AVERAGE_S)
@@ -200,6 +226,8 @@
         self._clock = clock
         self._rng = rng
         self._holdings: dict[WorkspaceId, Holding] = {}
+        self._silent: NodeId | None = None
+        self._silent_until = float("-inf")
 
     async def admit(self, spec: WorkspaceSpec, cost: float) -> None:
         """Take what a request costs out of its workspace's quota.
@@ -223,11 +251,11 @@
         now = self._clock()
         note_wish(holding, cost, now)
         is_stale = now - holding.granted_at > KEEP_S
-        if now < holding.silent_until:
-            refill_locally(holding, spec, self._hosts(), now)
-        elif (is_stale or holding.amount < cost) and now >= holding.none_until:
+        if (is_stale or holding.amount < cost) and now >= holding.none_until:
             await self._ask(spec, holding, cost)
-        if holding.amount < cost:
+        share_per_s = spec.rate_per_s / max(1, self._hosts())
+        now = self._clock()
+        if not may_use(holding, cost, share_per_s, self._is_silent(now), now):
             raise self._over_limit(spec, holding, cost)
         holding.amount -= cost
 
@@ -236,15 +264,18 @@
         if spec is not None and spec.name in self._holdings:
             self._holdings[spec.name].amount += cost
 
+    def _is_silent(self, now: float) -> bool:
+        """Say whether the present leader has just failed to answer."""
+        return now < self._silent_until and self._leader() == self._silent
+
     async def _ask(self, spec: WorkspaceSpec, holding: Holding, cost: float) -> None:
         while holding.asking is not None:
             await holding.asking.wait()
-            now = self._clock()
-            if holding.amount >= cost or now < holding.none_until:
-                return
-            if now < holding.silent_until:
-                refill_locally(holding, spec, self._hosts(), now)
+            if holding.amount >= cost or self._clock() < holding.none_until:
                 return
+        if self._is_silent(self._clock()):
+            refill_locally(holding, spec, self._hosts(), self._clock())
+            return
         holding.asking = anyio.Event()
         try:
             await self._lease(spec, holding, cost)
@@ -262,7 +293,7 @@
         except CranberryfieldError as error:
             holding.amount += wish.returned
             now = self._clock()
-            holding.silent_until = now + SILENT_S
+            self._silent, self._silent_until = leader, now + SILENT_S
             refill_locally(holding, spec, self._hosts(), now)
             logger.debug("quota not leased", workspace=spec.name, detail=error.detail)
             return
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -184,10 +184,11 @@
         progress = _progress(exchange)
         for _ in range(MAX_TRIES):
             record = self._choose(request, course)
+            course.log.append(f"{record.upstream}: begun")
             result = await self._attempt(
                 request, record, progress if is_stream else None, course
             )
-            course.log.append(f"{record.upstream}: {result.end.value} {result.detail}")
+            course.log[-1] = f"{record.upstream}: {result.end.value} {result.detail}"
             if result.end is AttemptEnd.STREAMED:
                 await exchange.finish()
                 return "streamed"
