--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
@@ -33,7 +33,7 @@
 MAX_ROUNDS = 8
 #: Time for which a smaller need must last before upstreams are given up, in
 #: seconds.
-SHRINK_AFTER_S = 20.0
+SHRINK_AFTER_S = 10.0
 #: First and longest time after a refused order in which no more are asked for in
 #: a pool, in seconds; doubled with each refusal in a row.
 FIRST_REFUSED_S = 2.0
@@ -78,7 +78,7 @@
     Examples
     --------
     >>> need = _Need()
-    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 21)]
+    >>> asked = [(5, 0), (3, 1), (4, 5), (3, 11)]
     >>> [steady_need(need, wanted, at) for wanted, at in asked]
     [5, 5, 5, 4]
     """
