Let a new leader act at once unless it has acted not long before

Cause: after a leader is killed nothing was ordered for 3 s beyond the election: the next one waited out its predecessor, whose calls are refused by their lower number anyway. What must not be is that two hosts act by turns.

Change: a leader waits only if it may have acted itself within twice that time, counted from its start too. Usage is settled only after all hosts had time to report, as before.

Ruled out: no wait at all, since a host that leads, loses and leads again within the time would act by turns with the one between.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/duties.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/duties.py
@@ -28,6 +28,9 @@
 #: Time after the end of a window in which hosts' counts come in, in seconds.
 SETTLE_S = 2.5
 PROPOSE_TIMEOUT_S = 2.0
+#: A host that has not acted for this multiple of the time within which hosts must
+#: not act by turns may act at once.
+IDLE_RATIO = 2.0
 
 logger = structlog.get_logger(__name__)
 
@@ -72,8 +75,10 @@
     """Says whether this host may act, and under which fencing number.
 
     The term of the replicated log is the number: it grows with each election
-    and belongs to one host. After an election the host waits for the time in
-    which its predecessor may still act, if there has been one.
+    and belongs to one host. Lower numbers are refused once a higher one has
+    acted, so that a new leader need not wait for its predecessor. It waits if
+    it may have acted itself not long before, so that two hosts that lead by
+    turns do not act by turns.
 
     Parameters
     ----------
@@ -82,7 +87,7 @@
     runtime : ControlRuntime
         The replica.
     wait_s : float
-        How long to wait after an election, in seconds.
+        Time within which hosts must not act by turns, in seconds.
     clock : Clock
         Monotonic time.
     """
@@ -96,18 +101,31 @@
         self._clock = clock
         self._term: int | None = None
         self._since = 0.0
+        self._acting_term: int | None = None
+        # A process does not know what it did before its start.
+        self._acted_at = clock()
         self._fenced_term: int | None = None
 
+    @property
+    def led_for_s(self) -> float:
+        """Time since the last election, in seconds."""
+        return self._clock() - self._since
+
     def fence(self) -> Fence | None:
         """Return the fence to act under; None if another host may act."""
+        now = self._clock()
         term = self._runtime.leading_term()
         if term != self._term:
-            self._term, self._since = term, self._clock()
+            self._term, self._since = term, now
         if term is None or term == self._fenced_term:
             return None
-        waited = self._clock() - self._since >= self._wait_s
-        if not (waited or self._runtime.is_first_leader()):
-            return None
+        if term != self._acting_term:
+            is_long_ago = now - self._acted_at >= IDLE_RATIO * self._wait_s
+            waited = now - self._since >= self._wait_s
+            if not (is_long_ago or waited or self._runtime.is_first_leader()):
+                return None
+            self._acting_term = term
+        self._acted_at = now
         return Fence(self._node, term)
 
     def note_fenced(self, fence: Fence) -> None:
@@ -159,7 +177,8 @@
             await anyio.sleep(POLL_S)
             fence = self._leadership.fence()
             window = self._due_window()
-            if fence is not None and window is not None:
+            has_heard_all = self._leadership.led_for_s >= SETTLE_S
+            if fence is not None and window is not None and has_heard_all:
                 await self._report(fence, window)
 
     def _due_window(self) -> int | None:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_leadership.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_leadership.py
@@ -50,6 +50,25 @@
     assert leadership.fence() == Fence("c1", term)
 
 
+@pytest.mark.parametrize(
+    ("acted_s_ago", "expected"), [(60.0, Fence("c1", 2)), (1.0, None), (4.0, None)]
+)
+def test_a_host_that_has_not_acted_for_long_acts_as_soon_as_it_leads(
+    acted_s_ago, expected
+):
+    now = 10.0
+    runtime = Runtime(1, (1,), 1)
+    leadership = Leadership("c1", runtime, WAIT_S, lambda: now)
+    assert leadership.fence() == Fence("c1", 1)
+    runtime.replica.term = None
+    now += 0.1
+    assert leadership.fence() is None
+    now += acted_s_ago
+    runtime.replica.term = 2
+    assert leadership.fence() == expected
+    assert leadership.led_for_s == 0.0
+
+
 def test_a_log_without_its_beginning_tells_nothing_of_earlier_leaders():
     runtime = Runtime(1, (1, 1, 1), 3)
     runtime.replica.log.compact(2)
