Try: more cheap engines wherever prompts keep engines busy

An engine that reads long prompts one after the other produces a token per prompt chunk, and the nine tokens of an event then take more than the 500 ms that its route allows.

--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -14,6 +14,7 @@
     "Pool",
     "PoolState",
     "RunnerModel",
+    "comfortable_runners",
     "plan_runners",
     "runners_needed",
 ]
@@ -66,11 +67,14 @@
         Part of that which is used; the rest is for bursts.
     filled_part : float
         Part of its places which is used.
+    calm_part : float
+        Part of what it can read of which its streams notice nothing.
     """
 
     prefill_tokens_per_s: float = 80_000.0
     busy_part: float = 0.65
     filled_part: float = 0.75
+    calm_part: float = 0.25
 
 
 def runners_needed(
@@ -108,8 +112,24 @@
     return max(1, ceil(max(by_prefill, by_places)))
 
 
+def comfortable_runners(demand: ServiceDemand, model: RunnerModel) -> int:
+    """Return how many engines read so little that no stream pauses for it.
+
+    An engine reads long prompts between the tokens that it generates. If one
+    follows another for the time of an event's tokens, all of its streams pause.
+
+    Examples
+    --------
+    >>> model = RunnerModel(prefill_tokens_per_s=100_000.0, calm_part=0.25)
+    >>> comfortable_runners(ServiceDemand("drafts", 120_000.0, 20.0), model)
+    5
+    """
+    one_reads = model.prefill_tokens_per_s * model.calm_part
+    return ceil(demand.prefill_tokens_per_s / one_reads)
+
+
 def plan_runners(
-    spec: PriceOfRunners, pools: dict[Pool, PoolState], need: int
+    spec: PriceOfRunners, pools: dict[Pool, PoolState], need: int, comfort: int = 0
 ) -> dict[Pool, int]:
     """Return how many upstreams to order in each pool.
 
@@ -122,6 +142,8 @@
     need : int
         Upstreams that must be left when the reclaimable ones of two data
         centres are taken away, the second before the first are replaced.
+    comfort : int, optional
+        Upstreams to have as far as they are cheap.
 
     Returns
     -------
@@ -132,15 +154,18 @@
         and at most what they allow.
     """
     cheap = tuple(_reclaimable_in(spec, one, pools) for one in sorted(spec.price_of))
+    reserve = max(RESERVE_PER_CENTRE, ceil(comfort / max(1, len(cheap))))
+    if spec.reclaimable_ratio > CHEAP_RATIO:
+        reserve = 0
     plans = [
         plan
         for sure in range(need + 1)
-        if (plan := _plan_with(spec, pools, cheap, need, sure)) is not None
+        if (plan := _plan_with(spec, pools, cheap, need, sure, reserve)) is not None
     ]
     if plans:
         return min(plans, key=lambda plan: _price(spec, plan))
     wanted = {Pool(one.data_centre, RECLAIMABLE): one.available for one in cheap}
-    return _with_on_demand(spec, pools, wanted, need)
+    return _with_on_demand(spec, pools, wanted, need, reserve)
 
 
 def _plan_with(
@@ -149,6 +174,7 @@
     cheap: tuple[Offer, ...],
     need: int,
     sure: int,
+    reserve: int,
 ) -> dict[Pool, int] | None:
     """Return the cheapest plan with a number of on-demand upstreams."""
     usable = sum(one.available > 0 for one in cheap)
@@ -162,7 +188,7 @@
     wanted = {
         Pool(one.data_centre, RECLAIMABLE): mix.hosts.get(one, 0) for one in cheap
     }
-    plan = _with_on_demand(spec, pools, wanted, sure)
+    plan = _with_on_demand(spec, pools, wanted, sure, reserve)
     found = sum(plan[one] for one in plan if one.machine_class == ON_DEMAND)
     return plan if found >= sure else None
 
@@ -198,10 +224,13 @@
     pools: dict[Pool, PoolState],
     wanted: dict[Pool, int],
     sure: int,
+    reserve: int,
 ) -> dict[Pool, int]:
-    """Add a number of on-demand upstreams, and what the lower bounds ask for.
+    """Add on-demand upstreams, a reserve, and what the lower bounds ask for.
 
-    Those that run are kept before others are started.
+    The reserve is a number of reclaimable upstreams that each data centre has at
+    least, as far as there is room for them. On-demand upstreams that run are
+    kept before others are started.
     """
     plan = dict(wanted)
     centres = sorted(spec.price_of, key=lambda one: spec.price_of[one])
@@ -209,9 +238,7 @@
         cheap, on_demand = Pool(centre, RECLAIMABLE), Pool(centre, ON_DEMAND)
         missing = max(0, spec.least - plan[cheap])
         room = _reclaimable_in(spec, centre, pools).available - plan[cheap]
-        if spec.reclaimable_ratio <= CHEAP_RATIO:
-            reserve = min(RESERVE_PER_CENTRE, spec.most) - plan[cheap]
-            missing = max(missing, min(reserve, room))
+        missing = max(missing, min(reserve - plan[cheap], room))
         added = max(0, min(missing, room))
         plan[cheap] += added
         plan[on_demand] = missing - added
