Order engines against pauses only where streams pause

Change: hosts measure the longest time between the events of each stream and report how many were further apart than their route allows; above 3 in 100 the cheap engines are ordered.

--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -69,12 +69,15 @@
         Part of its places which is used.
     calm_part : float
         Part of what it can read of which its streams notice nothing.
+    paused_part : float
+        Part of the streams that may pause for too long.
     """
 
     prefill_tokens_per_s: float = 80_000.0
     busy_part: float = 0.65
     filled_part: float = 0.75
     calm_part: float = 0.25
+    paused_part: float = 0.03
 
 
 def runners_needed(
@@ -113,17 +116,22 @@
 
 
 def comfortable_runners(demand: ServiceDemand, model: RunnerModel) -> int:
-    """Return how many engines read so little that no stream pauses for it.
+    """Return how many engines read so little that their streams do not pause.
 
     An engine reads long prompts between the tokens that it generates. If one
     follows another for the time of an event's tokens, all of its streams pause.
+    How much is too much depends on the engine, and shows in its streams.
 
     Examples
     --------
     >>> model = RunnerModel(prefill_tokens_per_s=100_000.0, calm_part=0.25)
-    >>> comfortable_runners(ServiceDemand("drafts", 120_000.0, 20.0), model)
+    >>> comfortable_runners(ServiceDemand("drafts", 120_000.0, 9.0, 50.0, 5.0), model)
     5
+    >>> comfortable_runners(ServiceDemand("drafts", 120_000.0, 9.0, 50.0, 0.0), model)
+    0
     """
+    if demand.paused_per_s <= model.paused_part * demand.streams_per_s:
+        return 0
     one_reads = model.prefill_tokens_per_s * model.calm_part
     return ceil(demand.prefill_tokens_per_s / one_reads)
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/reports.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/reports.py
@@ -50,11 +50,16 @@
         Prompt tokens to be read in a second.
     in_flight : float
         Requests in progress.
+    streams_per_s, paused_per_s : float
+        Streamed answers that ended in a second, and those of them whose events
+        came further apart than their route allows.
     """
 
     service: ServiceName
     prefill_tokens_per_s: float
     in_flight: float
+    streams_per_s: float = 0.0
+    paused_per_s: float = 0.0
 
 
 class HostReport(Message):
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -97,6 +97,10 @@
         Id of the last event sent.
     events : int
         Events sent.
+    last_sent_at : float or None
+        Monotonic time in seconds of the last events.
+    longest_pause_s : float
+        Longest time between events that were sent, in seconds.
     """
 
     send_head: Callable[[ResponseHead], Awaitable[None]]
@@ -104,6 +108,15 @@
     has_started: bool = False
     last_id: str | None = None
     events: int = 0
+    last_sent_at: float | None = None
+    longest_pause_s: float = 0.0
+
+    def note_sent(self, count: int, now: float) -> None:
+        """Count events, and the pause before them."""
+        self.events += count
+        if self.last_sent_at is not None:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_sent_at)
+        self.last_sent_at = now
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,7 +300,7 @@
         return await _read_whole(upstreams, request, record, opened)
     whole = False
     try:
-        await _pass_events(request, opened, progress, note_first)
+        await _pass_events(request, opened, progress, note_first, upstreams.clock)
         whole = True
         return AttemptResult(AttemptEnd.STREAMED, facts=opened.facts)
     except BrokenExchangeError as error:
@@ -304,6 +317,7 @@
     opened: _Opened,
     progress: StreamProgress,
     note_first: Callable[[], None],
+    clock: Clock,
 ) -> None:
     cutter = EventCutter()
     is_first = True
@@ -318,7 +332,7 @@
             progress.has_started = True
             await progress.send_head(opened.head)
         progress.last_id = events.last_id or progress.last_id
-        progress.events += events.count
+        progress.note_sent(events.count, clock())
         await progress.send_events(events.data)
     if cutter.has_rest:
         raise BrokenExchangeError("the stream ended within an event")
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
@@ -23,6 +23,8 @@
     at: float = 0.0
     running: int = 0
     in_flight: float = 0.0
+    streams_per_s: float = 0.0
+    paused_per_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -35,6 +37,8 @@
 def _advance(demand: _Demand, now: float) -> None:
     weight = min(1.0, max(0.0, now - demand.at) / AVERAGE_S)
     demand.tokens_per_s *= 1.0 - weight
+    demand.streams_per_s *= 1.0 - weight
+    demand.paused_per_s *= 1.0 - weight
     demand.in_flight += (demand.running - demand.in_flight) * weight
     demand.at = now
 
@@ -55,6 +59,16 @@
     demand.tokens_per_s += tokens / AVERAGE_S
 
 
+def note_streamed(
+    section: DemandSection, service: ServiceName, has_paused: bool, now: float
+) -> None:
+    """Count a streamed answer, and whether its events came too far apart."""
+    demand = section.services[service]
+    _advance(demand, now)
+    demand.streams_per_s += 1 / AVERAGE_S
+    demand.paused_per_s += has_paused / AVERAGE_S
+
+
 def note_ended(section: DemandSection, service: ServiceName, now: float) -> None:
     """Note that a request has ended."""
     demand = section.services[service]
@@ -69,7 +83,11 @@
         _advance(demand, now)
         found.append(
             ServiceDemand(
-                service, round(demand.tokens_per_s, 1), round(demand.in_flight, 2)
+                service,
+                round(demand.tokens_per_s, 1),
+                round(demand.in_flight, 2),
+                round(demand.streams_per_s, 2),
+                round(demand.paused_per_s, 2),
             )
         )
     return tuple(found)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -37,6 +37,7 @@
     note_asked,
     note_ended,
     note_prefill,
+    note_streamed,
 )
 from cranberryfield.entry.relay.loads import (
     InFlight,
@@ -190,6 +191,7 @@
             )
             course.log[-1] = f"{record.upstream}: {result.end.value} {result.detail}"
             if result.end is AttemptEnd.STREAMED:
+                self._note_pause(request, progress)
                 await exchange.finish()
                 return "streamed"
             if result.end is AttemptEnd.ANSWERED:
@@ -204,6 +206,12 @@
             return f"answered {course.fallback.status}"
         raise self._failure(course)
 
+    def _note_pause(self, request: RelayRequest, progress: StreamProgress) -> None:
+        target_ms = request.route.pause_target_ms
+        pause_ms = progress.longest_pause_s * MS_PER_S
+        has_paused = target_ms is not None and pause_ms > target_ms
+        note_streamed(self._demand, request.service, has_paused, self._clock())
+
     def _choose(self, request: RelayRequest, course: _Course) -> UpstreamRecord:
         now = self._clock()
         record = choose_relay_upstream(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/reports/collector.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/collector.py
@@ -63,6 +63,8 @@
             service,
             sum(one.prefill_tokens_per_s for one in found),
             sum(one.in_flight for one in found),
+            sum(one.streams_per_s for one in found),
+            sum(one.paused_per_s for one in found),
         )
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
@@ -14,6 +14,7 @@
     note_asked,
     note_ended,
     note_prefill,
+    note_streamed,
 )
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports.collector import (
@@ -81,3 +82,15 @@
     (calm,) = current_demand(section, 30.0)
     assert calm.prefill_tokens_per_s < 100
     assert calm.in_flight < 1
+
+
+def test_streams_that_paused_are_told_with_the_demand():
+    section = DemandSection()
+    for step in range(100):
+        now = step * 0.1
+        note_asked(section, "drafts", now)
+        note_streamed(section, "drafts", step % 4 == 0, now)
+        note_ended(section, "drafts", now)
+    (told,) = current_demand(section, 10.0)
+    assert told.streams_per_s == pytest.approx(10.0, rel=0.1)
+    assert told.paused_per_s == pytest.approx(2.5, rel=0.3)
