Explain a request from the logs of several processes

`cranberryfield explain ID FILES...` follows an id over log files, compares the clocks of control hosts with that of the request's relay by what these told it of upstreams, puts lines in order and names what decided. Unreadable lines and files are told, the rest is used.

--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/commands/explain.py
@@ -0,0 +1,47 @@
+"""``cranberryfield explain``."""
+
+from pathlib import Path
+
+from cyclopts import App
+
+from cranberryfield.client.logs import read_logs
+from cranberryfield.client.output import print_progress, print_rows, print_value
+from cranberryfield.client.story import tell_story
+from cranberryfield.core.errors import CallerError, ErrorKind
+
+__all__ = ["app"]
+
+app = App(
+    name="explain",
+    help="Explain what became of a request, from log files.",
+)
+
+
+@app.default
+def explain_request(id: str, *files: Path, json: bool = False) -> None:
+    """Follow a request through the logs of several processes.
+
+    Parameters
+    ----------
+    id : str
+        The request's id, as its caller logged it.
+    files : Path
+        Logs of relays and control hosts.
+    json : bool
+        Print JSON.
+    """
+    logs = read_logs(files)
+    for fault in logs.faults:
+        print_progress(fault)
+    stories = tell_story(logs.lines, id)
+    if not stories:
+        detail = f"none of {len(logs.lines)} log lines has ended the request {id!r}"
+        raise CallerError(ErrorKind.UNKNOWN_REQUEST, detail)
+    for story in stories:
+        if json:
+            print_value(story, as_json=True)
+            continue
+        print_rows(story.rows, as_json=False)
+        print(f"cause: {story.cause}")
+        for node in story.uncompared:
+            print_progress(f"the clock of {node} could not be compared")
--- a/packages/cranberryfield-client/src/cranberryfield/client/main.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/main.py
@@ -7,6 +7,7 @@
 from cranberryfield.client.commands import (
     config,
     control,
+    explain,
     requests,
     service,
     settings,
@@ -40,6 +41,7 @@
     status,
     top,
     requests,
+    explain,
     control,
     config,
 ):
--- /dev/null
+++ b/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
@@ -0,0 +1,128 @@
+"""Explaining requests from logs: causes, clocks that differ, unreadable files."""
+
+import json
+from datetime import UTC, datetime
+
+import pytest
+
+from cranberryfield.client import main as client
+from cranberryfield.client.logs import parse_lines
+from cranberryfield.client.story import tell_story
+
+START_S = 1_800_000_000.0
+
+
+def line(node, event, at, **fields):
+    timestamp = datetime.fromtimestamp(START_S + at, UTC).isoformat()
+    return json.dumps({**fields, "event": event, "node": node, "timestamp": timestamp})
+
+
+def ended(at=10.0, **fields):
+    fields = {
+        "request": "q1",
+        "outcome": "streamed",
+        "attempts": ["u1: streamed "],
+        "admitted_ms": 1.0,
+        "took_ms": 400.0,
+        **fields,
+    }
+    return line("relay-1", "request ended", at, **fields)
+
+
+def stories(*texts):
+    return tell_story(parse_lines("log", texts).lines, "q1")
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, "nothing failed"),
+        ({"outcome": "refused: over_limit: 9 wanted"}, "quota was used up"),
+        (
+            {"outcome": "refused: no_upstream: none", "attempts": []},
+            "no upstream took it; refused: no_upstream: none; it was sent to no",
+        ),
+        (
+            {"outcome": "deadline passed", "attempts": [], "admitted_ms": None},
+            "it was not admitted before that",
+        ),
+        (
+            {"outcome": "deadline passed", "attempts": ["u1: begun"]},
+            "last attempt: u1: begun",
+        ),
+        ({"outcome": "something new"}, "unknown to this program"),
+    ],
+)
+def test_the_deciding_input_is_named(fields, expected):
+    (story,) = stories(ended(**fields))
+    assert expected in story.cause
+
+
+@pytest.mark.parametrize("ahead_s", [0.0, -2_400.0, 3.0])
+def test_lines_are_in_order_though_the_control_host_has_another_time(ahead_s):
+    (story,) = stories(
+        ended(),
+        line("relay-1", "upstream known", 9.7, upstream="u1", told_by="c1", age_ms=100),
+        line("c1", "upstream announced", 9.6 + ahead_s, upstream="u1"),
+        line("c1", "upstream departed", 9.8 + ahead_s, upstream="u1"),
+    )
+    events = [row.event for row in story.rows]
+    assert events == [
+        "upstream announced",
+        "upstream known",
+        "upstream departed",
+        "request ended",
+    ]
+    assert story.uncompared == ()
+
+
+def test_what_did_not_touch_the_request_is_left_out():
+    (story,) = stories(
+        line("relay-1", "deployment lease lost", 9.8),
+        line("relay-2", "deployment lease lost", 9.8),
+        line("relay-1", "upstream known", 9.8, upstream="u2", told_by="c1", age_ms=1),
+        line("relay-1", "deployment lease lost", 2.0),
+        ended(),
+        line("c1", "upstream departed", 9.9, upstream="u1"),
+    )
+    assert [(row.node, row.at_ms) for row in story.rows] == [
+        ("relay-1", 200.0),
+        ("c1", 300.0),
+        ("relay-1", 400.0),
+    ]
+    assert story.uncompared == ("c1",)
+
+
+def test_a_request_that_came_twice_has_two_stories():
+    assert len(stories(ended(), ended(20.0, outcome="answered 200"))) == 2
+
+
+def run(monkeypatch, capsys, *arguments):
+    monkeypatch.setattr("sys.argv", ["cranberryfield", "explain", *arguments])
+    code = 0
+    try:
+        client.main()
+    except SystemExit as stop:
+        code = stop.code
+    return code, capsys.readouterr()
+
+
+def test_unreadable_lines_and_files_are_told_and_the_rest_is_used(
+    tmp_path, monkeypatch, capsys
+):
+    log = tmp_path / "relay.log"
+    log.write_text(f"{ended()}\nno line\n" + ended(20.0)[:40])
+    code, output = run(monkeypatch, capsys, "q1", str(log), str(tmp_path / "none"))
+    assert not code
+    assert "nothing failed" in output.out
+    assert f"{log}:2: no log line" in output.err
+    assert f"{log}:3: no log line" in output.err
+    assert "none: No such file" in output.err
+
+
+def test_an_id_that_is_not_there_is_told(tmp_path, monkeypatch, capsys):
+    log = tmp_path / "relay.log"
+    log.write_text(ended())
+    code, output = run(monkeypatch, capsys, "q9", str(log))
+    assert code == 4
+    assert "none of 1 log lines has ended the request 'q9'" in output.err
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
@@ -18,6 +18,7 @@
 __all__ = [
     "Holding",
     "QuotaClient",
+    "may_use",
     "next_wish",
     "note_refused",
     "note_wish",
