--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,8 @@
 
 SECONDS = 8.0
 #: Seeds that have failed once stay here, with a line on the cause.
-SEEDS = [1]
+#: 201: a reload that reached a relay in its first second of start ended it.
+SEEDS = [1, 201]
 
 
 def sent(**changes):
