--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -14,7 +14,7 @@
     "Pool",
     "PoolState",
     "RunnerModel",
-    "comfortable_runners",
+    "pause_free_runners",
     "plan_runners",
     "runners_needed",
 ]
@@ -115,7 +115,7 @@
     return max(1, ceil(max(by_prefill, by_places)))
 
 
-def comfortable_runners(demand: ServiceDemand, model: RunnerModel) -> int:
+def pause_free_runners(demand: ServiceDemand, model: RunnerModel) -> int:
     """Return how many engines read so little that their streams do not pause.
 
     An engine reads long prompts between the tokens that it generates. If one
@@ -125,9 +125,9 @@
     Examples
     --------
     >>> model = RunnerModel(prefill_tokens_per_s=100_000.0, calm_part=0.25)
-    >>> comfortable_runners(ServiceDemand("drafts", 120_000.0, 9.0, 50.0, 5.0), model)
+    >>> pause_free_runners(ServiceDemand("drafts", 120_000.0, 9.0, 50.0, 5.0), model)
     5
-    >>> comfortable_runners(ServiceDemand("drafts", 120_000.0, 9.0, 50.0, 0.0), model)
+    >>> pause_free_runners(ServiceDemand("drafts", 120_000.0, 9.0, 50.0, 0.0), model)
     0
     """
     if demand.paused_per_s <= model.paused_part * demand.streams_per_s:
@@ -137,7 +137,7 @@
 
 
 def plan_runners(
-    spec: PriceOfRunners, pools: dict[Pool, PoolState], need: int, comfort: int = 0
+    spec: PriceOfRunners, pools: dict[Pool, PoolState], need: int, headroom: int = 0
 ) -> dict[Pool, int]:
     """Return how many upstreams to order in each pool.
 
@@ -150,7 +150,7 @@
     need : int
         Upstreams that must be left when the reclaimable ones of two data
         centres are taken away, the second before the first are replaced.
-    comfort : int, optional
+    headroom : int, optional
         Upstreams to have as far as they are cheap.
 
     Returns
@@ -162,7 +162,7 @@
         and at most what they allow.
     """
     cheap = tuple(_reclaimable_in(spec, one, pools) for one in sorted(spec.price_of))
-    reserve = max(RESERVE_PER_CENTRE, ceil(comfort / max(1, len(cheap))))
+    reserve = max(RESERVE_PER_CENTRE, ceil(headroom / max(1, len(cheap))))
     if spec.reclaimable_ratio > CHEAP_RATIO:
         reserve = 0
     plans = [
--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
@@ -76,11 +76,11 @@
     ratio, expected
 ):
     spec = PriceOfRunners(1, 5, 4.0, ratio, PRICES)
-    plan = plan_runners(spec, {}, 1, comfort=16)
+    plan = plan_runners(spec, {}, 1, headroom=16)
     assert total(plan, RECLAIMABLE) == expected
     assert total(plan, ON_DEMAND) == 0
 
 
-def test_comfort_is_not_bought_on_demand():
-    plan = plan_runners(SPEC, NONE_LEFT, 5, comfort=16)
+def test_headroom_is_not_bought_on_demand():
+    plan = plan_runners(SPEC, NONE_LEFT, 5, headroom=16)
     assert total(plan, ON_DEMAND) == 5
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/capacity.py
@@ -11,7 +11,7 @@
     Pool,
     PoolState,
     RunnerModel,
-    comfortable_runners,
+    pause_free_runners,
     plan_runners,
     runners_needed,
 )
@@ -70,7 +70,7 @@
 @dataclass(slots=True)
 class _Service:
     need: _Need = field(default_factory=_Need)
-    comfort: _Need = field(default_factory=_Need)
+    headroom: _Need = field(default_factory=_Need)
     orders: dict[Pool, _Order] = field(default_factory=dict)
 
 
@@ -201,7 +201,7 @@
             refused = now < order.refused_until
             pools[pool] = PoolState(state.running, state.leaving, refused)
         need = self._need(service, spec, pools, now)
-        wanted = plan_runners(spec.scaling, pools, need, service.comfort.value)
+        wanted = plan_runners(spec.scaling, pools, need, service.headroom.value)
         have = {pool: state.running for pool, state in pools.items()}
         for pool in _in_order(wanted, have):
             if _holds_back(pool, wanted, pools, service.orders):
@@ -234,7 +234,7 @@
         if not demand.in_flight and not demand.prefill_tokens_per_s:
             return need.value
         wanted = runners_needed(demand, spec.engine, self._model)
-        steady_need(service.comfort, comfortable_runners(demand, self._model), now)
+        steady_need(service.headroom, pause_free_runners(demand, self._model), now)
         return steady_need(need, wanted, now)
 
     async def _order(
@@ -259,7 +259,7 @@
             desired=desired,
             running=have.get(pool, 0),
             need=service.need.value,
-            comfort=service.comfort.value,
+            headroom=service.headroom.value,
             end=end.value,
             number=fence.number,
         )
