Check the types of log fields once, when a line is read

Cause: `explain` took fields from a dictionary where it needed them; a line whose `took_ms` is text or whose `upstream` is a list ended it with a traceback, though unreadable lines are to be told and passed over. Six cases fail before.

Change: a line is decoded into one type; what does not fit is told with its place. Ruled out: a check at each use, which is what had been forgotten.

--- a/packages/cranberryfield-client/src/cranberryfield/client/logs.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/logs.py
@@ -13,26 +13,40 @@
 MS_PER_S = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
+class LogLine(msgspec.Struct, frozen=True):
     """One line of a process's log.
 
     Attributes
     ----------
-    node : str
-        Who wrote it.
-    event : str
-        What happened.
-    at : float
-        When, in seconds since 1970 by the node's clock.
+    node, event : str
+        Who wrote it, and what happened.
+    timestamp : datetime
+        When, by the node's clock.
+    request, outcome, attempts, took_ms, admitted_ms
+        What became of a request; times in milliseconds after it had come.
+    upstream, told_by, age_ms
+        Which upstream is meant, who told of it, and how old that was.
     fields : dict
-        The other fields.
+        All fields as they were written.
     """
 
     node: str
     event: str
-    at: float
-    fields: dict
+    timestamp: datetime
+    request: str | None = None
+    outcome: str = ""
+    attempts: tuple[str, ...] = ()
+    took_ms: float = 0.0
+    admitted_ms: float | None = None
+    upstream: str | None = None
+    told_by: str | None = None
+    age_ms: float | None = None
+    fields: dict = {}
+
+    @property
+    def at(self) -> float:
+        """When, in seconds since 1970."""
+        return self.timestamp.timestamp()
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +65,6 @@
     faults: list[str]
 
 
-class _Line(msgspec.Struct):
-    """The fields that each line has."""
-
-    node: str
-    event: str
-    timestamp: datetime
-
-
 def parse_lines(name: str, texts: Iterable[str]) -> ReadLogs:
     """Parse lines of a log.
 
@@ -87,12 +93,10 @@
             continue
         data = text[max(0, text.find("{")) :]
         try:
-            head = msgspec.json.decode(data, type=_Line)
             fields = msgspec.json.decode(data, type=dict)
+            lines.append(msgspec.convert({**fields, "fields": fields}, LogLine))
         except msgspec.DecodeError as error:
             faults.append(f"{name}:{number}: no log line: {error}")
-            continue
-        lines.append(LogLine(head.node, head.event, head.timestamp.timestamp(), fields))
     return ReadLogs(lines, faults)
 
 
@@ -128,19 +132,18 @@
         of an upstream comes to a relay with its age, so that both clocks show
         the same moment.
     """
-    announced: dict[tuple[str, str], list[float]] = {}
+    announced: dict[tuple[str | None, str | None], list[float]] = {}
     for line in lines:
         if line.event == "upstream announced":
-            key = (line.node, line.fields.get("upstream"))
+            key = (line.node, line.upstream)
             announced.setdefault(key, []).append(line.at)
     offsets: dict[str, list[float]] = {}
     for line in lines:
         if line.event != "upstream known" or line.node != node:
             continue
-        teller, age_ms = line.fields.get("told_by"), line.fields.get("age_ms")
-        moments = announced.get((teller, line.fields.get("upstream")))
-        if moments and isinstance(age_ms, int | float):
-            said_at = line.at - age_ms / MS_PER_S
+        moments = announced.get((line.told_by, line.upstream))
+        if moments and line.age_ms is not None:
+            said_at = line.at - line.age_ms / MS_PER_S
             nearest = min(moments, key=lambda at: abs(at - said_at))
-            offsets.setdefault(teller, []).append(nearest - said_at)
+            offsets.setdefault(line.told_by, []).append(nearest - said_at)
     return {teller: median(found) for teller, found in offsets.items()}
--- a/packages/cranberryfield-client/src/cranberryfield/client/story.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/story.py
@@ -99,13 +99,13 @@
     return [
         _tell(lines, line)
         for line in lines
-        if line.event == ENDED and line.fields.get("request") == request
+        if line.event == ENDED and line.request == request
     ]
 
 
 def _tell(lines: list[LogLine], ended: LogLine) -> Story:
-    arrived_at = ended.at - ended.fields.get("took_ms", 0.0) / MS_PER_S
-    upstreams = {one.partition(":")[0] for one in ended.fields.get("attempts", ())}
+    arrived_at = ended.at - ended.took_ms / MS_PER_S
+    upstreams = {one.partition(":")[0] for one in ended.attempts}
     offsets = {**clock_offsets(lines, ended.node), ended.node: 0.0}
     rows, uncompared = [_row(ended, ended.at, arrived_at)], set()
     for line in lines:
@@ -122,7 +122,7 @@
 
 def _may_matter(line: LogLine, ended: LogLine, upstreams: set[str]) -> bool:
     if line.event in UPSTREAM_EVENTS:
-        return line.fields.get("upstream") in upstreams
+        return line.upstream in upstreams
     return line.event in HOST_EVENTS and line.node == ended.node
 
 
@@ -134,13 +134,11 @@
 
 
 def _cause(ended: LogLine) -> str:
-    outcome = str(ended.fields.get("outcome", ""))
-    attempts = ended.fields.get("attempts", ())
-    known = [text for start, text in CAUSES.items() if outcome.startswith(start)]
-    parts = [known[0] if known else "unknown to this program", outcome]
-    if attempts:
-        parts.append(f"last attempt: {attempts[-1]}")
-    elif ended.fields.get("admitted_ms") is None and "over_limit" not in outcome:
+    known = [text for start, text in CAUSES.items() if ended.outcome.startswith(start)]
+    parts = [known[0] if known else "unknown to this program", ended.outcome]
+    if ended.attempts:
+        parts.append(f"last attempt: {ended.attempts[-1]}")
+    elif ended.admitted_ms is None and "over_limit" not in ended.outcome:
         parts.append("it was not admitted before that")
     else:
         parts.append("it was sent to no upstream")
--- a/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
@@ -93,6 +93,24 @@
     assert story.uncompared == ("c1",)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"took_ms": "long"},
+        {"took_ms": None},
+        {"attempts": None},
+        {"attempts": [1]},
+        {"upstream": ["u1"]},
+        {"outcome": 7},
+    ],
+)
+def test_a_line_with_fields_of_other_types_is_told_and_left_out(fields):
+    logs = parse_lines("log", [ended(**fields), ended()])
+    assert len(tell_story(logs.lines, "q1")) == 1
+    (fault,) = logs.faults
+    assert fault.startswith("log:1: no log line")
+
+
 def test_a_request_that_came_twice_has_two_stories():
     assert len(stories(ended(), ended(20.0, outcome="answered 200"))) == 2
 
