Look at each engine once when one is chosen

Cause: the prompt tokens that an engine lacks were counted twice for a choice, and its load was looked up four times.

Ruled out: keeping the sums of prompt tokens beside the attempts, a second copy of what the attempts say.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/choose.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/choose.py
@@ -47,18 +47,33 @@
 def expected_wait_s(
     record: UpstreamRecord,
     load: UpstreamLoad,
-    request: RelayRequest,
+    unread: int,
     data_centre: DataCentre,
     now: float,
     model: RelayModel,
 ) -> float:
-    """Return the expected time to the first event of one more run, in seconds."""
+    """Return the expected time to the first event of one more run, in seconds.
+
+    Parameters
+    ----------
+    record : UpstreamRecord
+        The upstream.
+    load : UpstreamLoad
+        What is known of it.
+    unread : int
+        Prompt tokens that it would have to read for the run.
+    data_centre : DataCentre
+        Where this host runs.
+    now : float
+        Monotonic time in seconds.
+    model : RelayModel
+        Speeds and distances.
+    """
     places = max(1, record.capacity)
     in_flight = load.in_flight
     unread_s = load.others_prefill / model.prefill_tokens_per_s
     wait_s = max(0.0, unread_s - max(0.0, now - load.others_seen_at))
-    prefill = load.own_prefill + prefill_left(request, load.parts)
-    wait_s += prefill / model.prefill_tokens_per_s
+    wait_s += (load.own_prefill + unread) / model.prefill_tokens_per_s
     wait_s += model.batch_s * in_flight / places
     wait_s += model.run_s * max(0, in_flight + 1 - places) / places
     wait_s += model.failure_s * load.failure_ratio
@@ -104,31 +119,29 @@
         the prompt is taken, then by a hash of the prompt and the upstream,
         which is the same on all hosts.
     """
-    untried = [one for one in candidates if one.upstream not in tried]
+    untried = [
+        (one, loads.of(one.upstream)) for one in candidates if one.upstream not in tried
+    ]
     if not untried:
         return None
-    steady = [one for one in untried if loads.of(one.upstream).paused_until <= now]
+    steady = [(one, load) for one, load in untried if load.paused_until <= now]
     if not steady:
-        return min(untried, key=lambda one: loads.of(one.upstream).paused_until)
-
-    roomy = [one for one in steady if loads.of(one.upstream).in_flight < one.capacity]
-    steady = roomy or steady
-    waits_s = [
-        expected_wait_s(one, loads.of(one.upstream), request, data_centre, now, model)
-        for one in steady
-    ]
+        return min(untried, key=lambda pair: pair[1].paused_until)[0]
+    roomy = [(one, load) for one, load in steady if load.in_flight < one.capacity]
+    options = []
+    for one, load in roomy or steady:
+        unread = prefill_left(request, load.parts)
+        wait_s = expected_wait_s(one, load, unread, data_centre, now, model)
+        options.append((one, unread, wait_s))
     equal_s = model.equal_s if request.prompt_tokens else model.plain_equal_s
-    longest_s = min(waits_s) + equal_s
-    equal = [
-        one for one, wait_s in zip(steady, waits_s, strict=True) if wait_s <= longest_s
-    ]
+    longest_s = min(wait_s for _, _, wait_s in options) + equal_s
+    equal = [(unread, one) for one, unread, wait_s in options if wait_s <= longest_s]
 
-    def order(record: UpstreamRecord) -> tuple[int, int]:
-        parts = loads.of(record.upstream).parts
-        unread = prefill_left(request, parts)
+    def order(option: tuple[int, UpstreamRecord]) -> tuple[int, int]:
+        unread, record = option
         return unread, _tie_break(record.upstream, request)
 
-    return min(equal, key=order)
+    return min(equal, key=order)[1]
 
 
 def _tie_break(upstream: UpstreamId, request: RelayRequest) -> int:
