--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/course.py
@@ -0,0 +1,92 @@
+"""What becomes of a request, and the line and counters at its end."""
+
+from dataclasses import dataclass, field
+
+import structlog
+
+from cranberryfield.core.deployment import WorkspaceSpec
+from cranberryfield.core.http1 import Response
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.entry.relay.request import RelayRequest
+
+__all__ = ["Course", "count_end", "labels_of", "log_end"]
+
+MS_PER_S = 1000
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class Course:
+    """What has become of a request so far.
+
+    Attributes
+    ----------
+    tried : set of UpstreamId
+        Upstreams that it was sent to, or that could not be reached.
+    sent, runs : int
+        Attempts that reached an upstream, and those that may have run.
+    may_have_run, is_pending : bool
+        Whether an ended attempt may have run it, and whether one goes on.
+    charged : WorkspaceSpec or None
+        Whose quota it was charged to.
+    admitted_at, first_at : float or None
+        Monotonic time in seconds at which its quota was granted and at which
+        its first event came.
+    fallback : Response or None
+        A failure to answer with if no further attempt succeeds.
+    log : list of str
+        A line for each attempt.
+    """
+
+    tried: set[UpstreamId] = field(default_factory=set)
+    sent: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    is_pending: bool = False
+    charged: WorkspaceSpec | None = None
+    admitted_at: float | None = None
+    first_at: float | None = None
+    fallback: Response | None = None
+    log: list[str] = field(default_factory=list)
+
+
+def labels_of(request: RelayRequest) -> dict[str, str]:
+    """Return what counters and histograms are kept for."""
+    workspace = request.workspace.name if request.workspace is not None else "-"
+    return {"workspace": workspace, "priority": str(request.rank)}
+
+
+def count_end(
+    metrics: Metrics, request: RelayRequest, outcome: str, now: float
+) -> None:
+    """Count a request that has ended, and the time that it took."""
+    labels = labels_of(request)
+    metrics.observe("request", now - request.arrived_at, **labels)
+    name = outcome.partition(":")[0].replace(" ", "_")
+    metrics.count(f"requests_{name}", **labels)
+
+
+def log_end(request: RelayRequest, course: Course, outcome: str, now: float) -> None:
+    """Write the line of a request that has ended."""
+
+    def passed_ms(moment: float | None) -> float | None:
+        if moment is None:
+            return None
+        return round((moment - request.arrived_at) * MS_PER_S, 1)
+
+    logger.info(
+        "request ended",
+        request=request.id,
+        route=request.route.name,
+        workspace=request.workspace.name if request.workspace else None,
+        service=request.service,
+        outcome=outcome,
+        attempts=course.log,
+        quota_cost=request.quota_cost,
+        admitted_ms=passed_ms(course.admitted_at),
+        first_event_ms=passed_ms(course.first_at),
+        took_ms=passed_ms(now),
+        left_ms=round((request.deadline - now) * MS_PER_S),
+    )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -1,14 +1,12 @@
 """Carries one request through its attempts to its answer."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from random import Random
 
 import anyio
-import structlog
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.deployment import RouteKind, WorkspaceSpec
+from cranberryfield.core.deployment import RouteKind
 from cranberryfield.core.errors import (
     CranberryfieldError,
     ErrorKind,
@@ -17,7 +15,7 @@
 )
 from cranberryfield.core.http1 import Exchange, Response, ResponseHead
 from cranberryfield.core.http1.message import end_to_end
-from cranberryfield.core.ids import DataCentre, UpstreamId
+from cranberryfield.core.ids import DataCentre
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quota import QuotaClient
@@ -32,6 +30,7 @@
 )
 from cranberryfield.entry.relay.budget import RetryBudget, note_request, take_retry
 from cranberryfield.entry.relay.choose import RelayModel, choose_relay_upstream
+from cranberryfield.entry.relay.course import Course, count_end, labels_of, log_end
 from cranberryfield.entry.relay.demand import (
     DemandSection,
     note_asked,
@@ -59,25 +58,6 @@
 #: Statuses by which an upstream says that it failed, and that may pass.
 SERVER_ERRORS = range(500, 600)
 
-logger = structlog.get_logger(__name__)
-
-
-@dataclass(slots=True)
-class _Course:
-    """What has become of a request so far."""
-
-    tried: set[UpstreamId] = field(default_factory=set)
-    sent: int = 0
-    runs: int = 0
-    may_have_run: bool = False
-    is_pending: bool = False
-    charged: WorkspaceSpec | None = None
-    admitted_at: float | None = None
-    first_at: float | None = None
-    fallback: Response | None = None
-    log: list[str] = field(default_factory=list)
-
-
 #: Answers a request with an error.
 Refuse = Callable[[Exchange, CranberryfieldError], Awaitable[None]]
 
@@ -154,7 +134,7 @@
             and with it whatever an upstream does for the request.
         """
         note_request(self._budget, request.service, request.arrived_at)
-        course = _Course()
+        course = Course()
         note_asked(self._demand, request.service, request.arrived_at)
         outcome = "caller left"
         left_s = request.deadline - self._clock()
@@ -171,11 +151,12 @@
             note_ended(self._demand, request.service, self._clock())
             if not (course.may_have_run or course.is_pending):
                 self._quota.give_back(course.charged, request.quota_cost)
-            self._log(request, course, outcome)
-            self._count(request, outcome)
+            now = self._clock()
+            log_end(request, course, outcome, now)
+            count_end(self._metrics, request, outcome, now)
 
     async def _run(
-        self, request: RelayRequest, exchange: Exchange, course: _Course
+        self, request: RelayRequest, exchange: Exchange, course: Course
     ) -> str:
         if request.workspace is not None:
             await self._quota.admit(request.workspace, request.quota_cost)
@@ -212,7 +193,7 @@
         has_paused = target_ms is not None and pause_ms > target_ms
         note_streamed(self._demand, request.service, has_paused, self._clock())
 
-    def _choose(self, request: RelayRequest, course: _Course) -> UpstreamRecord:
+    def _choose(self, request: RelayRequest, course: Course) -> UpstreamRecord:
         now = self._clock()
         record = choose_relay_upstream(
             self._table.of_service(request.service),
@@ -232,7 +213,7 @@
             raise self._failure(course)
         return record
 
-    def _failure(self, course: _Course) -> CranberryfieldError:
+    def _failure(self, course: Course) -> CranberryfieldError:
         retry_after_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
         if course.may_have_run:
             return UnavailableError(
@@ -253,7 +234,7 @@
         request: RelayRequest,
         record: UpstreamRecord,
         progress: StreamProgress | None,
-        course: _Course,
+        course: Course,
     ) -> AttemptResult:
         load = self._loads.of(record.upstream)
         unread = prefill_left(request, load.parts)
@@ -269,7 +250,7 @@
             if course.first_at is None:
                 course.first_at = self._clock()
                 waited_s = course.first_at - request.arrived_at
-                self._metrics.observe("first_event", waited_s, **_labels(request))
+                self._metrics.observe("first_event", waited_s, **labels_of(request))
 
         try:
             if progress is None:
@@ -289,7 +270,7 @@
         request: RelayRequest,
         record: UpstreamRecord,
         result: AttemptResult,
-        course: _Course,
+        course: Course,
     ) -> None:
         """Learn from an attempt about the upstream and the request."""
         course.tried.add(record.upstream)
@@ -325,7 +306,7 @@
                 note_success(load)
 
     def _may_run_again(
-        self, request: RelayRequest, result: AttemptResult, course: _Course
+        self, request: RelayRequest, result: AttemptResult, course: Course
     ) -> bool:
         """Say whether a whole answer may be replaced by a better one."""
         return (
@@ -335,7 +316,7 @@
         )
 
     def _goes_on(
-        self, request: RelayRequest, result: AttemptResult, course: _Course
+        self, request: RelayRequest, result: AttemptResult, course: Course
     ) -> bool:
         """Say whether another upstream may be tried after an attempt failed."""
         if result.end is AttemptEnd.BROKEN:
@@ -344,7 +325,7 @@
             )
         return course.sent <= max(1, request.route.max_attempts)
 
-    async def _end_late(self, exchange: Exchange, course: _Course) -> None:
+    async def _end_late(self, exchange: Exchange, course: Course) -> None:
         if course.may_have_run or course.is_pending:
             kind, was_run = ErrorKind.DEADLINE_EXCEEDED, WasRun.UNKNOWN
         else:
@@ -361,42 +342,6 @@
             return
         await self._refuse(exchange, error)
 
-    def _count(self, request: RelayRequest, outcome: str) -> None:
-        labels = _labels(request)
-        took_s = self._clock() - request.arrived_at
-        self._metrics.observe("request", took_s, **labels)
-        name = outcome.partition(":")[0].replace(" ", "_")
-        self._metrics.count(f"requests_{name}", **labels)
-
-    def _log(self, request: RelayRequest, course: _Course, outcome: str) -> None:
-        now = self._clock()
-
-        def passed_ms(moment: float | None) -> float | None:
-            if moment is None:
-                return None
-            return round((moment - request.arrived_at) * MS_PER_S, 1)
-
-        logger.info(
-            "request ended",
-            request=request.id,
-            route=request.route.name,
-            workspace=request.workspace.name if request.workspace else None,
-            service=request.service,
-            outcome=outcome,
-            attempts=course.log,
-            quota_cost=request.quota_cost,
-            admitted_ms=passed_ms(course.admitted_at),
-            first_event_ms=passed_ms(course.first_at),
-            took_ms=passed_ms(now),
-            left_ms=round((request.deadline - now) * MS_PER_S),
-        )
-
-
-def _labels(request: RelayRequest) -> dict[str, str]:
-    """Return what counters and histograms are kept for."""
-    workspace = request.workspace.name if request.workspace is not None else "-"
-    return {"workspace": workspace, "priority": str(request.rank)}
-
 
 def _progress(exchange: Exchange) -> StreamProgress:
     async def send_head(head: ResponseHead) -> None:
