Send changes over a link from the moment it opens

Logs: entry-2 was linked to entry-1 at 31.99, told the leave at about 32.27, and entry-1 still used the upstream at 35.59; it heard of the leave only when another link opened and tables were compared. A host sends changes to its neighbours, and who these are is looked at each 0.25 s: a change between the opening of a link and that look went nowhere, and waited for a comparison of tables, up to 5 s and more. Shown by a run: three hosts in one process, the leave 0 to 0.4 s after the link, the third host deaf: it took more than 7 s in half of the trials, each time with no neighbour known and the link open.

Change: the neighbours are looked at when a link opens. The same trials then took 0.09 s at most (80 of them). The new test fails without the change.

Ruled out: the merge of records (leaving wins in an incarnation), renewals that revive a lease (ignored for one that leaves), the frozen entry-3 (the runs came from entry-1).

The platform's relays don't use this table; their registry is another module.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/gossip.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/gossip.py
@@ -224,6 +224,8 @@
         if merge_peer(self._peers, record, self._clock()):
             self._mesh.learn_address(peer.node, peer.mesh)
             self._add_to_outbox(record, None)
+        # What changes from here on is in no digest: it goes to the neighbours.
+        self._link_neighbours(self._clock())
         self._send_digests(peer.node)
 
     def _on_peers(self, sender: NodeId, update: PeerUpdate) -> None:
