--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -8,12 +8,14 @@
 import httpx
 import msgspec
 
+from standins.platform_runner import DURATION_HEADER
 from standins.processes import Process, free_port, wait_until
 
 __all__ = ["CONTROL", "RELAYS", "Cluster", "deployment_document", "running_cluster"]
 
 CONTROL = ["control-1", "control-2", "control-3", "control-4"]
 RELAYS = ["relay-1", "relay-2"]
+MS_PER_S = 1000
 ROUTE = {
     "name": "r1",
     "hostname": "a.example",
@@ -128,8 +130,18 @@
         with httpx.Client(trust_env=False, timeout=5) as client:
             return client.request(method, url, json=content)
 
-    def announce(self, name: str, port: int, sequence: int) -> bool:
-        """Send the runner's heartbeat to a control host; return whether it worked."""
+    def announce(
+        self,
+        name: str,
+        port: int,
+        sequence: int,
+        runner: str = "i-1",
+        started_at: float = 0.001,
+    ) -> bool:
+        """Send a runner's heartbeat to a control host; return whether it worked.
+
+        `started_at` is the Unix time of the runner's start in seconds.
+        """
         heartbeat = {
             "service": "s1",
             "address": f"127.0.0.1:{port}",
@@ -137,9 +149,9 @@
             "slots": 8,
             "state": "ready",
             "seq": sequence,
-            "born": 1,
+            "born": int(started_at * MS_PER_S),
         }
-        call = "/Instances.Heartbeat/i-1"
+        call = f"/Instances.Heartbeat/{runner}"
         try:
             return self.call(name, "POST", call, heartbeat).is_success
         except httpx.HTTPError:
@@ -163,8 +175,18 @@
         except httpx.HTTPError:
             return False
 
+    def depart(self, name: str, runner: str) -> bool:
+        """Send a runner's departure to a control host; return whether it worked."""
+        return self.call(name, "POST", f"/Instances.Deregister/{runner}").is_success
+
     def send_request(
-        self, name: str, key: str = "k1", path: str = "/x/1", request: str = ""
+        self,
+        name: str,
+        key: str = "k1",
+        path: str = "/x/1",
+        request: str = "",
+        body: bytes = b"",
+        run_ms: float = 0.0,
     ) -> httpx.Response | None:
         """Send a request to a relay; return None if the response is incomplete."""
         headers = {
@@ -173,9 +195,13 @@
             "Authorization": f"Token {key}",
             "Deadline-Ms": "4000",
         }
+        if run_ms:
+            headers[DURATION_HEADER] = str(run_ms)
         url = f"http://{self.ip_addresses[name]}:{self.relay_port}{path}"
         try:
-            return httpx.post(url, headers=headers, trust_env=False, timeout=6)
+            return httpx.post(
+                url, content=body, headers=headers, trust_env=False, timeout=6
+            )
         except httpx.HTTPError:
             return None
 
--- /dev/null
+++ b/standins/runner_fleet.py
@@ -0,0 +1,145 @@
+"""Runners of a platform cluster that start again when they have crashed."""
+
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from standins.platform_cluster import CONTROL, Cluster
+from standins.platform_runner import CRASH_WORD
+from standins.processes import Process, free_port
+
+__all__ = ["RunnerFleet"]
+
+HEARTBEAT_INTERVAL_S = 0.3
+POLL_INTERVAL_S = 0.02
+
+
+@dataclass(slots=True)
+class _Slot:
+    process: Process
+    port: int
+    runner: str
+    started_at: float
+    sequence: int = 0
+    announced_at: float = float("-inf")
+    ended_at: float | None = None
+
+
+class RunnerFleet:
+    """Keeps a number of runners alive and announces them.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        Running cluster.
+    count : int
+        Number of runners.
+    restart_s : float
+        Time between the end of a runner and its next start, in seconds.
+    keeps_ids : bool
+        Whether a runner keeps its id when it starts again.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        count: int,
+        restart_s: float = 0.5,
+        keeps_ids: bool = False,
+    ):
+        self._cluster = cluster
+        self._restart_s = restart_s
+        self._keeps_ids = keeps_ids
+        self._ended = threading.Event()
+        self._rng = Random(count)
+        self._crash_count = 0
+        self._slots = [self._create_slot(number) for number in range(count)]
+        self._thread = threading.Thread(target=self._supervise)
+
+    @property
+    def crash_count(self) -> int:
+        """Number of runners that have ended so far."""
+        return self._crash_count
+
+    @property
+    def running_count(self) -> int:
+        """Number of runners that are running and announced."""
+        return sum(
+            slot.process.is_running and slot.sequence > 0 for slot in self._slots
+        )
+
+    @property
+    def journal(self) -> list[list[str]]:
+        """Words of each line of the journal: request id, workspace, crash mark."""
+        return [line.split() for line in self._journal_path.read_text().splitlines()]
+
+    def run_ids(self, crashed: bool) -> list[str]:
+        """Return the ids of the runs that ended their runner, or of the others."""
+        return [
+            words[0] for words in self.journal if (words[-1] == CRASH_WORD) is crashed
+        ]
+
+    @property
+    def _journal_path(self) -> Path:
+        return self._cluster.folder / "fleet-runs"
+
+    def _create_slot(self, number: int) -> _Slot:
+        port, runner = free_port(), f"f{number}-0"
+        return _Slot(self._create_process(port, runner), port, runner, 0.0)
+
+    def _create_process(self, port: int, runner: str) -> Process:
+        module = "standins.platform_runner"
+        arguments = [module, str(port), str(self._journal_path), runner]
+        return Process(runner, arguments, self._cluster.folder)
+
+    def __enter__(self) -> "RunnerFleet":
+        self._journal_path.touch()
+        for slot in self._slots:
+            self._start(slot)
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self._ended.set()
+        self._thread.join()
+        for slot in self._slots:
+            slot.process.kill()
+
+    def _start(self, slot: _Slot) -> None:
+        slot.process.start()
+        slot.started_at = time.time()
+        slot.sequence = 0
+        slot.ended_at = None
+
+    def _supervise(self) -> None:
+        while not self._ended.is_set():
+            for slot in self._slots:
+                self._check(slot)
+            time.sleep(POLL_INTERVAL_S)
+
+    def _check(self, slot: _Slot) -> None:
+        now = time.monotonic()
+        if slot.process.is_running:
+            if now - slot.announced_at > HEARTBEAT_INTERVAL_S:
+                slot.announced_at = now
+                self._announce(slot)
+        elif slot.ended_at is None:
+            self._crash_count += 1
+            slot.ended_at = now
+        elif now - slot.ended_at > self._restart_s:
+            if not self._keeps_ids:
+                name, _, start = slot.runner.partition("-")
+                slot.runner = f"{name}-{int(start) + 1}"
+                slot.process = self._create_process(slot.port, slot.runner)
+            slot.announced_at = float("-inf")
+            self._start(slot)
+
+    def _announce(self, slot: _Slot) -> None:
+        for control in self._rng.sample(CONTROL, len(CONTROL)):
+            if self._cluster.announce(
+                control, slot.port, slot.sequence + 1, slot.runner, slot.started_at
+            ):
+                slot.sequence += 1
+                return
