Log the fingerprint of each relayed request

Change: the digest of workspace, method, target and body, which the product's own quarantine uses, moves to a package of its own and is a field of `request ended`.

--- a/bench/measure_slopes.py
+++ b/bench/measure_slopes.py
@@ -57,9 +57,9 @@
 from cranberryfield.entry.membership import UpstreamsSection, merge_upstream
 from cranberryfield.entry.membership.peers import PeersSection, merge_peer
 from cranberryfield.entry.membership.upstreams import merge_renewal
+from cranberryfield.entry.quarantine import body_digest
 from cranberryfield.entry.requests import RecordsSection, Request
 from cranberryfield.entry.requests.records import RequestRecord
-from cranberryfield.entry.requests.request import body_digest
 
 __all__ = ["measure"]
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/parse.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/parse.py
@@ -16,8 +16,9 @@
     SettingsTree,
     effective_settings,
 )
+from cranberryfield.entry.quarantine import body_digest
 from cranberryfield.entry.requests.records import RequestRecord
-from cranberryfield.entry.requests.request import Request, body_digest
+from cranberryfield.entry.requests.request import Request
 
 __all__ = [
     "KEY_HEADER",
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -146,7 +146,7 @@
             cancelled and with it the attempt on the upstream.
         """
         credit_request(self._budget, request.service, request.arrived_at)
-        state = RelayRequestState()
+        state = RelayRequestState(request.fingerprint)
         record_arrival(self._demand, request.service, request.arrived_at)
         outcome = "caller left"
         time_left_s = request.deadline - self._clock()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
@@ -7,6 +7,7 @@
 from cranberryfield.core.http1.message import Headers, RequestHead, ResponseHead
 from cranberryfield.core.ids import ServiceName
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.quarantine import body_digest, request_fingerprint
 
 __all__ = [
     "PromptPart",
@@ -74,6 +75,14 @@
             return self.workspace.rank
         return self.route.rank
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Digest that the request keeps when its caller sends it under another id."""
+        method = self.head.method.decode("latin-1")
+        target = self.head.target.decode("latin-1")
+        workspace = self.workspace.name if self.workspace is not None else None
+        return request_fingerprint(workspace, body_digest(method, target, self.body))
+
     @property
     def quota_cost(self) -> float:
         """Amount charged to the workspace's quota: 1, or tokens if it counts them."""
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    fingerprint : bytes
+        Fingerprint of the request.
     tried_upstreams : set of UpstreamId
         Upstreams that were attempted, whether or not they could be reached.
     sent_attempts, possible_runs : int
@@ -47,6 +49,7 @@
         One entry per attempt, for the log.
     """
 
+    fingerprint: bytes
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     sent_attempts: int = 0
     possible_runs: int = 0
@@ -88,6 +91,7 @@
     logger.info(
         "request ended",
         request=request.id,
+        fingerprint=state.fingerprint.hex(),
         route=request.route.name,
         workspace=request.workspace.name if request.workspace else None,
         service=request.service,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine.py
@@ -1,10 +1,8 @@
 """Quarantine state of requests that may crash their upstreams."""
 
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 from cranberryfield.core.ids import Incarnation, NodeId, UpstreamId
-from cranberryfield.entry.requests.request import Request
 
 __all__ = [
     "MAX_CRASHES",
@@ -13,7 +11,6 @@
     "count_crashes",
     "record_crash",
     "release_upstream",
-    "request_fingerprint",
     "reserve_upstream",
 ]
 
@@ -22,7 +19,6 @@
 #: Number of most recently seen fingerprints retained; 16 bytes each.
 MAX_FINGERPRINTS = 10_000
 MAX_KNOWN_CRASHES = 1_000
-FINGERPRINT_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,14 +52,6 @@
     reservations: dict[UpstreamId, UpstreamReservation] = field(default_factory=dict)
 
 
-def request_fingerprint(request: Request) -> bytes:
-    """Return a 16-byte digest of the workspace and the request without its key."""
-    hasher = blake2b(digest_size=FINGERPRINT_BYTES)
-    hasher.update(f"{request.workspace}\n".encode())
-    hasher.update(request.digest)
-    return hasher.digest()
-
-
 def record_crash(
     section: QuarantineSection,
     fingerprint: bytes,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
@@ -22,6 +22,7 @@
     TakePlace,
 )
 from cranberryfield.entry.membership import KnownUpstream
+from cranberryfield.entry.quarantine import request_fingerprint
 from cranberryfield.entry.requests.placement import HostsSource, choose_replica_hosts
 from cranberryfield.entry.requests.quarantine import (
     MAX_CRASHES,
@@ -29,7 +30,6 @@
     count_crashes,
     record_crash,
     release_upstream,
-    request_fingerprint,
     reserve_upstream,
 )
 from cranberryfield.entry.requests.request import Request
@@ -95,7 +95,12 @@
         CallerError
             Of kind ``request_crashes_upstreams``.
         """
-        if count_crashes(self._section, request_fingerprint(request)) >= MAX_CRASHES:
+        if (
+            count_crashes(
+                self._section, request_fingerprint(request.workspace, request.digest)
+            )
+            >= MAX_CRASHES
+        ):
             raise CallerError(
                 ErrorKind.REQUEST_CRASHES_UPSTREAMS,
                 f"{MAX_CRASHES} upstreams crashed while they ran the request",
@@ -140,7 +145,7 @@
     @contextmanager
     def release_after(self, request: Request, upstream: KnownUpstream):
         """Release a suspect's reservation on exit."""
-        fingerprint = request_fingerprint(request)
+        fingerprint = request_fingerprint(request.workspace, request.digest)
         is_suspect = count_crashes(self._section, fingerprint) > 0
         try:
             yield
@@ -155,7 +160,12 @@
     async def _may_run(self, request: Request, upstream: KnownUpstream) -> bool:
         if self.crashed_at(upstream) is not None:
             return False
-        is_suspect = count_crashes(self._section, request_fingerprint(request)) > 0
+        is_suspect = (
+            count_crashes(
+                self._section, request_fingerprint(request.workspace, request.digest)
+            )
+            > 0
+        )
         return not is_suspect or await self._reserve(request, upstream)
 
     def crashed_at(self, upstream: KnownUpstream) -> float | None:
@@ -168,7 +178,9 @@
         host = self._reservation_host(name)
         left_s = max(0.0, request.deadline - self._clock())
         reservation_ms = int(left_s * MS_PER_S) + RESERVATION_GRACE_MS
-        message = TakePlace(name, request_fingerprint(request), reservation_ms)
+        message = TakePlace(
+            name, request_fingerprint(request.workspace, request.digest), reservation_ms
+        )
         if host == self._node:
             return self._on_reserve(self._node, message).granted
         try:
@@ -201,7 +213,7 @@
             Monotonic time in seconds at which the crash was noticed.
         """
         record = upstream.record
-        fingerprint = request_fingerprint(request)
+        fingerprint = request_fingerprint(request.workspace, request.digest)
         name, incarnation = record.upstream, record.incarnation
         if record_crash(self._section, fingerprint, name, incarnation, at):
             age_ms = int((self._clock() - at) * MS_PER_S)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/request.py
@@ -1,14 +1,11 @@
 """A request accepted from a caller."""
 
 from dataclasses import dataclass
-from hashlib import blake2b
 
 from cranberryfield.core.ids import RequestKey, RunId, ServiceName, WorkspaceId
 from cranberryfield.core.settings import EffectiveSettings
 
-__all__ = ["Request", "body_digest"]
-
-DIGEST_BYTES = 16
+__all__ = ["Request"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,24 +50,3 @@
     priority: str
     deadline: float
     settings: EffectiveSettings
-
-
-def body_digest(method: str, path: str, body: bytes) -> bytes:
-    """Return the digest that detects reuse of a key for another request.
-
-    Parameters
-    ----------
-    method, path : str
-        Method and path of the request.
-    body : bytes
-        Body of the request.
-
-    Returns
-    -------
-    bytes
-        Digest of 16 bytes.
-    """
-    hasher = blake2b(digest_size=DIGEST_BYTES)
-    hasher.update(f"{method} {path}\n".encode())
-    hasher.update(body)
-    return hasher.digest()
