--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -70,6 +70,16 @@
             slot.process.is_running and slot.sequence > 0 for slot in self._slots
         )
 
+    @property
+    def keeps_ids(self) -> bool:
+        """Whether a runner keeps its id when it starts again."""
+        return self._keeps_ids
+
+    @property
+    def runner_ids(self) -> list[str]:
+        """Ids of the runners that were started last."""
+        return [slot.runner for slot in self._slots]
+
     @property
     def journal(self) -> list[list[str]]:
         """Words of each line of the journal: request id, workspace, crash mark."""
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,73 @@
+"""Requests that crash their upstreams, sent to a cluster of real processes."""
+
+import pytest
+
+from standins.platform_cluster import RELAYS, running_cluster
+from standins.processes import wait_until
+from standins.runner_fleet import RunnerFleet
+
+RUNNERS = 6
+SENDS = 12
+#: Crashes until a request is known, and further sends of it that hosts may start
+#: before they hear of these.
+MAX_CRASHES = 3
+MAX_LATE_RETRIES = 3
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    with running_cluster(tmp_path_factory.mktemp("cluster")) as running:
+        running.depart("control-1", "i-1")
+        yield running
+
+
+@pytest.fixture(scope="module", params=[False, True], ids=["new-ids", "same-ids"])
+def fleet(cluster, request):
+    with RunnerFleet(cluster, RUNNERS, keeps_ids=request.param) as running:
+        yield running
+
+
+def wait_until_served(cluster, fleet):
+    """Wait until an ordinary request is served by the fleet through each relay."""
+
+    def is_served(relay):
+        response = cluster.send_request(relay)
+        return (
+            response is not None
+            and response.status_code == 200
+            and response.json()["headers"]["target-instance"] in fleet.runner_ids
+        )
+
+    for relay in RELAYS:
+        wait_until(lambda one=relay: is_served(one), f"the fleet serves {relay}")
+
+
+def send_repeatedly(cluster, fleet, body, path, count=SENDS):
+    """Send one request to the relays in turn; return the statuses."""
+    statuses = []
+    for number in range(count):
+        wait_until_served(cluster, fleet)
+        relay = RELAYS[number % len(RELAYS)]
+        request = f"{body.decode()}-{number}"
+        response = cluster.send_request(relay, path=path, request=request, body=body)
+        statuses.append(response.status_code)
+    return statuses
+
+
+def count_crashes(fleet, body):
+    return sum(one.startswith(body.decode()) for one in fleet.run_ids(crashed=True))
+
+
+# Guards against a request that crashes its upstreams running again each time its
+# caller sends it, on every relay.
+@pytest.mark.parametrize(
+    ("path", "name"), [("/x/1", "again"), ("/once/1", "once")], ids=["again", "once"]
+)
+def test_request_that_crashed_three_upstreams_is_refused_on_every_relay(
+    cluster, fleet, path, name
+):
+    body = f"crash-{name}-{fleet.keeps_ids}".encode()
+    statuses = send_repeatedly(cluster, fleet, body, path)
+    assert count_crashes(fleet, body) <= MAX_CRASHES + MAX_LATE_RETRIES
+    assert statuses[-len(RELAYS) :] == [503] * len(RELAYS)
+    wait_until_served(cluster, fleet)
