Move the quarantine's decisions to a package that both interfaces can use

Change: entry/quarantine holds fingerprints, crashes and reservations. A request is refused at its second crash as before, now unless another one was in flight in both, and at the third in any case; one that ran to its end is no longer suspected. With reservations no second suspect runs on an upstream, so for the trial interface the count is the same.

Cases: the three of test_policies.py moved to quarantine/tests, the one on bounds now also asks that a flood of suspects does not push out a quarantined request.

--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_section.py
@@ -0,0 +1,157 @@
+"""Which requests are refused after crashes of upstreams, without any I/O."""
+
+import pytest
+
+from cranberryfield.entry.quarantine.section import (
+    MAX_FINGERPRINTS,
+    RETENTION_S,
+    Crash,
+    QuarantineSection,
+    count_crashes,
+    forget_expired,
+    is_quarantined,
+    quarantine_ends_at,
+    record_completion,
+    record_crash,
+)
+
+CULPRIT, OTHER = b"culprit", b"other"
+
+
+def record_all(section, *crashes):
+    """Record crashes, given as fingerprint, upstream and whether it had answered."""
+    for at, (fingerprint, upstream, had_answered) in enumerate(crashes):
+        record_crash(section, fingerprint, Crash(upstream, 1, at, had_answered))
+
+
+def test_repeated_crash_report_counts_once():
+    section = QuarantineSection()
+    reports = [("u1", 1), ("u1", 1), ("u1", 2), ("u2", 1)]
+    results = [record_crash(section, b"f", Crash(*crash, 5.0)) for crash in reports]
+    assert (results, count_crashes(section, b"f")) == ([True, False, True, True], 3)
+    record_crash(section, b"g", Crash("u1", 1, 4.0))
+    assert section.crashed_at["u1", 1] == 4.0
+
+
+# Times at which crashes of one upstream were noticed, and how many they are if it
+# tells its starts apart and if it does not.
+CRASH_TIMES = [((5.0, 5.3), 1, 1), ((5.0, 8.0), 1, 2), ((8.0, 5.0, 5.4), 1, 2)]
+
+
+@pytest.mark.parametrize(("times", "known", "unknown"), CRASH_TIMES)
+def test_crashes_of_an_upstream_that_keeps_its_id(times, known, unknown):
+    for incarnation, expected in ((7, known), (0, unknown)):
+        section = QuarantineSection()
+        for at in times:
+            record_crash(section, b"f", Crash("u1", incarnation, at))
+        assert count_crashes(section, b"f") == expected
+
+
+# Crashes in order, and whether the culprit and the other request are refused.
+QUARANTINE_CASES = [
+    ("none", [], (False, False)),
+    ("one", [(CULPRIT, "u1", False)], (False, False)),
+    ("two", [(CULPRIT, "u1", False), (CULPRIT, "u2", False)], (True, False)),
+    (
+        "two, with others in one",
+        [(CULPRIT, "u1", False), (OTHER, "u1", False), (CULPRIT, "u2", False)],
+        (True, False),
+    ),
+    (
+        "two, both with the same other",
+        [(one, upstream, False) for upstream in "ab" for one in (CULPRIT, OTHER)],
+        (False, False),
+    ),
+    (
+        "two, both beside an answer in progress",
+        [
+            (one, upstream, one == OTHER)
+            for upstream in "ab"
+            for one in (CULPRIT, OTHER)
+        ],
+        (True, False),
+    ),
+    (
+        "two in mid-answer",
+        [(CULPRIT, "u1", True), (CULPRIT, "u2", True)],
+        (False, False),
+    ),
+    (
+        "three in mid-answer",
+        [(CULPRIT, upstream, True) for upstream in "abc"],
+        (True, False),
+    ),
+    (
+        "three, two with the same other",
+        [(one, upstream, False) for upstream in "ab" for one in (CULPRIT, OTHER)]
+        + [(CULPRIT, "c", False)],
+        (True, False),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("crashes", "expected"),
+    [row[1:] for row in QUARANTINE_CASES],
+    ids=[row[0] for row in QUARANTINE_CASES],
+)
+def test_who_is_refused_after_crashes(crashes, expected):
+    section = QuarantineSection()
+    record_all(section, *crashes)
+    assert (
+        is_quarantined(section, CULPRIT),
+        is_quarantined(section, OTHER),
+    ) == expected
+
+
+def test_a_request_that_ran_to_its_end_is_no_longer_suspected():
+    section = QuarantineSection()
+    record_all(section, (CULPRIT, "u1", False), (OTHER, "u1", False))
+    record_all(section, (CULPRIT, "u2", False), (OTHER, "u2", False))
+    assert record_completion(section, OTHER, 5.0)
+    assert count_crashes(section, OTHER) == 0
+    assert is_quarantined(section, CULPRIT)
+
+
+# Times of a completion and of a crash that is reported after it, and the count.
+LATE_REPORTS = [(5.0, 4.0, 0), (5.0, 6.0, 1)]
+
+
+@pytest.mark.parametrize(("completed_at", "crashed_at", "count"), LATE_REPORTS)
+def test_crash_reported_after_a_completion(completed_at, crashed_at, count):
+    section = QuarantineSection()
+    record_completion(section, OTHER, completed_at)
+    record_crash(section, OTHER, Crash("u1", 1, crashed_at))
+    assert count_crashes(section, OTHER) == count
+
+
+def test_repeated_completion_is_no_news():
+    section = QuarantineSection()
+    times = (5.0, 5.2, 4.9, 9.0)
+    results = [record_completion(section, OTHER, at) for at in times]
+    assert results == [True, False, False, True]
+
+
+# Guards against a flood of suspects that lets a quarantined request run again.
+def test_fingerprints_are_bounded_and_the_quarantined_are_kept():
+    section = QuarantineSection()
+    record_all(section, (CULPRIT, "u1", False), (CULPRIT, "u2", False))
+    for number in range(MAX_FINGERPRINTS + 5):
+        record_crash(section, number.to_bytes(4), Crash("u3", number, 9.0))
+        record_completion(section, b"c" + number.to_bytes(4), 9.0)
+    assert len(section.crashes) == len(section.completed_at) == MAX_FINGERPRINTS
+    assert count_crashes(section, (0).to_bytes(4)) == 0
+    assert is_quarantined(section, CULPRIT)
+
+
+def test_suspects_are_forgotten_after_the_retention_time():
+    section = QuarantineSection()
+    record_all(section, (CULPRIT, "u1", False), (CULPRIT, "u2", False))
+    record_completion(section, OTHER, 1.0)
+    ends_at = quarantine_ends_at(section, CULPRIT)
+    assert ends_at == 1.0 + RETENTION_S
+    forget_expired(section, ends_at - 0.1)
+    assert is_quarantined(section, CULPRIT)
+    forget_expired(section, ends_at)
+    assert not section.crashes
+    assert not section.completed_at
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
@@ -22,16 +22,20 @@
     TakePlace,
 )
 from cranberryfield.entry.membership import KnownUpstream
-from cranberryfield.entry.quarantine import request_fingerprint
-from cranberryfield.entry.requests.placement import HostsSource, choose_replica_hosts
-from cranberryfield.entry.requests.quarantine import (
-    MAX_CRASHES,
+from cranberryfield.entry.quarantine import (
+    Crash,
     QuarantineSection,
+    ReservationSection,
     count_crashes,
+    is_quarantined,
     record_crash,
+    request_fingerprint,
+)
+from cranberryfield.entry.quarantine.reservations import (
     release_upstream,
     reserve_upstream,
 )
+from cranberryfield.entry.requests.placement import HostsSource, choose_replica_hosts
 from cranberryfield.entry.requests.request import Request
 from cranberryfield.entry.routing import UpstreamSelector
 
@@ -58,6 +62,8 @@
         This process.
     section : QuarantineSection
         Quarantine state; owned by this object.
+    reservations : ReservationSection
+        Reservations that this host has granted; owned by this object.
     mesh : Mesh
         Links to other hosts.
     hosts : callable
@@ -72,6 +78,7 @@
         self,
         node: NodeId,
         section: QuarantineSection,
+        reservations: ReservationSection,
         mesh: Mesh,
         hosts: HostsSource,
         choose: UpstreamSelector,
@@ -79,6 +86,7 @@
     ):
         self._node = node
         self._section = section
+        self._reservations = reservations
         self._mesh = mesh
         self._hosts = hosts
         self._choose = choose
@@ -95,15 +103,12 @@
         CallerError
             Of kind ``request_crashes_upstreams``.
         """
-        if (
-            count_crashes(
-                self._section, request_fingerprint(request.workspace, request.digest)
-            )
-            >= MAX_CRASHES
-        ):
+        fingerprint = request_fingerprint(request.workspace, request.digest)
+        if is_quarantined(self._section, fingerprint):
+            crash_count = count_crashes(self._section, fingerprint)
             raise CallerError(
                 ErrorKind.REQUEST_CRASHES_UPSTREAMS,
-                f"{MAX_CRASHES} upstreams crashed while they ran the request",
+                f"{crash_count} upstreams crashed while they ran the request",
             )
 
     async def choose(
@@ -215,7 +220,7 @@
         record = upstream.record
         fingerprint = request_fingerprint(request.workspace, request.digest)
         name, incarnation = record.upstream, record.incarnation
-        if record_crash(self._section, fingerprint, name, incarnation, at):
+        if record_crash(self._section, fingerprint, Crash(name, incarnation, at)):
             age_ms = int((self._clock() - at) * MS_PER_S)
             self._broadcast(CrashNoted(name, incarnation, (fingerprint,), age_ms))
 
@@ -227,20 +232,19 @@
     def _on_crash(self, sender: NodeId, message: CrashNoted) -> None:
         at = self._clock() - message.age_ms / MS_PER_S
         for fingerprint in message.fingerprints:
-            record_crash(
-                self._section,
-                fingerprint,
-                message.upstream,
-                message.incarnation,
-                at,
-            )
+            crash = Crash(message.upstream, message.incarnation, at)
+            record_crash(self._section, fingerprint, crash)
 
     def _on_reserve(self, sender: NodeId, message: TakePlace) -> PlaceTaken:
         now = self._clock()
         until = now + message.reservation_ms / MS_PER_S
         suspect = (sender, message.fingerprint)
-        granted = reserve_upstream(self._section, message.upstream, suspect, now, until)
+        granted = reserve_upstream(
+            self._reservations, message.upstream, suspect, now, until
+        )
         return PlaceTaken(granted)
 
     def _on_release(self, sender: NodeId, message: LeavePlace) -> None:
-        release_upstream(self._section, message.upstream, (sender, message.fingerprint))
+        release_upstream(
+            self._reservations, message.upstream, (sender, message.fingerprint)
+        )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_policies.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_policies.py
@@ -1,16 +1,8 @@
-"""Tests of the rules for retries, moves and the request quarantine."""
+"""Tests of the rules for retries and moves."""
 
 import pytest
 
 from cranberryfield.entry.requests.move_policy import requested_tokens, should_move
-from cranberryfield.entry.requests.quarantine import (
-    MAX_FINGERPRINTS,
-    QuarantineSection,
-    count_crashes,
-    record_crash,
-    release_upstream,
-    reserve_upstream,
-)
 from cranberryfield.entry.requests.retry_policy import (
     MAX_ATTEMPTS,
     AttemptEnd,
@@ -77,31 +69,3 @@
 )
 def test_requested_tokens(body, expected):
     assert requested_tokens(body) == expected
-
-
-def test_repeated_crash_report_counts_once():
-    section = QuarantineSection()
-    reports = [("u1", 1), ("u1", 1), ("u1", 2), ("u2", 1)]
-    results = [record_crash(section, b"f", *crash, 5.0) for crash in reports]
-    assert (results, count_crashes(section, b"f")) == ([True, False, True, True], 3)
-    record_crash(section, b"g", "u1", 1, 4.0)
-    assert section.crashed_at["u1", 1] == 4.0
-
-
-def test_fingerprints_are_bounded():
-    section = QuarantineSection()
-    for number in range(MAX_FINGERPRINTS + 5):
-        record_crash(section, number.to_bytes(4), "u1", number, 0.0)
-    assert len(section.crashes) == MAX_FINGERPRINTS
-    assert count_crashes(section, (0).to_bytes(4)) == 0
-
-
-def test_only_the_reservation_holder_can_release_it():
-    section = QuarantineSection()
-    first, second = ("e1", b"f"), ("e2", b"g")
-    assert reserve_upstream(section, "u1", first, 0.0, 9.0)
-    release_upstream(section, "u1", second)
-    assert not reserve_upstream(section, "u1", second, 1.0, 9.0)
-    assert reserve_upstream(section, "u1", first, 1.0, 9.0)
-    release_upstream(section, "u1", first)
-    assert reserve_upstream(section, "u1", second, 1.0, 9.0)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -29,13 +29,13 @@
 from cranberryfield.entry.membership.leases import LeaseManager
 from cranberryfield.entry.membership.peers import other_live_peers
 from cranberryfield.entry.membership.probing import UpstreamProber
+from cranberryfield.entry.quarantine import QuarantineSection, ReservationSection
 from cranberryfield.entry.requests import RecordsSection
 from cranberryfield.entry.requests.attempt_runner import AttemptRunner
 from cranberryfield.entry.requests.attempts import AttemptMonitor
 from cranberryfield.entry.requests.claims import ClaimManager
 from cranberryfield.entry.requests.handover import HandoverManager
 from cranberryfield.entry.requests.placement import EntryHost, entry_hosts
-from cranberryfield.entry.requests.quarantine import QuarantineSection
 from cranberryfield.entry.requests.quarantine_coordinator import QuarantineCoordinator
 from cranberryfield.entry.requests.record_coordinator import RecordCoordinator
 from cranberryfield.entry.requests.records import RequestState
@@ -215,9 +215,14 @@
             config.node_id, mesh, tasks, coordinator.choose_peers
         )
         choose = make_upstream_selector(board, config.zone, clock, rng)
-        quarantine = board.add(QuarantineSection())
         quarantine_coordinator = QuarantineCoordinator(
-            config.node_id, quarantine, mesh, hosts, choose, clock
+            config.node_id,
+            board.add(QuarantineSection()),
+            board.add(ReservationSection()),
+            mesh,
+            hosts,
+            choose,
+            clock,
         )
         monitor = AttemptMonitor(upstreams, choose, dispatcher.move_kv, tasks, clock)
         limits = SharedRateLimiter(
