Refuse requests that crash their upstreams on the relay too

Fault class: a promise that is kept by one interface and not by the other.

Change: when an attempt loses its connection, the relay looks whether its upstream still accepts connections. If it refuses them, and was not leaving, the request is a suspect. Suspects are exchanged through the control hosts: changes at once, digests once a second and when a link opens, so hosts that restart or miss messages hear within a second. Decisions are those of entry/quarantine. Suspects avoid upstreams with other suspects of the same relay; no other request waits for anything. A quarantined request is refused before it is charged, with the time to come back.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/__init__.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/__init__.py
@@ -8,6 +8,7 @@
     BrokenExchangeError,
     ConnectionPool,
     NotSentError,
+    ResponseTimeoutError,
     UpstreamConnection,
 )
 from cranberryfield.core.http1.fetch import fetch
@@ -32,6 +33,7 @@
     "RequestHead",
     "Response",
     "ResponseHead",
+    "ResponseTimeoutError",
     "ServerLimits",
     "ServerState",
     "UpstreamConnection",
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -17,6 +17,7 @@
     "BrokenExchangeError",
     "ConnectionPool",
     "NotSentError",
+    "ResponseTimeoutError",
     "UpstreamConnection",
 ]
 
@@ -35,13 +36,29 @@
 
 
 class NotSentError(Exception):
-    """Raised if no byte of the request was written."""
+    """Raised if no byte of the request was written.
+
+    Parameters
+    ----------
+    detail : str
+        Explanation for the log.
+    is_refused : bool
+        Whether the host refused the connection, as no process listens there.
+    """
+
+    def __init__(self, detail: str, is_refused: bool = False):
+        super().__init__(detail)
+        self.is_refused = is_refused
 
 
 class BrokenExchangeError(Exception):
     """Raised if the exchange fails after the server may have read the request."""
 
 
+class ResponseTimeoutError(BrokenExchangeError):
+    """Raised if the server does not respond in time; its connection is still open."""
+
+
 class UpstreamConnection:
     """Client connection that carries one exchange at a time.
 
@@ -269,15 +286,40 @@
             with anyio.fail_after(self.connect_timeout_s):
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
-            raise NotSentError(f"cannot connect to {address}") from error
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            raise NotSentError(f"cannot connect to {address}", is_refused) from error
         self.opened_count += 1
         enable_dead_peer_detection(stream.extra(SocketAttribute.raw_socket))
         return UpstreamConnection(stream)
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to an address is still open."""
+        now = self.clock()
+        idle = self._idle_connections.get(address, ())
+        return any(connection.is_open_at(now) for connection in idle)
+
+    async def is_refused(self, address: str) -> bool:
+        """Return whether no process listens at an address.
+
+        A connection that opens is kept for a later request.
+        """
+        try:
+            connection = await self.open(address)
+        except NotSentError as error:
+            return error.is_refused
+        await self._keep(address, connection)
+        return False
+
     async def release(self, address: str, connection: UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
+        if connection.is_reusable:
+            await self._keep(address, connection)
+        else:
+            await connection.close()
+
+    async def _keep(self, address: str, connection: UpstreamConnection) -> None:
         idle = self._idle_connections.setdefault(address, deque())
-        if not connection.is_reusable or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        if len(idle) >= MAX_IDLE_PER_ADDRESS:
             await connection.close()
             return
         connection.idle_since = self.clock()
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -33,6 +33,7 @@
     ControlOperations,
     ProtocolAdapter,
 )
+from cranberryfield.entry.quarantine import QuarantineSection, SuspectExchange
 from cranberryfield.entry.quota import QuotaLeeway, QuotaServer
 from cranberryfield.entry.registry import RegistryPublisher, RegistryTable
 from cranberryfield.entry.reports import ReportCollector
@@ -63,6 +64,8 @@
         Replica of the log.
     publisher : RegistryPublisher
         Publishes the registry of upstreams.
+    exchange : SuspectExchange
+        Exchanges requests that are suspected of crashing upstreams.
     proposer : Proposer
         Sends commands and queries to the leader.
     leader_tasks : tuple
@@ -75,6 +78,7 @@
         adapter: ProtocolAdapter,
         runtime: ControlRuntime,
         publisher: RegistryPublisher,
+        exchange: SuspectExchange,
         proposer: Proposer,
         leader_tasks: tuple[UsageReporter | UpstreamAutoscaler, ...],
     ):
@@ -82,6 +86,7 @@
         self._adapter = adapter
         self._runtime = runtime
         self._publisher = publisher
+        self._exchange = exchange
         self._proposer = proposer
         self._leader_tasks = leader_tasks
         self._server_state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
@@ -108,6 +113,8 @@
         runtime = ControlRuntime.from_config(config, mesh, board, clock, rng, names)
         table = board.add(RegistryTable())
         publisher = RegistryPublisher(table, mesh, clock)
+        suspects = board.add(QuarantineSection())
+        exchange = SuspectExchange(suspects, mesh, names, clock, rng)
         proposer = Proposer(mesh, names.known, clock)
         section = board.read(ControlSection)
         deployment = _applied_deployment(section)
@@ -147,6 +154,7 @@
             adapter,
             runtime,
             publisher,
+            exchange,
             proposer,
             leader_tasks,
         )
@@ -156,6 +164,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._runtime.run)
             tasks.start_soon(self._publisher.run)
+            tasks.start_soon(self._exchange.run)
             for task in self._leader_tasks:
                 tasks.start_soon(task.run)
             address = split_address(self._address)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -31,6 +31,7 @@
     DeploymentSection,
     is_deployment_current,
 )
+from cranberryfield.entry.quarantine import QuarantineSection, SuspectExchange
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import RegistryReplica, RegistryTable
 from cranberryfield.entry.relay import (
@@ -41,6 +42,7 @@
 )
 from cranberryfield.entry.relay.attempts import UpstreamTransport
 from cranberryfield.entry.relay.demand import DemandSection
+from cranberryfield.entry.relay.quarantine import RelayQuarantine
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports import HostReporter
 
@@ -97,6 +99,8 @@
         Replicates the deployment from the control hosts.
     replica : RegistryReplica
         Replicates the registry of upstreams.
+    exchange : SuspectExchange
+        Exchanges requests that are suspected of crashing upstreams.
     relay : Relay
         Forwards requests to upstreams.
     reporter : HostReporter
@@ -116,6 +120,7 @@
         deployment: DeploymentSection,
         follower: DeploymentFollower,
         replica: RegistryReplica,
+        exchange: SuspectExchange,
         relay: Relay,
         reporter: HostReporter,
         pool: ConnectionPool,
@@ -127,6 +132,7 @@
         self._deployment = deployment
         self._follower = follower
         self._replica = replica
+        self._exchange = exchange
         self._relay = relay
         self._reporter = reporter
         self._pool = pool
@@ -194,6 +200,8 @@
         budget = WindowedRetryBudget(
             config.retry_ratio, config.retry_allowance, config.retry_window_s, hosts
         )
+        suspects = board.add(QuarantineSection())
+        exchange = SuspectExchange(suspects, mesh, names, clock, rng)
         relay = Relay(
             table,
             loads,
@@ -201,6 +209,7 @@
             QuotaClient(mesh, leader, hosts, clock, rng),
             board.add(budget),
             usage,
+            RelayQuarantine(suspects, exchange, table, pool, metrics, clock),
             UpstreamTransport(pool, adapter.upstream_codec, clock),
             adapter.answer_error,
             metrics,
@@ -214,6 +223,7 @@
             deployment,
             follower,
             RegistryReplica(table, mesh, names, clock, rng),
+            exchange,
             relay,
             reporter,
             pool,
@@ -232,6 +242,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._replica.run)
+            tasks.start_soon(self._exchange.run)
+            tasks.start_soon(self._relay.run)
             tasks.start_soon(self._reporter.run)
             tasks.start_soon(self._close_idle_connections)
             readiness = split_address(self._config.relay.readiness)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/__init__.py
@@ -1,8 +1,11 @@
 """Quarantine of requests that crash the upstreams that run them.
 
-Both interfaces decide with this package which requests are refused.
+Both interfaces decide with this package which requests are refused. Hosts of a
+cluster keep their suspects the same with `SuspectExchange`; entry hosts of the
+trial interface send crashes to each other and reserve upstreams for suspects.
 """
 
+from cranberryfield.entry.quarantine.exchange import SuspectExchange
 from cranberryfield.entry.quarantine.fingerprint import (
     body_digest,
     request_fingerprint,
@@ -13,6 +16,7 @@
     QuarantineSection,
     count_crashes,
     is_quarantined,
+    quarantine_ends_at,
     record_crash,
 )
 
@@ -20,9 +24,11 @@
     "Crash",
     "QuarantineSection",
     "ReservationSection",
+    "SuspectExchange",
     "body_digest",
     "count_crashes",
     "is_quarantined",
+    "quarantine_ends_at",
     "record_crash",
     "request_fingerprint",
 ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -14,6 +14,7 @@
     RequestHead,
     Response,
     ResponseHead,
+    ResponseTimeoutError,
     UpstreamConnection,
 )
 from cranberryfield.core.messages.membership import UpstreamRecord
@@ -73,12 +74,18 @@
         The complete response, if the attempt ended as ``ANSWERED``.
     metadata : ResponseMetadata or None
         Metadata from the response headers.
+    connection_lost : bool
+        Whether the connection ended during the attempt.
+    had_answered : bool
+        Whether the upstream had begun its answer before that.
     """
 
     outcome: RelayAttemptOutcome
     detail: str = ""
     response: Response | None = None
     metadata: ResponseMetadata | None = None
+    connection_lost: bool = False
+    had_answered: bool = False
 
 
 @dataclass(slots=True)
@@ -193,7 +200,18 @@
             return await connection.read_head()
     except TimeoutError as error:
         detail = "no response head on a reused connection"
-        raise BrokenExchangeError(detail) from error
+        raise ResponseTimeoutError(detail) from error
+
+
+def _broken_result(
+    error: BrokenExchangeError, had_answered: bool = False
+) -> RelayAttemptResult:
+    return RelayAttemptResult(
+        RelayAttemptOutcome.BROKEN,
+        str(error),
+        connection_lost=not isinstance(error, ResponseTimeoutError),
+        had_answered=had_answered,
+    )
 
 
 def _result_from_head(
@@ -249,7 +267,7 @@
     except NotSentError as error:
         return RelayAttemptResult(RelayAttemptOutcome.NOT_SENT, str(error))
     except BrokenExchangeError as error:
-        return RelayAttemptResult(RelayAttemptOutcome.BROKEN, str(error))
+        return _broken_result(error)
     return await _read_response(transport, request, record, exchange)
 
 
@@ -264,9 +282,7 @@
         body = await exchange.connection.read_body(MAX_RESPONSE_BYTES)
     except BrokenExchangeError as error:
         await exchange.connection.close()
-        return early_result or RelayAttemptResult(
-            RelayAttemptOutcome.BROKEN, str(error)
-        )
+        return early_result or _broken_result(error, had_answered=True)
     except BaseException:
         await exchange.connection.close()
         raise
@@ -316,11 +332,12 @@
     except NotSentError as error:
         return RelayAttemptResult(RelayAttemptOutcome.NOT_SENT, str(error))
     except BrokenExchangeError as error:
-        return RelayAttemptResult(RelayAttemptOutcome.BROKEN, str(error))
+        return _broken_result(error)
     early_result = _result_from_head(request, exchange)
     if early_result is not None or exchange.head.status not in SUCCESS_STATUSES:
         return await _read_response(transport, request, record, exchange)
     is_complete = False
+    events_before = progress.events_sent
     try:
         await _forward_events(
             request, exchange, progress, on_first_event, transport.clock
@@ -330,9 +347,7 @@
             RelayAttemptOutcome.STREAMED, metadata=exchange.metadata
         )
     except BrokenExchangeError as error:
-        return RelayAttemptResult(
-            RelayAttemptOutcome.BROKEN, str(error), metadata=exchange.metadata
-        )
+        return _broken_result(error, had_answered=progress.events_sent > events_before)
     finally:
         if is_complete:
             await transport.pool.release(record.address, exchange.connection)
@@ -377,4 +392,4 @@
         with anyio.fail_after(STREAM_IDLE_TIMEOUT_S):
             return await connection.read_part()
     except TimeoutError as error:
-        raise BrokenExchangeError("stream sent no data before the timeout") from error
+        raise ResponseTimeoutError("stream sent no data before the timeout") from error
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -0,0 +1,226 @@
+"""Detects crashes of upstreams and keeps suspected requests of a relay apart."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import anyio
+import structlog
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
+from cranberryfield.core.http1 import ConnectionPool
+from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.metrics import Metrics
+from cranberryfield.entry.quarantine import (
+    Crash,
+    QuarantineSection,
+    SuspectExchange,
+    is_quarantined,
+    quarantine_ends_at,
+)
+from cranberryfield.entry.quarantine.section import UNKNOWN_INCARNATION
+from cranberryfield.entry.registry import RegistryTable
+from cranberryfield.entry.relay.attempts import (
+    RelayAttemptOutcome,
+    RelayAttemptResult,
+)
+
+__all__ = ["RelayQuarantine"]
+
+#: Time for a connection to a possibly crashed upstream to open, in seconds.
+CHECK_TIMEOUT_S = 0.2
+#: Time after which an upstream that still accepts connections is checked again, in
+#: seconds.
+CONFIRM_DELAY_S = 0.1
+MAX_UNCONFIRMED = 1_000
+SERVER_ERRORS = range(500, 600)
+
+logger = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _UnconfirmedCrash:
+    """A lost connection to an upstream that still accepted another one."""
+
+    fingerprint: bytes
+    record: UpstreamRecord
+    crash: Crash
+
+
+class RelayQuarantine:
+    """Finds out which requests crash upstreams, and refuses these.
+
+    Parameters
+    ----------
+    section : QuarantineSection
+        Suspects known to this host.
+    exchange : SuspectExchange
+        Tells other hosts of new suspects.
+    table : RegistryTable
+        Announced upstreams.
+    pool : ConnectionPool
+        Connections to upstreams.
+    metrics : Metrics
+        Counters of crashes and of quarantined requests.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        section: QuarantineSection,
+        exchange: SuspectExchange,
+        table: RegistryTable,
+        pool: ConnectionPool,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        self._section = section
+        self._exchange = exchange
+        self._table = table
+        self._pool = pool
+        self._metrics = metrics
+        self._clock = clock
+        self._running_suspects: Counter[UpstreamId] = Counter()
+        self._unconfirmed: list[_UnconfirmedCrash] = []
+        self._has_unconfirmed = anyio.Event()
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Return whether a request is refused because it crashes upstreams."""
+        return is_quarantined(self._section, fingerprint)
+
+    def refusal(self, fingerprint: bytes, was_run: WasRun) -> UnavailableError:
+        """Return the error for a quarantined request.
+
+        Parameters
+        ----------
+        fingerprint : bytes
+            Fingerprint of the request.
+        was_run : WasRun
+            Whether this attempt of its caller was run.
+        """
+        ends_at = quarantine_ends_at(self._section, fingerprint)
+        crash_count = len(self._section.crashes[fingerprint])
+        return UnavailableError(
+            ErrorKind.REQUEST_CRASHES_UPSTREAMS,
+            f"{crash_count} upstreams crashed while they ran the request",
+            was_run=was_run,
+            retry_after_s=max(0.0, ends_at - self._clock()),
+        )
+
+    def upstreams_to_avoid(self, fingerprint: bytes) -> frozenset[UpstreamId]:
+        """Return upstreams that run other suspects, if the request is a suspect.
+
+        Two suspects that never share an upstream are told apart by the next crash.
+        """
+        if not self._is_suspect(fingerprint):
+            return frozenset()
+        return frozenset(self._running_suspects)
+
+    @contextmanager
+    def running(self, fingerprint: bytes, upstream: UpstreamId) -> Iterator[None]:
+        """Record that a request runs on an upstream until the context exits."""
+        if not self._is_suspect(fingerprint):
+            yield
+            return
+        self._running_suspects[upstream] += 1
+        try:
+            yield
+        finally:
+            self._running_suspects[upstream] -= 1
+            if not self._running_suspects[upstream]:
+                del self._running_suspects[upstream]
+
+    def _is_suspect(self, fingerprint: bytes) -> bool:
+        crashes = self._section.crashes.get(fingerprint, ())
+        return any(not crash.had_answered for crash in crashes)
+
+    async def examine(
+        self,
+        fingerprint: bytes,
+        record: UpstreamRecord,
+        result: RelayAttemptResult,
+        started_at: float,
+    ) -> bool:
+        """Examine the end of an attempt; return whether the upstream has crashed.
+
+        Parameters
+        ----------
+        fingerprint : bytes
+            Fingerprint of the request.
+        record : UpstreamRecord
+            Upstream of the attempt.
+        result : RelayAttemptResult
+            How the attempt ended.
+        started_at : float
+            Monotonic time in seconds at which the attempt began.
+        """
+        if _ran_to_its_end(result):
+            self._exchange.report_completion(fingerprint)
+        if not result.connection_lost or self._is_leaving(record):
+            return False
+        crash = Crash(
+            record.upstream, record.incarnation, self._clock(), result.had_answered
+        )
+        if self._is_known_crash(crash):
+            if started_at < self._section.crashed_at[crash.process]:
+                self._exchange.report_crash(fingerprint, crash)
+            return True
+        if await self._is_refused(record):
+            self._record_crash(fingerprint, crash)
+            return True
+        if len(self._unconfirmed) < MAX_UNCONFIRMED:
+            self._unconfirmed.append(_UnconfirmedCrash(fingerprint, record, crash))
+            self._has_unconfirmed.set()
+        return False
+
+    async def run(self) -> None:
+        """Check upstreams again that accepted connections, until cancelled.
+
+        A process that ends may close its connections before its listener, so that
+        a connection to it can still be opened for a moment.
+        """
+        while True:
+            await self._has_unconfirmed.wait()
+            self._has_unconfirmed = anyio.Event()
+            await anyio.sleep(CONFIRM_DELAY_S)
+            unconfirmed, self._unconfirmed = self._unconfirmed, []
+            for one in unconfirmed:
+                if await self._is_refused(one.record):
+                    self._record_crash(one.fingerprint, one.crash)
+
+    def _is_leaving(self, record: UpstreamRecord) -> bool:
+        entry = self._table.entries.get(record.upstream)
+        return entry is None or entry.record.leaving
+
+    def _is_known_crash(self, crash: Crash) -> bool:
+        is_unique = crash.incarnation != UNKNOWN_INCARNATION
+        return is_unique and crash.process in self._section.crashed_at
+
+    def _record_crash(self, fingerprint: bytes, crash: Crash) -> None:
+        if not self._is_known_crash(crash):
+            self._metrics.count("upstream_crashes")
+            logger.info(
+                "upstream crashed",
+                upstream=crash.upstream,
+                incarnation=crash.incarnation,
+            )
+        self._exchange.report_crash(fingerprint, crash)
+
+    async def _is_refused(self, record: UpstreamRecord) -> bool:
+        # An overloaded upstream refuses connections too, but keeps those it has.
+        if self._pool.has_idle(record.address):
+            return False
+        # Shielded so that the crash counts although the caller leaves now.
+        with anyio.move_on_after(CHECK_TIMEOUT_S, shield=True):
+            return await self._pool.is_refused(record.address)
+        return False
+
+
+def _ran_to_its_end(result: RelayAttemptResult) -> bool:
+    if result.outcome is RelayAttemptOutcome.ANSWERED:
+        return result.response.status not in SERVER_ERRORS
+    return result.outcome is RelayAttemptOutcome.STREAMED
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -15,7 +15,7 @@
 )
 from cranberryfield.core.http1 import Exchange, Response, ResponseHead
 from cranberryfield.core.http1.message import remove_hop_by_hop
-from cranberryfield.core.ids import DataCentre
+from cranberryfield.core.ids import DataCentre, UpstreamId
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quota import QuotaClient
@@ -41,6 +41,7 @@
     record_failure,
     record_success,
 )
+from cranberryfield.entry.relay.quarantine import RelayQuarantine
 from cranberryfield.entry.relay.request import RelayRequest, uncached_prompt_tokens
 from cranberryfield.entry.relay.request_state import (
     RelayRequestState,
@@ -91,6 +92,8 @@
         Retries left, owned by this object.
     usage : UsageSection
         Counts of started runs, owned by this object.
+    quarantine : RelayQuarantine
+        Refuses requests that crash upstreams.
     transport : UpstreamTransport
         Transport to the upstreams.
     send_error : callable
@@ -113,6 +116,7 @@
         quota: QuotaClient,
         budget: WindowedRetryBudget,
         usage: UsageSection,
+        quarantine: RelayQuarantine,
         transport: UpstreamTransport,
         send_error: SendError,
         metrics: Metrics,
@@ -126,6 +130,7 @@
         self._quota = quota
         self._budget = budget
         self._usage = usage
+        self._quarantine = quarantine
         self._transport = transport
         self._send_error = send_error
         self._metrics = metrics
@@ -134,6 +139,10 @@
         self._rng = rng
         self._model = RelayCostModel()
 
+    async def run(self) -> None:
+        """Look for crashed upstreams until cancelled."""
+        await self._quarantine.run()
+
     async def handle(self, request: RelayRequest, exchange: Exchange) -> None:
         """Relay a request and send its response, or an error.
 
@@ -170,6 +179,7 @@
     async def _run_attempts(
         self, request: RelayRequest, exchange: Exchange, state: RelayRequestState
     ) -> str:
+        self._refuse_if_quarantined(state)
         if request.workspace is not None:
             await self._quota.admit(request.workspace, request.quota_cost)
             state.charged_workspace = request.workspace
@@ -196,9 +206,12 @@
                 state.fallback_response = result.response
             elif not self._may_try_another(request, result, state):
                 break
+            if self._quarantine.is_quarantined(state.fingerprint):
+                break
         if state.fallback_response is not None and not exchange.response_started:
             await _send_response(exchange, state.fallback_response)
             return f"answered {state.fallback_response.status}"
+        self._refuse_if_quarantined(state)
         raise self._unavailable_error(state)
 
     def _record_pauses(self, request: RelayRequest, progress: StreamProgress) -> None:
@@ -211,15 +224,7 @@
         self, request: RelayRequest, state: RelayRequestState
     ) -> UpstreamRecord:
         now = self._clock()
-        record = choose_relay_upstream(
-            self._table.active_upstreams(request.service),
-            self._loads,
-            request,
-            frozenset(state.tried_upstreams),
-            self._data_centre,
-            now,
-            self._model,
-        )
+        record = self._choose_upstream(request, state, now)
         if record is None:
             if not state.tried_upstreams:
                 tokens_to_prefill = request.prompt_tokens
@@ -231,6 +236,36 @@
             raise self._unavailable_error(state)
         return record
 
+    def _choose_upstream(
+        self, request: RelayRequest, state: RelayRequestState, now: float
+    ) -> UpstreamRecord | None:
+        candidates = self._table.active_upstreams(request.service)
+
+        def choose(excluded: frozenset[UpstreamId]) -> UpstreamRecord | None:
+            return choose_relay_upstream(
+                candidates,
+                self._loads,
+                request,
+                excluded,
+                self._data_centre,
+                now,
+                self._model,
+            )
+
+        tried = frozenset(state.tried_upstreams)
+        avoided = self._quarantine.upstreams_to_avoid(state.fingerprint)
+        record = choose(tried | avoided)
+        is_usable = (
+            record is not None
+            and self._loads.load_of(record.upstream).backoff_until <= now
+        )
+        return record if is_usable or not avoided else choose(tried)
+
+    def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
+        if self._quarantine.is_quarantined(state.fingerprint):
+            was_run = WasRun.YES if state.may_have_run else WasRun.NO
+            raise self._quarantine.refusal(state.fingerprint, was_run)
+
     def _unavailable_error(self, state: RelayRequestState) -> CranberryfieldError:
         retry_after_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
         if state.may_have_run:
@@ -272,17 +307,22 @@
                 waited_s = state.first_event_at - request.arrived_at
                 self._metrics.observe("first_event", waited_s, **metric_labels(request))
 
+        started_at = self._clock()
         try:
-            if progress is None:
-                result = await call_upstream(self._transport, request, record)
-            else:
-                result = await stream_upstream(
-                    self._transport, request, record, progress, on_first_event
-                )
+            with self._quarantine.running(state.fingerprint, record.upstream):
+                if progress is None:
+                    result = await call_upstream(self._transport, request, record)
+                else:
+                    result = await stream_upstream(
+                        self._transport, request, record, progress, on_first_event
+                    )
         finally:
             load.own_attempts.pop(request.id, None)
+        has_crashed = await self._quarantine.examine(
+            state.fingerprint, record, result, started_at
+        )
         state.has_pending_attempt = False
-        self._record_result(request, record, result, state)
+        self._record_result(request, record, result, has_crashed, state)
         return result
 
     def _record_result(
@@ -290,6 +330,7 @@
         request: RelayRequest,
         record: UpstreamRecord,
         result: RelayAttemptResult,
+        has_crashed: bool,
         state: RelayRequestState,
     ) -> None:
         """Update the upstream's health and the request's state after an attempt."""
@@ -305,7 +346,7 @@
             case RelayAttemptOutcome.NOT_RUN:
                 state.sent_attempts += 1
             case RelayAttemptOutcome.BROKEN:
-                record_failure(load, now, is_down=False)
+                record_failure(load, now, is_down=has_crashed)
                 state.sent_attempts += 1
                 state.possible_runs += 1
                 state.may_have_run = True
--- a/standins/scripted_upstream.py
+++ b/standins/scripted_upstream.py
@@ -8,7 +8,7 @@
 
 from standins.processes import free_port
 
-__all__ = ["ReceivedRequest", "ScriptedUpstream"]
+__all__ = ["ReceivedRequest", "ScriptedUpstream", "UpstreamCrash"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +38,10 @@
         return None
 
 
+class UpstreamCrash(Exception):
+    """Raised by a script to end its upstream."""
+
+
 #: Writes the response to the connection; returns whether to keep it open.
 Script = Callable[[ReceivedRequest, SocketStream], Awaitable[bool]]
 
@@ -54,6 +58,8 @@
         All received requests, in order.
     closed_connections : int
         Number of connections closed by the peer.
+    listener_delay_s : float
+        Time from a crash until connections are refused, in seconds.
     port : int
         Local port.
     """
@@ -61,8 +67,10 @@
     script: Script
     requests: list[ReceivedRequest] = field(default_factory=list)
     closed_connections: int = 0
+    listener_delay_s: float = 0.0
     port: int = field(default_factory=free_port)
     _connection_count: int = 0
+    _crashed: anyio.Event | None = None
 
     @property
     def address(self) -> str:
@@ -70,13 +78,19 @@
         return f"127.0.0.1:{self.port}"
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled or until a script raises `UpstreamCrash`."""
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
         )
-        async with listener:
-            task_status.started()
-            await listener.serve(self._serve)
+        self._crashed = anyio.Event()
+        async with anyio.create_task_group() as connections:
+            async with listener, anyio.create_task_group() as accepting:
+                accepting.start_soon(listener.serve, self._serve, connections)
+                task_status.started()
+                await self._crashed.wait()
+                await anyio.sleep(self.listener_delay_s)
+                accepting.cancel_scope.cancel()
+            connections.cancel_scope.cancel()
 
     async def _serve(self, stream: SocketStream) -> None:
         self._connection_count += 1
@@ -97,5 +111,9 @@
                     self.requests.append(request)
                     if not await self.script(request, stream):
                         return
+            except UpstreamCrash:
+                self._crashed.set()
+                if not self.listener_delay_s:
+                    await anyio.sleep_forever()
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 self.closed_connections += 1
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -2,6 +2,8 @@
 
 from types import SimpleNamespace
 
+import anyio
+import msgspec
 import pytest
 
 from cranberryfield.core.deployment import (
@@ -13,10 +15,15 @@
     WeightedService,
     WorkspaceSpec,
 )
-from cranberryfield.core.errors import CallerError, ErrorKind
+from cranberryfield.core.errors import (
+    CallerError,
+    ErrorKind,
+    UnavailableError,
+    WasRun,
+)
 from cranberryfield.core.http1 import RequestHead, ResponseHead, find_header
 from cranberryfield.core.messages.membership import UpstreamRecord
-from cranberryfield.platform.callers import read_request
+from cranberryfield.platform.callers import answer_error, read_request
 from cranberryfield.platform.runner_codec import UPSTREAM_CODEC
 
 NOW = 50.0
@@ -165,3 +172,31 @@
     facts = UPSTREAM_CODEC.decode(ResponseHead(status, pairs))
     assert (facts.not_run, facts.is_misdirected) == (not_run, misdirected)
     assert facts.is_signed is signed
+
+
+class RecordingExchange:
+    """Caller's side of an exchange, which records the response."""
+
+    async def respond(self, status, headers, body):
+        self.status, self.headers, self.body = status, dict(headers), body
+
+
+CRASHES, NOT_READY = ErrorKind.REQUEST_CRASHES_UPSTREAMS, ErrorKind.NOT_READY
+# Statuses other than 408, 421, 429 and 503 promise nothing to the platform's clients.
+ERROR_STATUSES = [
+    (NOT_READY, WasRun.NO, 503),
+    (CRASHES, WasRun.NO, 503),
+    (CRASHES, WasRun.YES, 502),
+    (CRASHES, WasRun.UNKNOWN, 502),
+]
+
+
+@pytest.mark.parametrize(("kind", "was_run", "status"), ERROR_STATUSES)
+def test_error_response_promises_not_run_only_if_true(kind, was_run, status):
+    error = UnavailableError(kind, "detail", was_run=was_run, retry_after_s=2.5)
+    exchange = RecordingExchange()
+    anyio.run(answer_error, exchange, error)
+    problem = msgspec.json.decode(exchange.body)
+    assert exchange.status == problem["status"] == status
+    assert exchange.headers[b"Retry-After"] == b"2.500"
+    assert problem["was_run"] == was_run.value
--- /dev/null
+++ b/tests/test_relay_crashes.py
@@ -0,0 +1,136 @@
+"""Which requests a relay suspects of crashing upstreams, and which it refuses."""
+
+import anyio
+import msgspec
+import pytest
+
+from cranberryfield.core.deployment import RouteKind
+from cranberryfield.entry.quarantine import count_crashes
+from tests.relay_harness import (
+    RESPONSE_HEAD,
+    RelayHarness,
+    crash,
+    get_request,
+    in_sequence,
+    read_all,
+    reset_connection,
+    respond,
+    send_raw,
+    stream_events,
+)
+
+POLL_S = 0.01
+
+
+def crash_in_mid_answer(first, last):
+    """Stream events, then crash."""
+    stream_first_events = stream_events(first, last, ends=False)
+
+    async def script(request, stream):
+        await stream_first_events(request, stream)
+        return await crash(request, stream)
+
+    return script
+
+
+async def crash_in_mid_body(request, stream):
+    head = RESPONSE_HEAD % (200, request.header("id").encode())
+    await stream.send(head + b"Content-Length: 9\r\n\r\nhalf")
+    return await crash(request, stream)
+
+
+def known_crashes(harness):
+    """Return whether each recorded crash came after the answer had begun."""
+    return [
+        one.had_answered
+        for crashes in harness.suspects.crashes.values()
+        for one in crashes
+    ]
+
+
+IDEMPOTENT, ONCE, STREAM = (
+    RouteKind.IDEMPOTENT,
+    RouteKind.NON_IDEMPOTENT,
+    RouteKind.STREAM,
+)
+# Kind, scripts in the order of attempts, and whether the answer had begun in each
+# crash that is recorded.
+ENDS = [
+    ("crash", ONCE, [crash], [False]),
+    ("crash in mid-answer", ONCE, [crash_in_mid_body], [True]),
+    ("crash in mid-stream", STREAM, [crash_in_mid_answer(1, 2)], [True]),
+    ("lost connection", ONCE, [reset_connection], []),
+    ("broken stream", STREAM, [stream_events(1, 2, ends=False)], []),
+    ("failure", ONCE, [respond(500)], []),
+    ("crash, then success", IDEMPOTENT, [crash, respond()], []),
+    ("crash, then failure", IDEMPOTENT, [crash, respond(500)], [False]),
+    ("two crashes", IDEMPOTENT, [crash, crash], [False, False]),
+]
+
+
+@pytest.mark.parametrize(
+    ("kind", "scripts", "expected"),
+    [row[1:] for row in ENDS],
+    ids=[row[0] for row in ENDS],
+)
+def test_which_ends_of_attempts_are_crashes(kind, scripts, expected):
+    script = in_sequence(*scripts)
+    harness = RelayHarness([script] * len(scripts), kind)
+    send_raw(harness, get_request())
+    assert known_crashes(harness) == expected
+
+
+# Guards against a crash that goes unnoticed since the process that ends still
+# accepts a connection for a moment.
+def test_crash_is_noticed_although_the_listener_closes_last():
+    harness = RelayHarness([crash], ONCE)
+    harness.upstreams[0].listener_delay_s = 0.03
+
+    async def conversation(stream):
+        await stream.send(get_request())
+        await read_all(stream)
+        while not harness.suspects.crashes:
+            await anyio.sleep(POLL_S)
+
+    anyio.run(harness.run, conversation)
+    assert known_crashes(harness) == [False]
+
+
+def test_end_of_a_leaving_upstream_is_no_crash():
+    async def leave_and_crash(request, stream):
+        harness.mark_leaving(0)
+        return await crash(request, stream)
+
+    harness = RelayHarness([leave_and_crash], ONCE)
+    send_raw(harness, get_request())
+    assert not harness.suspects.crashes
+
+
+def test_attempt_that_begins_after_a_crash_is_not_suspected():
+    harness = RelayHarness([crash], ONCE)
+    harness.suspects.crashed_at["u0", 1] = 0.0
+    send_raw(harness, get_request())
+    assert not harness.suspects.crashes
+
+
+# Guards against a quarantined request that is sent to further upstreams, or refused
+# with the claim that it has not run although this attempt of it has.
+@pytest.mark.parametrize(
+    ("kind", "crashes_per_send", "was_run"),
+    [(IDEMPOTENT, 2, ["yes", "no", "no"]), (ONCE, 1, ["unknown", "yes", "no"])],
+)
+def test_request_that_crashed_two_upstreams_is_refused(kind, crashes_per_send, was_run):
+    harness = RelayHarness([crash] * 4, kind, max_attempts=4)
+
+    async def conversation(stream):
+        for expected in was_run:
+            async with await anyio.connect_tcp("127.0.0.1", harness.port) as caller:
+                await caller.send(get_request())
+                response = await read_all(caller)
+            refusal = msgspec.json.decode(response.partition(b"\r\n\r\n")[2])
+            assert refusal["run"] == expected
+
+    anyio.run(harness.run, conversation)
+    assert len(harness.received_requests) == 2
+    (fingerprint,) = harness.suspects.crashes
+    assert count_crashes(harness.suspects, fingerprint) == 2
