Clear crashes of a request one by one, not by the time of its completion

Cause: the exchange placed a completion and the crashes before it by the age that each report gives, which leaves out the time that the report travels. Delayed links therefore moved a completion later from host to host: control hosts took it for news and passed it on without end, and it could clear a crash that followed it.

Change: a completion names the crashes that it clears. The set of crashes of a request and the set of those that do not count only grow, so reports may be lost, repeated, delayed and reordered. Ages only decide when all of it is forgotten.

An upstream that comes back under its id with the same incarnation counts as one crash; heartbeats give the start of the runner, so this needs a writer that leaves the field out.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/quarantine.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/quarantine.py
@@ -3,7 +3,7 @@
 from cranberryfield.core.ids import Incarnation, UpstreamId
 from cranberryfield.core.messages.base import Message, NestedRecord
 
-__all__ = ["CompareSuspects", "CompletionMark", "CrashMark", "SuspectReport"]
+__all__ = ["ClearedCrash", "CompareSuspects", "CrashMark", "SuspectReport"]
 
 
 class CrashMark(NestedRecord):
@@ -28,10 +28,22 @@
     had_answered: bool
 
 
-class CompletionMark(NestedRecord):
-    """A suspected request that ran to its end, `age_ms` milliseconds ago."""
+class ClearedCrash(NestedRecord):
+    """A crash that does not count for a request, as it ran to its end later.
+
+    Attributes
+    ----------
+    fingerprint : bytes
+        Fingerprint of the request.
+    upstream, incarnation
+        The upstream process that crashed.
+    age_ms : int
+        Time since the end of the request, in milliseconds.
+    """
 
     fingerprint: bytes
+    upstream: UpstreamId
+    incarnation: Incarnation
     age_ms: int
 
 
@@ -42,14 +54,14 @@
     ----------
     crashes : tuple of CrashMark
         Requests that were in flight in crashes.
-    completions : tuple of CompletionMark
-        Suspects that ran to their end, after which earlier crashes do not count.
+    cleared : tuple of ClearedCrash
+        Crashes that do not count for a request.
     digest : int
         Digest of all suspects of the sender; 0 in a report of changes.
     """
 
     crashes: tuple[CrashMark, ...] = ()
-    completions: tuple[CompletionMark, ...] = ()
+    cleared: tuple[ClearedCrash, ...] = ()
     digest: int = 0
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/exchange.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/exchange.py
@@ -12,6 +12,7 @@
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.quarantine import CompareSuspects, SuspectReport
 from cranberryfield.entry.quarantine.reports import (
+    answer_comparison,
     digest_suspects,
     make_full_report,
     make_report,
@@ -91,8 +92,6 @@
 
     def report_completion(self, fingerprint: bytes) -> None:
         """Record that a request ran to its end, and tell the others if suspected."""
-        if fingerprint not in self._section.crashes:
-            return
         if record_completion(self._section, fingerprint, self._clock()):
             logger.info("request no longer suspected", fingerprint=fingerprint.hex())
             self._enqueue(fingerprint)
@@ -132,7 +131,7 @@
             await anyio.sleep(BATCH_DELAY_S)
             self._has_changes = anyio.Event()
             changed, self._changed = self._changed, set()
-            report = make_report(self._section, sorted(changed), self._clock())
+            report = make_report(self._section, changed, self._clock())
             for node in self._receivers():
                 self._mesh.send(node, report)
 
@@ -169,17 +168,14 @@
             self._mesh.send(node, make_full_report(self._section, self._clock()))
 
     def _on_compare(self, sender: NodeId, message: CompareSuspects) -> SuspectReport:
-        digest = digest_suspects(self._section)
-        if message.digest == digest:
-            return SuspectReport(digest=digest)
-        return make_full_report(self._section, self._clock())
+        return answer_comparison(self._section, message.digest, self._clock())
 
     def _on_report(self, sender: NodeId, report: SuspectReport) -> None:
         merged = merge_report(self._section, report, self._clock())
         for fingerprint, crash in merged.crashes:
             self._log_crash(fingerprint, crash, sender)
         if self._is_control:
-            for fingerprint in [*merged.completed, *dict(merged.crashes)]:
+            for fingerprint in [*merged.cleared, *dict(merged.crashes)]:
                 self._enqueue(fingerprint)
 
     def _on_link(self, peer: Hello, is_open: bool) -> None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/reports.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/reports.py
@@ -1,12 +1,12 @@
 """Reports of suspected requests, and how a host merges them."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import xxhash
 
 from cranberryfield.core.messages.quarantine import (
-    CompletionMark,
+    ClearedCrash,
     CrashMark,
     SuspectReport,
 )
@@ -14,12 +14,13 @@
     RETENTION_S,
     Crash,
     QuarantineSection,
-    record_completion,
+    clear_crash,
     record_crash,
 )
 
 __all__ = [
     "MergedReport",
+    "answer_comparison",
     "digest_suspects",
     "make_full_report",
     "make_report",
@@ -27,6 +28,9 @@
 ]
 
 MS_PER_S = 1000
+#: Age from which a crash is not learned any more, in seconds. Hosts forget it at
+#: slightly different times, and would learn it from each other again.
+MAX_LEARNED_AGE_S = RETENTION_S - 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,12 +41,12 @@
     ----------
     crashes : list of tuple
         Fingerprints with the crashes that were not yet known for them.
-    completed : list of bytes
-        Fingerprints of suspects of which a completion was not yet known.
+    cleared : list of bytes
+        Fingerprints for which a crash was not yet known not to count.
     """
 
     crashes: list[tuple[bytes, Crash]]
-    completed: list[bytes]
+    cleared: list[bytes]
 
 
 def digest_suspects(section: QuarantineSection) -> int:
@@ -62,7 +66,7 @@
 
 
 def make_report(
-    section: QuarantineSection, fingerprints: Iterable[bytes], now: float
+    section: QuarantineSection, fingerprints: Collection[bytes], now: float
 ) -> SuspectReport:
     """Report what is known of some requests.
 
@@ -70,30 +74,43 @@
     ----------
     section : QuarantineSection
         Suspects known to this host.
-    fingerprints : iterable of bytes
+    fingerprints : collection of bytes
         Requests to report.
     now : float
         Monotonic time in seconds.
     """
-    crashes, completions = [], []
-    for fingerprint in fingerprints:
-        completed_at = section.completed_at.get(fingerprint)
-        if completed_at is not None:
-            age_ms = int((now - completed_at) * MS_PER_S)
-            completions.append(CompletionMark(fingerprint, age_ms))
-        for crash in section.crashes.get(fingerprint, ()):
-            age_ms = int((now - crash.at) * MS_PER_S)
-            crashes.append(
-                CrashMark(fingerprint, *crash.process, age_ms, crash.had_answered)
-            )
-    return SuspectReport(tuple(crashes), tuple(completions))
+
+    def age_ms(at: float) -> int:
+        return int((now - at) * MS_PER_S)
+
+    crashes = tuple(
+        CrashMark(fingerprint, *one.process, age_ms(one.at), one.had_answered)
+        for fingerprint in fingerprints
+        for one in section.crashes.get(fingerprint, ())
+    )
+    cleared = tuple(
+        ClearedCrash(fingerprint, *process, age_ms(at))
+        for (fingerprint, process), at in section.cleared.items()
+        if fingerprint in fingerprints
+    )
+    return SuspectReport(crashes, cleared)
 
 
 def make_full_report(section: QuarantineSection, now: float) -> SuspectReport:
     """Report all that a host knows, with its digest."""
-    known = section.completed_at.keys() | section.crashes.keys()
-    report = make_report(section, sorted(known), now)
-    return SuspectReport(report.crashes, report.completions, digest_suspects(section))
+    known = section.crashes.keys() | {fingerprint for fingerprint, _ in section.cleared}
+    report = make_report(section, known, now)
+    return SuspectReport(report.crashes, report.cleared, digest_suspects(section))
+
+
+def answer_comparison(
+    section: QuarantineSection, digest: int, now: float
+) -> SuspectReport:
+    """Report all that a host knows, or only its digest if that is `digest`."""
+    own_digest = digest_suspects(section)
+    if digest == own_digest:
+        return SuspectReport(digest=own_digest)
+    return make_full_report(section, now)
 
 
 def merge_report(
@@ -115,16 +132,16 @@
     MergedReport
         What was not yet known, which other hosts may not know either.
     """
-    completed = [
-        mark.fingerprint
-        for mark in report.completions
-        if record_completion(section, mark.fingerprint, now - mark.age_ms / MS_PER_S)
-    ]
+    cleared = []
+    for mark in report.cleared:
+        at, process = now - mark.age_ms / MS_PER_S, (mark.upstream, mark.incarnation)
+        if clear_crash(section, mark.fingerprint, process, at):
+            cleared.append(mark.fingerprint)
     crashes = []
     for mark in report.crashes:
         age_s = mark.age_ms / MS_PER_S
         crash = Crash(mark.upstream, mark.incarnation, now - age_s, mark.had_answered)
-        is_expired = age_s >= RETENTION_S
-        if not is_expired and record_crash(section, mark.fingerprint, crash):
+        is_recent = age_s < MAX_LEARNED_AGE_S
+        if is_recent and record_crash(section, mark.fingerprint, crash):
             crashes.append((mark.fingerprint, crash))
-    return MergedReport(crashes, completed)
+    return MergedReport(crashes, cleared)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
@@ -7,6 +7,8 @@
 __all__ = [
     "Crash",
     "QuarantineSection",
+    "UpstreamProcess",
+    "clear_crash",
     "count_crashes",
     "forget_expired",
     "is_quarantined",
@@ -24,17 +26,14 @@
 #: Maximum numbers of fingerprints and of crashes that are remembered.
 MAX_FINGERPRINTS = 10_000
 MAX_KNOWN_CRASHES = 1_000
-#: Difference between the times at which hosts place one event, in seconds.
-CLOCK_TOLERANCE_S = 0.5
-#: Incarnation of upstreams that do not tell their starts apart.
-UNKNOWN_INCARNATION = 0
-#: Shortest time between two crashes of such an upstream, in seconds.
-MIN_RESTART_S = 1.0
+
+#: An upstream and its incarnation.
+UpstreamProcess = tuple[UpstreamId, Incarnation]
 
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """Crash of an upstream.
+    """Crash of an upstream process.
 
     Attributes
     ----------
@@ -53,17 +52,10 @@
     had_answered: bool = False
 
     @property
-    def process(self) -> tuple[UpstreamId, Incarnation]:
-        """The upstream and its incarnation."""
+    def process(self) -> UpstreamProcess:
+        """The process that crashed, which identifies the crash."""
         return self.upstream, self.incarnation
 
-    def is_same_as(self, other: "Crash") -> bool:
-        """Return whether both describe one crash, noticed at different times."""
-        if self.process != other.process:
-            return False
-        is_unique = self.incarnation != UNKNOWN_INCARNATION
-        return is_unique or abs(self.at - other.at) < MIN_RESTART_S
-
 
 @dataclass(slots=True)
 class QuarantineSection:
@@ -74,18 +66,16 @@
     crashes : dict
         By request fingerprint, the crashes that the request was in flight in;
         the request with the latest crash is last.
-    completed_at : dict
-        By fingerprint, when a suspected request last ran to its end, as monotonic
-        time in seconds. Its earlier crashes do not count.
+    cleared : dict
+        Crashes that do not count for a request, as it ran to its end later: by
+        fingerprint and process, the monotonic time in seconds of that end.
     crashed_at : dict
         Earliest time at which each crash was noticed, by process.
     """
 
     crashes: dict[bytes, tuple[Crash, ...]] = field(default_factory=dict)
-    completed_at: dict[bytes, float] = field(default_factory=dict)
-    crashed_at: dict[tuple[UpstreamId, Incarnation], float] = field(
-        default_factory=dict
-    )
+    cleared: dict[tuple[bytes, UpstreamProcess], float] = field(default_factory=dict)
+    crashed_at: dict[UpstreamProcess, float] = field(default_factory=dict)
 
 
 def record_crash(section: QuarantineSection, fingerprint: bytes, crash: Crash) -> bool:
@@ -110,9 +100,8 @@
     while len(section.crashed_at) > MAX_KNOWN_CRASHES:
         del section.crashed_at[next(iter(section.crashed_at))]
     known = section.crashes.get(fingerprint, ())
-    # A report of an earlier crash may arrive after that of the completion.
-    is_cleared = crash.at <= section.completed_at.get(fingerprint, float("-inf"))
-    if is_cleared or any(crash.is_same_as(one) for one in known):
+    is_known = any(crash.process == one.process for one in known)
+    if is_known or (fingerprint, crash.process) in section.cleared:
         return False
     section.crashes.pop(fingerprint, None)
     section.crashes[fingerprint] = (*known, crash)
@@ -132,7 +121,7 @@
 def record_completion(
     section: QuarantineSection, fingerprint: bytes, at: float
 ) -> bool:
-    """Record that a suspect ran to its end, so that its earlier crashes do not count.
+    """Record that a request ran to its end, so that its crashes do not count.
 
     Parameters
     ----------
@@ -146,23 +135,49 @@
     Returns
     -------
     bool
-        Whether this was news. Hosts differ slightly in when they place the same
-        completion, so one less than `CLOCK_TOLERANCE_S` later is not.
+        Whether the request was suspected.
     """
-    known = section.crashes.get(fingerprint, ())
-    later = tuple(crash for crash in known if crash.at > at)
-    if later:
-        section.crashes[fingerprint] = later
-    else:
-        section.crashes.pop(fingerprint, None)
-    known_at = section.completed_at.get(fingerprint, float("-inf"))
-    is_later = at > known_at + CLOCK_TOLERANCE_S
-    if is_later:
-        section.completed_at.pop(fingerprint, None)
-        section.completed_at[fingerprint] = at
-    while len(section.completed_at) > MAX_FINGERPRINTS:
-        del section.completed_at[next(iter(section.completed_at))]
-    return is_later or len(later) < len(known)
+    crashes = section.crashes.get(fingerprint, ())
+    for crash in crashes:
+        clear_crash(section, fingerprint, crash.process, at)
+    return bool(crashes)
+
+
+def clear_crash(
+    section: QuarantineSection,
+    fingerprint: bytes,
+    process: UpstreamProcess,
+    at: float,
+) -> bool:
+    """Record that one crash does not count for a request.
+
+    Parameters
+    ----------
+    section : QuarantineSection
+        Changed in place.
+    fingerprint : bytes
+        Fingerprint of the request.
+    process : tuple
+        The upstream that crashed and its incarnation.
+    at : float
+        Monotonic time in seconds at which the request ran to its end.
+
+    Returns
+    -------
+    bool
+        Whether this was not yet known.
+    """
+    known = section.crashes.pop(fingerprint, ())
+    remaining = tuple(crash for crash in known if crash.process != process)
+    if remaining:
+        section.crashes[fingerprint] = remaining
+    key = (fingerprint, process)
+    if key in section.cleared:
+        return False
+    section.cleared[key] = at
+    while len(section.cleared) > MAX_FINGERPRINTS:
+        del section.cleared[next(iter(section.cleared))]
+    return True
 
 
 def count_crashes(section: QuarantineSection, fingerprint: bytes) -> int:
@@ -204,7 +219,7 @@
 
 def _processes_before_answer(
     crashes: tuple[Crash, ...],
-) -> set[tuple[UpstreamId, Incarnation]]:
+) -> set[UpstreamProcess]:
     return {crash.process for crash in crashes if not crash.had_answered}
 
 
@@ -218,6 +233,6 @@
     for fingerprint in list(section.crashes):
         if quarantine_ends_at(section, fingerprint) <= now:
             del section.crashes[fingerprint]
-    for fingerprint, at in list(section.completed_at.items()):
+    for key, at in list(section.cleared.items()):
         if at + RETENTION_S <= now:
-            del section.completed_at[fingerprint]
+            del section.cleared[key]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -21,7 +21,6 @@
     is_quarantined,
     quarantine_ends_at,
 )
-from cranberryfield.entry.quarantine.section import UNKNOWN_INCARNATION
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.relay.attempts import (
     RelayAttemptOutcome,
@@ -165,7 +164,7 @@
         crash = Crash(
             record.upstream, record.incarnation, self._clock(), result.had_answered
         )
-        if self._is_known_crash(crash):
+        if crash.process in self._section.crashed_at:
             if started_at < self._section.crashed_at[crash.process]:
                 self._exchange.report_crash(fingerprint, crash)
             return True
@@ -196,12 +195,8 @@
         entry = self._table.entries.get(record.upstream)
         return entry is None or entry.record.leaving
 
-    def _is_known_crash(self, crash: Crash) -> bool:
-        is_unique = crash.incarnation != UNKNOWN_INCARNATION
-        return is_unique and crash.process in self._section.crashed_at
-
     def _record_crash(self, fingerprint: bytes, crash: Crash) -> None:
-        if not self._is_known_crash(crash):
+        if crash.process not in self._section.crashed_at:
             self._metrics.count("upstream_crashes")
             logger.info(
                 "upstream crashed",
