Keep the relay's retry budget over restarts, and let earned retries add up

What callers saw: 502 for requests beside a crash, with upstreams and time left. A relay saved 3.2 retries at the most (a limit of 58 for 9 hosts, half of it granted), however many requests had earned: less than the requests that each of 9 relays has in flight on one full upstream, twice.

The allowance of a host that starts begins at 0 and fills within a window.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -198,7 +198,11 @@
             return reporter.hosts
 
         budget = WindowedRetryBudget(
-            config.retry_ratio, config.retry_allowance, config.retry_window_s, hosts
+            config.retry_ratio,
+            config.retry_allowance,
+            config.retry_window_s,
+            hosts,
+            clock(),
         )
         suspects = board.add(QuarantineSection())
         exchange = SuspectExchange(suspects, mesh, names, clock, rng)
