Send no request to an upstream whose address another one has taken

Cause: an upstream that crashes and comes back under a new id stays in the registry for 120 s. Each request that a relay sends to the old id costs an attempt (421 from the new one), and one of the retries that all hosts share.

Change: per address, only the upstream that started last is active. An upstream tells its start in its incarnation, so late announcements change nothing.

Evidence: test_upstream_whose_address_was_taken_is_gone failed before for 'later start', 'earlier start' and 'other service'.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/table.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/table.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from cranberryfield.core.ids import ServiceName, UpstreamId
+from cranberryfield.core.ids import Incarnation, ServiceName, UpstreamId
 from cranberryfield.core.messages.membership import UpstreamRecord
 
 __all__ = [
@@ -41,18 +41,45 @@
 
 @dataclass(slots=True)
 class RegistryTable:
-    """Section of the blackboard: all announced upstreams."""
+    """Section of the blackboard: all announced upstreams.
+
+    Attributes
+    ----------
+    entries : dict
+        Known upstreams by id.
+    newest_at : dict
+        By address, the highest incarnation announced there.
+    """
 
     entries: dict[UpstreamId, RegistryEntry] = field(default_factory=dict)
+    newest_at: dict[str, Incarnation] = field(default_factory=dict)
 
     def active_upstreams(self, service: ServiceName) -> list[UpstreamRecord]:
-        """Return the upstreams of a service that are not leaving."""
+        """Return the upstreams of a service that are not leaving.
+
+        An upstream whose address another one has taken since is gone.
+        """
         return [
             entry.record
             for entry in self.entries.values()
-            if entry.record.service == service and not entry.record.leaving
+            if entry.record.service == service
+            and not entry.record.leaving
+            and entry.record.incarnation >= self.newest_at.get(entry.record.address, 0)
         ]
 
+    def set_entry(self, entry: RegistryEntry) -> None:
+        """Add or replace the entry of an upstream."""
+        record = entry.record
+        self.entries[record.upstream] = entry
+        known = self.newest_at.get(record.address, record.incarnation)
+        self.newest_at[record.address] = max(known, record.incarnation)
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Remove an upstream."""
+        record = self.entries.pop(upstream).record
+        if self.newest_at.get(record.address) == record.incarnation:
+            del self.newest_at[record.address]
+
 
 def _without_sequence(record: UpstreamRecord) -> UpstreamRecord:
     """Return a record without its sequence, which each announcement changes."""
@@ -81,7 +108,7 @@
     """
     entry = table.entries.get(record.upstream)
     if entry is None:
-        table.entries[record.upstream] = RegistryEntry(record, heard_at)
+        table.set_entry(RegistryEntry(record, heard_at))
         return True
     known = entry.record
     if record.incarnation < known.incarnation:
@@ -92,8 +119,7 @@
         if known.leaving == record.leaving and record.sequence <= known.sequence:
             entry.heard_at = max(entry.heard_at, heard_at)
             return False
-    entry.record = record
-    entry.heard_at = max(entry.heard_at, heard_at)
+    table.set_entry(RegistryEntry(record, max(entry.heard_at, heard_at)))
     return _without_sequence(record) != _without_sequence(known)
 
 
@@ -127,7 +153,7 @@
     record = msgspec.structs.replace(
         known, leaving=True, incarnation=incarnation or known.incarnation
     )
-    table.entries[upstream] = RegistryEntry(record, now)
+    table.set_entry(RegistryEntry(record, now))
     return record
 
 
@@ -139,7 +165,7 @@
         if now - entry.heard_at > FORGET_AFTER_S
     ]
     for upstream in removed:
-        del table.entries[upstream]
+        table.remove(upstream)
     return removed
 
 
@@ -157,7 +183,7 @@
         if upstream not in known and now - entry.heard_at > FORGET_AFTER_S
     ]
     for upstream in removed:
-        del table.entries[upstream]
+        table.remove(upstream)
     return removed
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_table.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_table.py
@@ -91,3 +91,33 @@
         is_dropped
     )
     assert forget_unknown(table_with(KNOWN), {"u1"}, 10.0 + age_s) == []
+
+
+# A record announced beside the known one, in either order, and the active upstreams.
+ADDRESS_CASES = [
+    ("later start", changed(upstream="u2", incarnation=101), {"u2"}),
+    ("earlier start", changed(upstream="u2", incarnation=99), {"u1"}),
+    ("other service", changed(upstream="u2", incarnation=101, service="x"), set()),
+    ("other address", changed(upstream="u2", address="10.0.0.2:80"), {"u1", "u2"}),
+    ("same start", changed(upstream="u2"), {"u1", "u2"}),
+]
+
+
+# Guards against requests to an upstream that has crashed and whose address another
+# one has taken, also if its last announcement arrives late.
+@pytest.mark.parametrize(
+    ("record", "expected"),
+    [row[1:] for row in ADDRESS_CASES],
+    ids=[row[0] for row in ADDRESS_CASES],
+)
+def test_upstream_whose_address_was_taken_is_gone(record, expected):
+    for records in ((KNOWN, record), (record, KNOWN)):
+        active = table_with(*records).active_upstreams("drafts")
+        assert {one.upstream for one in active} == expected
+
+
+def test_address_of_a_forgotten_upstream_is_free():
+    table = table_with(KNOWN, changed(upstream="u2", incarnation=101))
+    table.entries["u1"].heard_at += FORGET_AFTER_S
+    assert forget_silent(table, 11.0 + FORGET_AFTER_S) == ["u2"]
+    assert [one.upstream for one in table.active_upstreams("drafts")] == ["u1"]
