Refuse a crashing request on the relay after three crashes, the last one isolated

What callers saw, in a test with three crashing requests beside 24 innocent ones: up to seven innocent ones refused. The verdict after two crashes took whoever had no second request in both for the cause; with several crashing requests at once this is an innocent one that was beside one in the first crash and beside another in the second. Waiting for news of other hosts (0.25 s) did not change that.

Change: a request is refused after three crashes. From its first crash before an answer it reserves its upstream, so that suspects run apart: for 0.15 s for each crash of the last 5 s, then it shares one; before the crash that would decide, until its deadline. A request that lost a run waits up to 2 s while all upstreams have crashed, and may go back to an id that has started again. The trial interface still refuses after two, as each of its suspects runs apart from the first crash on.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/__init__.py
@@ -20,6 +20,7 @@
     QuarantineSection,
     count_crashes,
     is_quarantined,
+    must_be_isolated,
     quarantine_ends_at,
     record_crash,
 )
@@ -34,6 +35,7 @@
     "count_crashes",
     "is_quarantined",
     "make_cluster_reserver",
+    "must_be_isolated",
     "quarantine_ends_at",
     "record_crash",
     "request_fingerprint",
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
@@ -1,7 +1,6 @@
 """Requests that were in flight when upstreams crashed, and which are refused."""
 
 from dataclasses import dataclass, field
-from math import inf
 
 from cranberryfield.core.ids import Incarnation, UpstreamId
 
@@ -13,19 +12,15 @@
     "count_crashes",
     "forget_expired",
     "is_quarantined",
-    "news_heard_at",
+    "must_be_isolated",
     "quarantine_ends_at",
     "record_completion",
     "record_crash",
 ]
 
-#: Number of crashes with a request in flight after which it is refused.
+#: Number of crashes with a request in flight after which it is refused. Innocent
+#: requests may be in flight in two, beside crashing ones.
 MAX_CRASHES = 3
-#: The same if no other request was in flight in all of these crashes.
-MAX_UNSHARED_CRASHES = 2
-#: Time in which hosts hear of the requests that others had in flight in a crash, in
-#: seconds.
-NEWS_DELAY_S = 0.25
 #: Time after its last crash for which a request is remembered, in seconds.
 RETENTION_S = 300.0
 #: Maximum numbers of fingerprints and of crashes that are remembered.
@@ -191,58 +186,28 @@
 
 
 def is_quarantined(
-    section: QuarantineSection, fingerprint: bytes, now: float = inf
+    section: QuarantineSection, fingerprint: bytes, max_crashes: int = MAX_CRASHES
 ) -> bool:
     """Return whether a request is refused because it crashes upstreams.
 
-    After `MAX_CRASHES` crashes it always is. After `MAX_UNSHARED_CRASHES` before
-    any answer it is unless another request was in flight in all of these: then
-    either may be the cause, and both run once more. That is known `NEWS_DELAY_S`
-    after the last crash.
-
-    Parameters
-    ----------
-    section : QuarantineSection
-        Known crashes.
-    fingerprint : bytes
-        Fingerprint of the request.
-    now : float
-        Monotonic time in seconds; infinite if all hosts have reported.
-
     Examples
     --------
     >>> section = QuarantineSection()
-    >>> def crash(fingerprint, upstream):
-    ...     return record_crash(section, fingerprint, Crash(upstream, 1, 0.0))
-    >>> [crash(one, "u1") for one in (b"a", b"b")]
-    [True, True]
-    >>> crash(b"a", "u2"), is_quarantined(section, b"a")
-    (True, True)
-    >>> crash(b"b", "u2"), is_quarantined(section, b"a")
-    (True, False)
+    >>> for upstream in ("u1", "u2"):
+    ...     is_new = record_crash(section, b"f", Crash(upstream, 1, 0.0))
+    >>> is_quarantined(section, b"f"), is_quarantined(section, b"f", 2)
+    (False, True)
     """
-    crashes = section.crashes.get(fingerprint, ())
-    if len(crashes) >= MAX_CRASHES:
-        return True
-    processes = _processes_before_answer(crashes)
-    if len(processes) < MAX_UNSHARED_CRASHES or now < news_heard_at(crashes):
-        return False
-    return not any(
-        processes <= _processes_before_answer(others)
-        for other, others in section.crashes.items()
-        if len(others) >= len(processes) and other != fingerprint
-    )
+    return count_crashes(section, fingerprint) >= max_crashes
 
 
-def news_heard_at(crashes: tuple[Crash, ...]) -> float:
-    """Return when all hosts have heard of crashes, as monotonic time in seconds."""
-    return max(crash.at for crash in crashes) + NEWS_DELAY_S
+def must_be_isolated(section: QuarantineSection, fingerprint: bytes) -> bool:
+    """Return whether the next crash decides whether a request is refused.
 
-
-def _processes_before_answer(
-    crashes: tuple[Crash, ...],
-) -> set[UpstreamProcess]:
-    return {crash.process for crash in crashes if not crash.had_answered}
+    Innocent requests that were in flight in the same crashes must not be in flight
+    in that one too.
+    """
+    return count_crashes(section, fingerprint) == MAX_CRASHES - 1
 
 
 def quarantine_ends_at(section: QuarantineSection, fingerprint: bytes) -> float:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -1,8 +1,5 @@
 """Detects crashes of upstreams and keeps suspected requests of a relay apart."""
 
-from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass
 from math import inf
 
@@ -22,12 +19,9 @@
     UpstreamReserver,
     count_crashes,
     is_quarantined,
+    must_be_isolated,
     quarantine_ends_at,
 )
-from cranberryfield.entry.quarantine.section import (
-    MAX_UNSHARED_CRASHES,
-    news_heard_at,
-)
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.relay.attempts import (
     RelayAttemptOutcome,
@@ -44,6 +38,10 @@
 MAX_UNCONFIRMED = 1_000
 #: Time for which an upstream process that has crashed is avoided, in seconds.
 CRASH_BACKOFF_S = 5.0
+#: Time for which a request that was in flight in one crash waits for an upstream
+#: without other suspects, in seconds for each recent crash. Several at once show that
+#: requests cause them.
+ISOLATION_WAIT_PER_CRASH_S = 0.15
 SERVER_ERRORS = range(500, 600)
 
 logger = structlog.get_logger(__name__)
@@ -96,19 +94,12 @@
         self._pool = pool
         self._metrics = metrics
         self._clock = clock
-        self._running_suspects: Counter[UpstreamId] = Counter()
         self._unconfirmed: list[_UnconfirmedCrash] = []
         self._has_unconfirmed = anyio.Event()
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Return whether a request is refused because it crashes upstreams."""
-        return is_quarantined(self._section, fingerprint, self._clock())
-
-    async def wait_for_news(self, fingerprint: bytes) -> None:
-        """Wait until all hosts have heard of the crashes of a repeated suspect."""
-        crashes = self._section.crashes.get(fingerprint, ())
-        if len(crashes) >= MAX_UNSHARED_CRASHES:
-            await anyio.sleep(max(0.0, news_heard_at(crashes) - self._clock()))
+        return is_quarantined(self._section, fingerprint)
 
     def refusal(self, fingerprint: bytes, was_run: WasRun) -> UnavailableError:
         """Return the error for a quarantined request.
@@ -121,7 +112,7 @@
             Whether this attempt of its caller was run.
         """
         ends_at = quarantine_ends_at(self._section, fingerprint)
-        crash_count = len(self._section.crashes[fingerprint])
+        crash_count = count_crashes(self._section, fingerprint)
         return UnavailableError(
             ErrorKind.REQUEST_CRASHES_UPSTREAMS,
             f"{crash_count} upstreams crashed while they ran the request",
@@ -129,68 +120,64 @@
             retry_after_s=max(0.0, ends_at - self._clock()),
         )
 
-    def upstreams_to_avoid(
-        self, fingerprint: bytes, candidates: list[UpstreamRecord]
-    ) -> frozenset[UpstreamId]:
-        """Return upstreams to which a request is sent only if there are no others.
+    def has_crashed(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream process has crashed, as found by any host."""
+        process = (record.upstream, record.incarnation)
+        crashed_at = self._section.crashed_at.get(process, -inf)
+        return self._clock() - crashed_at < CRASH_BACKOFF_S
 
-        Those are the ones that have just crashed and, for a suspect, those that run
-        another one: suspects that share no upstream are told apart by the next crash.
+    def isolate_until(self, fingerprint: bytes, deadline: float) -> float:
+        """Return until when a request waits for an upstream without other suspects.
 
         Parameters
         ----------
         fingerprint : bytes
             Fingerprint of the request.
-        candidates : list of UpstreamRecord
-            Upstreams of the request's service.
+        deadline : float
+            Monotonic time in seconds of the request's deadline.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; minus infinity for requests that need no
+            isolation. Suspects run apart so that the next crash tells which of
+            them caused it. If it would quarantine the request, it waits as long as
+            it may; otherwise it soon shares an upstream.
         """
-        crashed_at, since = self._section.crashed_at, self._clock() - CRASH_BACKOFF_S
-        crashed = {
-            record.upstream
-            for record in candidates
-            if crashed_at.get((record.upstream, record.incarnation), -inf) > since
-        }
-        suspects = self._running_suspects if self._is_suspect(fingerprint) else ()
-        return frozenset(crashed.union(suspects))
+        if must_be_isolated(self._section, fingerprint):
+            return deadline
+        crashes = self._section.crashes.get(fingerprint, ())
+        if all(crash.had_answered for crash in crashes):
+            return -inf
+        now = self._clock()
+        crashed_at = self._section.crashed_at.values()
+        recent_crashes = sum(now - at < CRASH_BACKOFF_S for at in crashed_at)
+        return now + ISOLATION_WAIT_PER_CRASH_S * recent_crashes
 
     async def reserve(
         self, fingerprint: bytes, upstream: UpstreamId, deadline: float
     ) -> bool:
-        """Return whether a request may run on an upstream.
-
-        A request that was in flight in several crashes runs only where no other
-        such request runs on behalf of any host. Other requests wait for nothing.
+        """Reserve an upstream for a suspect until `release`.
 
         Parameters
         ----------
         fingerprint : bytes
             Fingerprint of the request.
         upstream : UpstreamId
-            The upstream, reserved until `running` exits.
+            The upstream.
         deadline : float
             Monotonic time in seconds of the request's deadline.
+
+        Returns
+        -------
+        bool
+            Whether no other suspect runs there on behalf of any host.
         """
-        if count_crashes(self._section, fingerprint) < MAX_UNSHARED_CRASHES:
-            return True
         return await self._reserver.reserve(upstream, fingerprint, deadline)
 
-    @contextmanager
-    def running(self, fingerprint: bytes, upstream: UpstreamId) -> Iterator[None]:
-        """Record that a request runs on an upstream until the context exits."""
-        is_suspect = self._is_suspect(fingerprint)
-        if is_suspect:
-            self._running_suspects[upstream] += 1
-        try:
-            yield
-        finally:
-            self._reserver.release(upstream, fingerprint)
-            if is_suspect:
-                self._running_suspects[upstream] -= 1
-                self._running_suspects += Counter()
-
-    def _is_suspect(self, fingerprint: bytes) -> bool:
-        crashes = self._section.crashes.get(fingerprint, ())
-        return any(not crash.had_answered for crash in crashes)
+    def release(self, fingerprint: bytes, upstream: UpstreamId) -> None:
+        """Release the reservation of an upstream, if there is one."""
+        self._reserver.release(upstream, fingerprint)
 
     async def examine(
         self,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -65,8 +65,11 @@
 MS_PER_S = 1000
 #: Attempts per request, including those that reach no upstream.
 MAX_TOTAL_ATTEMPTS = 6
-#: Interval at which a suspected request looks for an upstream, in seconds.
-RESERVATION_POLL_S = 0.05
+#: Interval at which a request looks for an upstream that it may run on, in seconds.
+UPSTREAM_POLL_S = 0.05
+#: Time for which a request waits for an upstream while all have crashed, in seconds;
+#: they are back after a few.
+MAX_RECOVERY_WAIT_S = 2.0
 #: Bounds of the retry delay that is sent to refused callers, in seconds.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 0.4
@@ -181,7 +184,6 @@
     async def _run_attempts(
         self, request: RelayRequest, exchange: Exchange, state: RelayRequestState
     ) -> str:
-        await self._quarantine.wait_for_news(state.fingerprint)
         self._refuse_if_quarantined(state)
         if request.workspace is not None:
             await self._quota.admit(request.workspace, request.quota_cost)
@@ -209,7 +211,6 @@
                 state.fallback_response = result.response
             elif not self._may_try_another(request, result, state):
                 break
-            await self._quarantine.wait_for_news(state.fingerprint)
             if self._quarantine.is_quarantined(state.fingerprint):
                 break
         if state.fallback_response is not None and not exchange.response_started:
@@ -229,7 +230,7 @@
     ) -> UpstreamRecord:
         record = await self._reserve_upstream(request, state)
         if record is None:
-            if not state.tried_upstreams:
+            if not state.tried_processes:
                 tokens_to_prefill = request.prompt_tokens
                 record_prefill(
                     self._demand, request.service, tokens_to_prefill, self._clock()
@@ -238,25 +239,38 @@
         if state.sent_attempts and not spend_windowed_retry(
             self._budget, request.service, self._clock()
         ):
+            self._quarantine.release(state.fingerprint, record.upstream)
             raise self._unavailable_error(state)
         return record
 
     async def _reserve_upstream(
         self, request: RelayRequest, state: RelayRequestState
     ) -> UpstreamRecord | None:
-        """Choose an upstream that the request may run on; None if all were tried."""
+        """Choose an upstream that the request may run on; None if all were tried.
+
+        A request that has lost a run to a crash waits for a while if all others have
+        crashed too.
+        """
         reserved_for_others: set[UpstreamId] = set()
+        wait_until = self._clock() + (MAX_RECOVERY_WAIT_S if state.lost_runs else 0.0)
+        isolate_until = self._quarantine.isolate_until(
+            state.fingerprint, request.deadline
+        )
         while True:
             record = self._choose_upstream(request, state, reserved_for_others)
+            is_down = record is None or self._quarantine.has_crashed(record)
             if record is None and reserved_for_others:
                 reserved_for_others.clear()
-                await anyio.sleep(RESERVATION_POLL_S)
+            elif not is_down or self._clock() >= wait_until:
+                if record is None or self._clock() >= isolate_until:
+                    return record
+                if await self._quarantine.reserve(
+                    state.fingerprint, record.upstream, request.deadline
+                ):
+                    return record
+                reserved_for_others.add(record.upstream)
                 continue
-            if record is None or await self._quarantine.reserve(
-                state.fingerprint, record.upstream, request.deadline
-            ):
-                return record
-            reserved_for_others.add(record.upstream)
+            await anyio.sleep(UPSTREAM_POLL_S)
 
     def _choose_upstream(
         self,
@@ -278,14 +292,20 @@
                 self._model,
             )
 
-        tried = frozenset(state.tried_upstreams | reserved_for_others)
-        avoided = self._quarantine.upstreams_to_avoid(state.fingerprint, candidates)
-        record = choose(tried | avoided)
+        tried = reserved_for_others.union(
+            record.upstream
+            for record in candidates
+            if (record.upstream, record.incarnation) in state.tried_processes
+        )
+        avoided = {
+            one.upstream for one in candidates if self._quarantine.has_crashed(one)
+        }
+        record = choose(frozenset(tried | avoided))
         is_usable = (
             record is not None
             and self._loads.load_of(record.upstream).backoff_until <= now
         )
-        return record if is_usable or not avoided else choose(tried)
+        return record if is_usable or not avoided else choose(frozenset(tried))
 
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
         if self._quarantine.is_quarantined(state.fingerprint):
@@ -335,15 +355,15 @@
 
         started_at = self._clock()
         try:
-            with self._quarantine.running(state.fingerprint, record.upstream):
-                if progress is None:
-                    result = await call_upstream(self._transport, request, record)
-                else:
-                    result = await stream_upstream(
-                        self._transport, request, record, progress, on_first_event
-                    )
+            if progress is None:
+                result = await call_upstream(self._transport, request, record)
+            else:
+                result = await stream_upstream(
+                    self._transport, request, record, progress, on_first_event
+                )
         finally:
             load.own_attempts.pop(request.id, None)
+            self._quarantine.release(state.fingerprint, record.upstream)
         has_crashed = await self._quarantine.examine(
             state.fingerprint, record, result, started_at
         )
@@ -360,7 +380,7 @@
         state: RelayRequestState,
     ) -> None:
         """Update the upstream's health and the request's state after an attempt."""
-        state.tried_upstreams.add(record.upstream)
+        state.tried_processes.add((record.upstream, record.incarnation))
         load = self._loads.load_of(record.upstream)
         now = self._clock()
         match result.outcome:
@@ -375,7 +395,10 @@
                 record_failure(load, now, is_down=has_crashed)
                 state.sent_attempts += 1
                 # Upstreams that crash do not count towards the route's limit.
-                state.possible_runs += not has_crashed
+                if has_crashed:
+                    state.lost_runs += 1
+                else:
+                    state.possible_runs += 1
                 state.may_have_run = True
             case RelayAttemptOutcome.ANSWERED:
                 state.sent_attempts += 1
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -6,8 +6,8 @@
 
 from cranberryfield.core.deployment import WorkspaceSpec
 from cranberryfield.core.http1 import Response
-from cranberryfield.core.ids import UpstreamId
 from cranberryfield.core.metrics import Metrics
+from cranberryfield.entry.quarantine.section import UpstreamProcess
 from cranberryfield.entry.relay.request import RelayRequest
 
 __all__ = [
@@ -30,11 +30,11 @@
     ----------
     fingerprint : bytes
         Fingerprint of the request.
-    tried_upstreams : set of UpstreamId
+    tried_processes : set of UpstreamProcess
         Upstreams that were attempted, whether or not they could be reached.
-    sent_attempts, possible_runs : int
-        Number of attempts that reached an upstream, and of those that may have
-        run the request on an upstream that has not crashed.
+    sent_attempts, possible_runs, lost_runs : int
+        Number of attempts that reached an upstream, of those that may have run the
+        request, and of those whose upstream has crashed, which are counted apart.
     may_have_run, has_pending_attempt : bool
         Whether a finished attempt may have run the request, and whether an
         attempt is in progress.
@@ -50,9 +50,10 @@
     """
 
     fingerprint: bytes
-    tried_upstreams: set[UpstreamId] = field(default_factory=set)
+    tried_processes: set[UpstreamProcess] = field(default_factory=set)
     sent_attempts: int = 0
     possible_runs: int = 0
+    lost_runs: int = 0
     may_have_run: bool = False
     has_pending_attempt: bool = False
     charged_workspace: WorkspaceSpec | None = None
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
@@ -32,6 +32,9 @@
 __all__ = ["QuarantineCoordinator"]
 
 POLL_INTERVAL_S = 0.05
+#: Number of crashes after which a request is refused. From the first one on, it
+#: shares no upstream with other suspects.
+MAX_CRASHES = 2
 MS_PER_S = 1000
 
 
@@ -87,7 +90,7 @@
             Of kind ``request_crashes_upstreams``.
         """
         fingerprint = request_fingerprint(request.workspace, request.digest)
-        if is_quarantined(self._section, fingerprint):
+        if is_quarantined(self._section, fingerprint, MAX_CRASHES):
             crash_count = count_crashes(self._section, fingerprint)
             raise CallerError(
                 ErrorKind.REQUEST_CRASHES_UPSTREAMS,
--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -116,6 +116,7 @@
         self._thread.join()
         for slot in self._slots:
             slot.process.kill()
+            self._cluster.depart(self._rng.choice(CONTROL), slot.runner)
 
     def _start(self, slot: _Slot) -> None:
         slot.process.start()
