Let the soak send crashing requests over connections that stay open

Callers keep connections open over 40 requests and use them until the relay closes them or its process is gone. One request in 20 is one of two that crash their runner, of which there are 5 that start again, under a new id in odd seeds and the same one in even seeds. Checked: after the third crash of a request and 3 s, it runs at most three times while no relay has a fault.

--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -180,7 +180,11 @@
 
     def depart(self, name: str, runner: str) -> bool:
         """Send a runner's departure to a control host; return whether it worked."""
-        return self.call(name, "POST", f"/Instances.Deregister/{runner}").is_success
+        try:
+            call = f"/Instances.Deregister/{runner}"
+            return self.call(name, "POST", call).is_success
+        except httpx.HTTPError:
+            return False
 
     def send_request(
         self,
@@ -190,8 +194,12 @@
         request: str = "",
         body: bytes = b"",
         run_ms: float = 0.0,
+        client: httpx.Client | None = None,
     ) -> httpx.Response | None:
-        """Send a request to a relay; return None if the response is incomplete."""
+        """Send a request to a relay; return None if the response is incomplete.
+
+        Without `client`, a connection is opened for it.
+        """
         headers = {
             "Host": "a.example",
             "Attempt-Id": request or f"id-{time.monotonic_ns()}",
@@ -202,6 +210,8 @@
             headers[DURATION_HEADER] = str(run_ms)
         url = f"http://{self.ip_addresses[name]}:{self.relay_port}{path}"
         try:
+            if client is not None:
+                return client.post(url, content=body, headers=headers)
             return httpx.post(
                 url, content=body, headers=headers, trust_env=False, timeout=6
             )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -37,10 +37,9 @@
             return
         crashes = body.startswith(CRASH_BODY)
         if self.journal is not None:
-            end = f" {CRASH_WORD}" if crashes else ""
-            self.journal.write(
-                f"{headers['attempt-id']} {headers.get('tenant')}{end}\n"
-            )
+            words = [headers["attempt-id"], str(headers.get("tenant"))]
+            words += [f"{time.monotonic():.3f}", *([CRASH_WORD] if crashes else [])]
+            self.journal.write(" ".join(words) + "\n")
             duration_ms = headers.get(DURATION_HEADER.lower())
             time.sleep(float(duration_ms) / 1000 if duration_ms else RUN_DURATION_S)
         if crashes:
--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -82,9 +83,21 @@
 
     @property
     def journal(self) -> list[list[str]]:
-        """Words of each line of the journal: request id, workspace, crash mark."""
+        """Words of each line of the journal.
+
+        Id of the request, workspace, monotonic time of its run in seconds, and
+        `CRASH_WORD` if it ended the runner.
+        """
         return [line.split() for line in self._journal_path.read_text().splitlines()]
 
+    def crash_times(self, request_ids: set[str]) -> list[float]:
+        """Return the times of the runs of some requests that ended their runner."""
+        return [
+            float(words[2])
+            for words in self.journal
+            if words[-1] == CRASH_WORD and words[0] in request_ids
+        ]
+
     def run_ids(self, crashed: bool) -> list[str]:
         """Return the ids of the runs that ended their runner, or of the others."""
         return [
@@ -116,7 +129,9 @@
         self._thread.join()
         for slot in self._slots:
             slot.process.kill()
-            self._cluster.depart(self._rng.choice(CONTROL), slot.runner)
+            self._call_any(
+                lambda control, one=slot.runner: self._cluster.depart(control, one)
+            )
 
     def _start(self, slot: _Slot) -> None:
         slot.process.start()
@@ -148,9 +163,14 @@
             self._start(slot)
 
     def _announce(self, slot: _Slot) -> None:
-        for control in self._rng.sample(CONTROL, len(CONTROL)):
-            if self._cluster.announce(
-                control, slot.port, slot.sequence + 1, slot.runner, slot.started_at
-            ):
-                slot.sequence += 1
-                return
+        number = slot.sequence + 1
+        if self._call_any(
+            lambda control: self._cluster.announce(
+                control, slot.port, number, slot.runner, slot.started_at
+            )
+        ):
+            slot.sequence = number
+
+    def _call_any(self, call: Callable[[str], bool]) -> bool:
+        """Call control hosts in random order until one acknowledges."""
+        return any(call(one) for one in self._rng.sample(CONTROL, len(CONTROL)))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,13 +7,15 @@
 
 from cyclopts import App
 
-from tests.soak.run import run_seed
+from tests.soak.run import RUNNERS, run_seed
 
 app = App(name="soak")
 
 
 @app.default
-def main(*, first: int = 1, seeds: int = 1, seconds: float = 20.0) -> None:
+def main(
+    *, first: int = 1, seeds: int = 1, seconds: float = 20.0, runners: int = RUNNERS
+) -> None:
     """Run seeds in sequence; the files of failed runs are kept.
 
     Parameters
@@ -24,12 +26,14 @@
         Number of seeds.
     seconds : float
         Time for which faults are injected per seed.
+    runners : int
+        Number of runners per seed that crash and start again.
     """
     failed = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            outcome = run_seed(folder, seed, seconds)
+            outcome = run_seed(folder, seed, seconds, runners)
         except TimeoutError as error:
             failed += 1
             print(f"seed {seed}: FAILED {error}; files in {folder}")
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -14,6 +14,11 @@
 #: Time after which every relay must refuse a withdrawn key, in seconds.
 KEY_VALIDITY_S = 5.0
 OK = 200
+#: Crashes after which a request is refused, the time in seconds in which relays
+#: without a fault hear of them, and the runs that are tolerated after that.
+CRASHES_UNTIL_KNOWN = 3
+CONTACT_S = 3.0
+MAX_LATE_RUNS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +65,10 @@
         Time at which each read was sent, and the version that it returned.
     withdrawn_at : float or None
         Time at which the withdrawal of the key ``k2`` was acknowledged.
+    crash_times : dict of str to list of float
+        By crashing request, the monotonic times of the runs that ended their runner.
+    disturbances : list of (float, float)
+        Beginnings and ends of the faults of relays.
     """
 
     sent: list[SentRequest] = field(default_factory=list)
@@ -67,6 +76,8 @@
     acknowledged: list[tuple[float, int]] = field(default_factory=list)
     reads: list[tuple[float, int]] = field(default_factory=list)
     withdrawn_at: float | None = None
+    crash_times: dict[str, list[float]] = field(default_factory=dict)
+    disturbances: list[tuple[float, float]] = field(default_factory=list)
 
 
 def broken_promises(observations: Observations) -> list[str]:
@@ -89,6 +100,10 @@
         broken += _broken_by_request(
             request, runs[request.id], observations.withdrawn_at
         )
+    for name, times in observations.crash_times.items():
+        late = _late_runs(sorted(times), observations.disturbances)
+        if late > MAX_LATE_RUNS:
+            broken.append(f"{name} ran {late} times after its third crash")
     for at, version in observations.reads:
         newest = max((v for t, v in observations.acknowledged if t < at), default=-1)
         if version < newest:
@@ -96,6 +111,22 @@
     return broken
 
 
+def _late_runs(times: list[float], disturbances: list[tuple[float, float]]) -> int:
+    """Count the runs of a crashing request that all relays should have refused.
+
+    Those are the runs later than `CONTACT_S` after the third crash, while no relay
+    had a fault within `CONTACT_S`.
+    """
+    if len(times) < CRASHES_UNTIL_KNOWN:
+        return 0
+    known_at = times[CRASHES_UNTIL_KNOWN - 1] + CONTACT_S
+    return sum(
+        at > known_at
+        and not any(begin <= at <= end + CONTACT_S for begin, end in disturbances)
+        for at in times
+    )
+
+
 def _broken_by_request(
     request: SentRequest, runs: int, withdrawn_at: float | None
 ) -> list[str]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -17,6 +18,7 @@
 )
 from standins.processes import free_port, wait_until
 from standins.proxy import FaultProxy
+from standins.runner_fleet import RunnerFleet
 from tests.soak.faults import Fault, draw_fault
 from tests.soak.promises import Observations, SentRequest, broken_promises
 
@@ -27,6 +29,12 @@
 KEY_WITHDRAWAL_FRACTION = 0.4
 FIRST_VERSION = 100
 CALLER_PAUSE_S = 0.02
+RUNNERS = 5
+#: Bodies of requests that crash their runners, and the share of requests with one.
+CRASHING_BODIES = [b"crash-1", b"crash-2"]
+CRASHING_SHARE = 0.05
+#: Requests that a caller sends over one set of connections.
+REQUESTS_PER_CONNECTION = 40
 FAULT_STEP_S = 0.1
 OK = 200
 
@@ -52,34 +60,54 @@
 
 
 class _SoakRun:
-    def __init__(self, cluster, seed: int):
+    def __init__(self, cluster, fleet: RunnerFleet, seed: int):
         self.cluster = cluster
+        self.fleet = fleet
+        self.ids_of_crashing: defaultdict[str, set[str]] = defaultdict(set)
         self.observations = Observations()
         self.lock = threading.Lock()
         self.ended = threading.Event()
         self.seed = seed
 
     def send_requests(self, number: int) -> None:
-        """Send requests as one caller until the run ends."""
+        """Send requests as one caller until the run ends.
+
+        Open connections are used until a relay closes them or its process is gone.
+        """
         rng = Random(f"{self.seed}-{number}")
         count = 0
         while not self.ended.is_set():
-            count += 1
-            at_most_once = rng.random() < 0.5
-            key = "k2" if rng.random() < 0.3 else "k1"
-            request = f"c{number}-{count}"
-            path = "/once/1" if at_most_once else "/x/1"
-            at = time.monotonic()
-            response = self.cluster.send_request(rng.choice(RELAYS), key, path, request)
-            status = response.status_code if response is not None else 0
-            answered_id = (
-                response.headers.get("Attempt-Id") if response is not None else None
+            with httpx.Client(trust_env=False, timeout=6) as client:
+                for _ in range(REQUESTS_PER_CONNECTION):
+                    count += 1
+                    self._send_request(number, count, rng, client)
+                    if self.ended.is_set():
+                        return
+                    time.sleep(CALLER_PAUSE_S)
+
+    def _send_request(
+        self, number: int, count: int, rng: Random, client: httpx.Client
+    ) -> None:
+        at_most_once = rng.random() < 0.5
+        key = "k2" if rng.random() < 0.3 else "k1"
+        path = "/once/1" if at_most_once else "/x/1"
+        request = f"c{number}-{count}"
+        body = b""
+        if rng.random() < CRASHING_SHARE:
+            body = rng.choice(CRASHING_BODIES)
+            self.ids_of_crashing[f"{path} {body.decode()}"].add(request)
+        at = time.monotonic()
+        response = self.cluster.send_request(
+            rng.choice(RELAYS), key, path, request, body, client=client
+        )
+        status = response.status_code if response is not None else 0
+        answered_id = (
+            response.headers.get("Attempt-Id") if response is not None else None
+        )
+        with self.lock:
+            self.observations.sent.append(
+                SentRequest(request, at, at_most_once, key, status, answered_id)
             )
-            with self.lock:
-                self.observations.sent.append(
-                    SentRequest(request, at, at_most_once, key, status, answered_id)
-                )
-            time.sleep(CALLER_PAUSE_S)
 
     def declare_and_read(self, withdraw_at: float) -> None:
         """Declare and read deployments until the run ends."""
@@ -114,7 +142,9 @@
                 return
 
 
-def run_seed(folder: Path, seed: int, seconds: float) -> Outcome:
+def run_seed(
+    folder: Path, seed: int, seconds: float, runners: int = RUNNERS
+) -> Outcome:
     """Run a cluster under random faults and check the promises.
 
     Parameters
@@ -125,6 +155,8 @@
         Seed of faults, requests and deployment changes.
     seconds : float
         Time for which faults are injected.
+    runners : int
+        Number of runners that crash and start again.
 
     Returns
     -------
@@ -132,14 +164,18 @@
         Broken promises and injected faults.
     """
     rng = Random(seed)
-    with running_cluster(folder) as cluster, start_blocking_portal() as portal:
+    with (
+        running_cluster(folder) as cluster,
+        RunnerFleet(cluster, runners, keeps_ids=seed % 2 == 0) as fleet,
+        start_blocking_portal() as portal,
+    ):
         link = FaultProxy(free_port(), cluster.runner_port)
         portal.start_task(link.run)
         wait_until(
             lambda: cluster.announce("control-2", link.port, 2),
             "the runner is announced behind its link",
         )
-        soak = _SoakRun(cluster, seed)
+        soak = _SoakRun(cluster, fleet, seed)
         started = time.monotonic()
         threads = [
             threading.Thread(target=soak.send_requests, args=(number,))
@@ -154,7 +190,7 @@
         for thread in threads:
             thread.start()
         try:
-            faults = _inject_faults(cluster, link, portal, rng, seconds)
+            faults = _inject_faults(soak, link, portal, rng, seconds)
             for relay in RELAYS:
                 wait_until(
                     lambda relay=relay: cluster.request_status(relay) == OK,
@@ -169,7 +205,9 @@
         return outcome
 
 
-def _inject_faults(cluster, link, portal, rng: Random, seconds: float) -> list[str]:
+def _inject_faults(
+    soak: _SoakRun, link: FaultProxy, portal, rng: Random, seconds: float
+) -> list[str]:
     """Inject and repair faults for `seconds`; return a description of each fault."""
     active: list[tuple[float, Fault]] = []
     descriptions = []
@@ -181,9 +219,12 @@
             active.remove((ends_at, fault))
         if now < injection_ends_at and rng.random() < 0.25:
             faulty = {fault.target for _, fault in active}
-            fault = draw_fault(cluster, link, portal, faulty, rng)
+            fault = draw_fault(soak.cluster, link, portal, faulty, rng)
             if fault is not None:
                 active.append((now + fault.duration_s, fault))
+                if fault.target in RELAYS:
+                    ends_at = now + fault.duration_s + FAULT_STEP_S
+                    soak.observations.disturbances.append((now, ends_at))
                 descriptions.append(
                     f"{fault.name} {fault.target} for {fault.duration_s:.1f} s"
                 )
@@ -194,6 +235,10 @@
 def _evaluate(soak: _SoakRun, cluster, faults: list[str]) -> Outcome:
     observations = soak.observations
     lines = cluster.runs_path.read_text().splitlines()
+    lines += [" ".join(words) for words in soak.fleet.journal]
+    observations.crash_times = {
+        name: soak.fleet.crash_times(ids) for name, ids in soak.ids_of_crashing.items()
+    }
     sent_ids = {request.id for request in observations.sent}
     # Excludes requests of the cluster setup and of the final readiness checks.
     observations.runs = [
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -50,6 +50,24 @@
     assert bool(broken_promises(observations)) is is_broken
 
 
+# Times of the runs that ended their runner, a fault of a relay, and whether a promise
+# is broken.
+CRASH_CASES = [
+    ([1.0, 2.0, 3.0, 4.0, 5.0, 5.9], (), False),
+    ([1.0, 2.0, 3.0, 6.1, 6.2, 6.3], (), False),
+    ([1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4], (), True),
+    ([1.0, 2.0, 3.0, 6.1, 6.2, 6.3, 6.4], (2.0, 5.0), False),
+]
+
+
+@pytest.mark.parametrize(("times", "fault", "is_broken"), CRASH_CASES)
+def test_late_runs_of_a_crashing_request_are_reported(times, fault, is_broken):
+    observations = Observations(
+        crash_times={"crash": times}, disturbances=[fault] if fault else []
+    )
+    assert bool(broken_promises(observations)) is is_broken
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_promise_is_broken_under_faults(seed, tmp_path):
     outcome = run_seed(tmp_path, seed, SECONDS)
