--- a/packages/cranberryfield-client/src/cranberryfield/client/logs.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/logs.py
@@ -30,6 +30,8 @@
         Time of the event by the node's clock.
     request, outcome, attempts, took_ms, admitted_ms
         Id and outcome of a request; times in milliseconds since its arrival.
+    fingerprint : str or None
+        Digest that a request keeps when its caller sends it under another id.
     upstream, told_by, age_ms
         Id of an upstream, the node that reported it, and the age of the report in
         milliseconds.
@@ -45,6 +47,7 @@
     attempts: tuple[str, ...] = ()
     took_ms: float = 0.0
     admitted_ms: float | None = None
+    fingerprint: str | None = None
     upstream: str | None = None
     told_by: str | None = None
     age_ms: float | None = None
--- a/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
@@ -50,6 +50,10 @@
             {"outcome": "deadline passed", "attempts": ["u1: begun"]},
             "last attempt: u1: begun",
         ),
+        (
+            {"outcome": "refused: request_crashes_upstreams: 3", "attempts": []},
+            "upstreams crashed while they ran it",
+        ),
         ({"outcome": "something new"}, "unknown to this program"),
     ],
 )
@@ -97,6 +101,21 @@
     assert timeline.uncompared == ("c1",)
 
 
+def test_crashes_of_earlier_attempts_are_included():
+    suspicion = {"upstream": "u9", "crash_count": 1}
+    (timeline,) = timelines(
+        log_line("relay-2", "request suspected", -50.0, fingerprint="f1", **suspicion),
+        log_line("relay-2", "request suspected", 9.0, fingerprint="f2", **suspicion),
+        log_line("relay-1", "upstream crashed", 9.8, upstream="u1"),
+        end_line(fingerprint="f1"),
+    )
+    assert [(row.node, row.event) for row in timeline.rows] == [
+        ("relay-2", "request suspected"),
+        ("relay-1", "upstream crashed"),
+        ("relay-1", "request ended"),
+    ]
+
+
 @pytest.mark.parametrize(
     "fields",
     [
--- a/packages/cranberryfield-client/src/cranberryfield/client/timeline.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/timeline.py
@@ -8,7 +8,7 @@
 
 MS_PER_S = 1000
 #: Events of the request's host and upstreams are included from this many seconds
-#: before its arrival.
+#: before its arrival; crashes during earlier attempts of its caller always are.
 LOOKBACK_S = 5.0
 REQUEST_ENDED = "request ended"
 #: Events of the host that served the request which may affect its outcome.
@@ -26,15 +26,19 @@
 UPSTREAM_EVENTS = frozenset(
     {
         "upstream announced",
+        "upstream crashed",
         "upstream departed",
         "upstream forgotten",
         "upstream known",
     }
 )
+#: Events of all hosts that name the request by its fingerprint.
+SUSPECT_EVENTS = frozenset({"request suspected", "request no longer suspected"})
 #: Printed causes by prefix of the outcome; the first matching prefix applies.
 CAUSES_BY_OUTCOME_PREFIX = {
     "refused: over_limit": "its workspace's quota was used up",
     "refused: no_upstream": "no upstream took it",
+    "refused: request_crashes_upstreams": "upstreams crashed while they ran it",
     "refused: upstream_failed": "its last attempt failed after it may have run",
     "deadline passed": "its time was over",
     "caller left": "its caller closed the connection",
@@ -113,7 +117,8 @@
         if not _is_relevant(line, end_line, upstreams):
             continue
         event_s = line.unix_s - offsets.get(line.node, 0.0)
-        if arrival_s - LOOKBACK_S <= event_s <= end_line.unix_s:
+        is_recent = event_s >= arrival_s - LOOKBACK_S or line.event in SUSPECT_EVENTS
+        if is_recent and event_s <= end_line.unix_s:
             rows.append(_event(line, event_s, arrival_s))
             if line.node not in offsets:
                 uncompared.add(line.node)
@@ -122,6 +127,8 @@
 
 
 def _is_relevant(line: LogLine, end_line: LogLine, upstreams: set[str]) -> bool:
+    if line.event in SUSPECT_EVENTS:
+        return line.fingerprint == end_line.fingerprint
     if line.event in UPSTREAM_EVENTS:
         return line.upstream in upstreams
     return line.event in HOST_EVENTS and line.node == end_line.node
