Do not suspect a request of which an equal one was answered not long ago

Cause: a fingerprint is the content of a request. Where callers send many with the same content, some are in flight in each crash, so three crashes of any cause within the time between two answers would have all of them refused for 300 s, and none could run to its end to clear them.

Change: a relay remembers for 30 s which contents it has answered, at most 10,000, and reports no crash of these. A request that crashes its upstreams is never answered.

The soak now checks that no innocent request is refused as one that crashes upstreams.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/exchange.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/exchange.py
@@ -21,6 +21,7 @@
 from cranberryfield.entry.quarantine.section import (
     Crash,
     QuarantineSection,
+    completed_recently,
     count_crashes,
     forget_expired,
     record_completion,
@@ -86,6 +87,8 @@
 
     def report_crash(self, fingerprint: bytes, crash: Crash) -> None:
         """Record a request that was in flight in a crash and tell the other hosts."""
+        if completed_recently(self._section, fingerprint, self._clock()):
+            return
         if record_crash(self._section, fingerprint, crash):
             self._log_crash(fingerprint, crash, self._mesh.hello.node)
             self._enqueue(fingerprint)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
@@ -1,6 +1,7 @@
 """Requests that were in flight when upstreams crashed, and which are refused."""
 
 from dataclasses import dataclass, field
+from math import inf
 
 from cranberryfield.core.ids import Incarnation, UpstreamId
 
@@ -9,6 +10,7 @@
     "QuarantineSection",
     "UpstreamProcess",
     "clear_crash",
+    "completed_recently",
     "count_crashes",
     "forget_expired",
     "is_quarantined",
@@ -23,6 +25,8 @@
 MAX_CRASHES = 3
 #: Time after its last crash for which a request is remembered, in seconds.
 RETENTION_S = 300.0
+#: Time after its end for which a request is not suspected, in seconds.
+COMPLETION_MEMORY_S = 30.0
 #: Maximum numbers of fingerprints and of crashes that are remembered.
 MAX_FINGERPRINTS = 10_000
 MAX_KNOWN_CRASHES = 1_000
@@ -66,6 +70,9 @@
     crashes : dict
         By request fingerprint, the crashes that the request was in flight in;
         the request with the latest crash is last.
+    completed_at : dict
+        When requests last ran to their end on this host, by fingerprint, as
+        monotonic time in seconds; the latest is last.
     cleared : dict
         Crashes that do not count for a request, as it ran to its end later: by
         fingerprint and process, the monotonic time in seconds of that end.
@@ -74,6 +81,7 @@
     """
 
     crashes: dict[bytes, tuple[Crash, ...]] = field(default_factory=dict)
+    completed_at: dict[bytes, float] = field(default_factory=dict)
     cleared: dict[tuple[bytes, UpstreamProcess], float] = field(default_factory=dict)
     crashed_at: dict[UpstreamProcess, float] = field(default_factory=dict)
 
@@ -121,7 +129,7 @@
 def record_completion(
     section: QuarantineSection, fingerprint: bytes, at: float
 ) -> bool:
-    """Record that a request ran to its end, so that its crashes do not count.
+    """Record that a request of this host ran to its end; its crashes do not count.
 
     Parameters
     ----------
@@ -137,12 +145,27 @@
     bool
         Whether the request was suspected.
     """
+    section.completed_at.pop(fingerprint, None)
+    section.completed_at[fingerprint] = at
+    if len(section.completed_at) > MAX_FINGERPRINTS:
+        del section.completed_at[next(iter(section.completed_at))]
     crashes = section.crashes.get(fingerprint, ())
     for crash in crashes:
         clear_crash(section, fingerprint, crash.process, at)
     return bool(crashes)
 
 
+def completed_recently(
+    section: QuarantineSection, fingerprint: bytes, now: float
+) -> bool:
+    """Return whether an equal request ran to its end on this host not long ago.
+
+    Callers may send many requests with the same content. Some of them are in flight
+    in each crash, without being its cause.
+    """
+    return now - section.completed_at.get(fingerprint, -inf) < COMPLETION_MEMORY_S
+
+
 def clear_crash(
     section: QuarantineSection,
     fingerprint: bytes,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_section.py
@@ -3,11 +3,13 @@
 import pytest
 
 from cranberryfield.entry.quarantine.section import (
+    COMPLETION_MEMORY_S,
     MAX_FINGERPRINTS,
     RETENTION_S,
     Crash,
     QuarantineSection,
     clear_crash,
+    completed_recently,
     count_crashes,
     forget_expired,
     is_quarantined,
@@ -78,6 +80,18 @@
     assert count_crashes(section, OTHER) == count
 
 
+# Guards against requests that many callers send with the same content, of which some
+# are in flight in each crash: they would all be refused.
+@pytest.mark.parametrize(
+    ("after_s", "expected"), [(0.0, True), (COMPLETION_MEMORY_S, False)]
+)
+def test_request_that_ran_to_its_end_is_not_suspected_for_a_while(after_s, expected):
+    section = QuarantineSection()
+    record_completion(section, OTHER, 5.0)
+    assert completed_recently(section, OTHER, 5.0 + after_s) is expected
+    assert not completed_recently(section, CULPRIT, 5.0)
+
+
 def test_only_the_completion_of_a_suspect_is_recorded():
     section = QuarantineSection()
     assert not record_completion(section, OTHER, 5.0)
@@ -93,7 +107,9 @@
     for number in range(MAX_FINGERPRINTS + 5):
         record_crash(section, number.to_bytes(4), Crash("u3", number, 9.0))
         clear_crash(section, b"f", ("u3", number), 9.0)
+        record_completion(section, b"c" + number.to_bytes(4), 9.0)
     assert len(section.crashes) == len(section.cleared) == MAX_FINGERPRINTS
+    assert len(section.completed_at) == MAX_FINGERPRINTS
     assert count_crashes(section, (0).to_bytes(4)) == 0
     assert is_quarantined(section, CULPRIT)
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -39,6 +39,8 @@
         HTTP status of the response; 0 without a response.
     answered_id : str or None
         Request id given in the response.
+    was_quarantined : bool
+        Whether a request that crashes no runner was refused as one that does.
     """
 
     id: str
@@ -47,6 +49,7 @@
     key: str
     status: int
     answered_id: str | None
+    was_quarantined: bool = False
 
 
 @dataclass(slots=True)
@@ -137,6 +140,8 @@
         broken.append(f"{request.id} was refused as not run ({request.status}) and ran")
     if request.status == OK and request.answered_id != request.id:
         broken.append(f"{request.id} got the answer to {request.answered_id}")
+    if request.was_quarantined:
+        broken.append(f"{request.id} was refused as crashing, which it is not")
     if request.status == OK and not runs:
         broken.append(f"{request.id} succeeded without a run")
     is_expired = withdrawn_at is not None and request.at > withdrawn_at + KEY_VALIDITY_S
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 import httpx
 from anyio.from_thread import start_blocking_portal
 
+from cranberryfield.core.errors import ErrorKind
 from standins.platform_cluster import (
     CONTROL,
     RELAYS,
@@ -37,6 +38,8 @@
 REQUESTS_PER_CONNECTION = 40
 FAULT_STEP_S = 0.1
 OK = 200
+#: Kind in the refusal of a request that crashes its upstreams.
+QUARANTINED = ErrorKind.REQUEST_CRASHES_UPSTREAMS.value
 
 
 @dataclass(slots=True)
@@ -104,9 +107,14 @@
         answered_id = (
             response.headers.get("Attempt-Id") if response is not None else None
         )
+        was_quarantined = (
+            response is not None and not body and QUARANTINED in response.text
+        )
         with self.lock:
             self.observations.sent.append(
-                SentRequest(request, at, at_most_once, key, status, answered_id)
+                SentRequest(
+                    request, at, at_most_once, key, status, answered_id, was_quarantined
+                )
             )
 
     def declare_and_read(self, withdraw_at: float) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -33,6 +33,7 @@
         (sent_request(status=502, answered_id=None), ["r1"], None),
         (sent_request(answered_id="r2"), ["r1"], "got the answer to r2"),
         (sent_request(), [], "without a run"),
+        (sent_request(status=503, was_quarantined=True), [], "refused as crashing"),
         (sent_request(), ["r1", "r9"], "nobody sent it"),
         (sent_request(key="k2"), ["r1"], "key withdrawn"),
         (sent_request(key="k2", at=4.9), ["r1"], None),
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -120,6 +120,22 @@
     assert len(harness.received_requests) == 3
 
 
+# Guards against callers that send many equal requests, which would all be refused after
+# three crashes beside them.
+def test_equal_request_that_was_answered_is_not_suspected():
+    harness = RelayHarness([in_sequence(respond(), crash)], ONCE)
+
+    async def conversation(stream):
+        for _ in range(2):
+            async with await anyio.connect_tcp("127.0.0.1", harness.port) as caller:
+                await caller.send(get_request())
+                await read_all(caller)
+
+    anyio.run(harness.run, conversation)
+    assert len(harness.received_requests) == 2
+    assert not harness.suspects.crashes
+
+
 # Guards against a quarantined request that is sent to further upstreams, or refused
 # with the claim that it has not run although this attempt of it has.
 @pytest.mark.parametrize(
