Look for crashed upstreams once per choice, and log how long a request waited

Each choice asked the clock for each candidate; it does once now, and not at all while no upstream has crashed. 'request ended' has waited_ms, the time that a suspect looked for an upstream without others, or any request that lost a run for one that had not crashed.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -72,7 +72,7 @@
     pool : ConnectionPool
         Connections to upstreams.
     metrics : Metrics
-        Counters of crashes and of quarantined requests.
+        Counter of crashes.
     clock : Clock
         Monotonic time.
     """
@@ -120,11 +120,17 @@
             retry_after_s=max(0.0, ends_at - self._clock()),
         )
 
-    def has_crashed(self, record: UpstreamRecord) -> bool:
-        """Return whether an upstream process has crashed, as found by any host."""
-        process = (record.upstream, record.incarnation)
-        crashed_at = self._section.crashed_at.get(process, -inf)
-        return self._clock() - crashed_at < CRASH_BACKOFF_S
+    def crashed_among(self, candidates: list[UpstreamRecord]) -> frozenset[UpstreamId]:
+        """Return the upstreams that have just crashed, as noticed by any host."""
+        crashed_at = self._section.crashed_at
+        if not crashed_at:
+            return frozenset()
+        since = self._clock() - CRASH_BACKOFF_S
+        return frozenset(
+            one.upstream
+            for one in candidates
+            if crashed_at.get((one.upstream, one.incarnation), -inf) > since
+        )
 
     def isolate_until(self, fingerprint: bytes, deadline: float) -> float:
         """Return until when a request waits for an upstream without other suspects.
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -257,8 +257,12 @@
             state.fingerprint, request.deadline
         )
         while True:
-            record = self._choose_upstream(request, state, reserved_for_others)
-            is_down = record is None or self._quarantine.has_crashed(record)
+            candidates = self._table.active_upstreams(request.service)
+            crashed = self._quarantine.crashed_among(candidates)
+            record = self._choose_upstream(
+                request, state, candidates, crashed, reserved_for_others
+            )
+            is_down = record is None or record.upstream in crashed
             if record is None and reserved_for_others:
                 reserved_for_others.clear()
             elif not is_down or self._clock() >= wait_until:
@@ -270,42 +274,42 @@
                     return record
                 reserved_for_others.add(record.upstream)
                 continue
+            state.waited_s += UPSTREAM_POLL_S
             await anyio.sleep(UPSTREAM_POLL_S)
 
     def _choose_upstream(
         self,
         request: RelayRequest,
         state: RelayRequestState,
+        candidates: list[UpstreamRecord],
+        crashed: frozenset[UpstreamId],
         reserved_for_others: set[UpstreamId],
     ) -> UpstreamRecord | None:
+        """Choose an upstream; one that has crashed only if no other may be used."""
         now = self._clock()
-        candidates = self._table.active_upstreams(request.service)
 
-        def choose(excluded: frozenset[UpstreamId]) -> UpstreamRecord | None:
+        def choose(excluded: set[UpstreamId]) -> UpstreamRecord | None:
             return choose_relay_upstream(
                 candidates,
                 self._loads,
                 request,
-                excluded,
+                frozenset(excluded),
                 self._data_centre,
                 now,
                 self._model,
             )
 
-        tried = reserved_for_others.union(
+        excluded = reserved_for_others.union(
             record.upstream
             for record in candidates
             if (record.upstream, record.incarnation) in state.tried_processes
         )
-        avoided = {
-            one.upstream for one in candidates if self._quarantine.has_crashed(one)
-        }
-        record = choose(frozenset(tried | avoided))
+        record = choose(excluded | crashed)
         is_usable = (
             record is not None
             and self._loads.load_of(record.upstream).backoff_until <= now
         )
-        return record if is_usable or not avoided else choose(frozenset(tried))
+        return record if is_usable or not crashed else choose(excluded)
 
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
         if self._quarantine.is_quarantined(state.fingerprint):
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -43,6 +43,8 @@
     admitted_at, first_event_at : float or None
         Monotonic time in seconds at which the quota was granted and at which
         the first event arrived.
+    waited_s : float
+        Time spent waiting for an upstream that it may run on, in seconds.
     fallback_response : Response or None
         Error response to return if no further attempt succeeds.
     attempt_log : list of str
@@ -59,6 +61,7 @@
     charged_workspace: WorkspaceSpec | None = None
     admitted_at: float | None = None
     first_event_at: float | None = None
+    waited_s: float = 0.0
     fallback_response: Response | None = None
     attempt_log: list[str] = field(default_factory=list)
 
@@ -101,6 +104,7 @@
         quota_cost=request.quota_cost,
         admitted_ms=elapsed_ms(state.admitted_at),
         first_event_ms=elapsed_ms(state.first_event_at),
+        waited_ms=round(state.waited_s * MS_PER_S),
         took_ms=elapsed_ms(now),
         left_ms=round((request.deadline - now) * MS_PER_S),
     )
