--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -81,6 +81,11 @@
         """Ids of the runners that were started last."""
         return [slot.runner for slot in self._slots]
 
+    @property
+    def sequences(self) -> list[int]:
+        """Number of acknowledged announcements of each runner since its start."""
+        return [slot.sequence for slot in self._slots]
+
     @property
     def journal(self) -> list[list[str]]:
         """Words of each line of the journal.
