Examine attempts on an upstream that is back under its id like any other

Cause: a lost connection to an upstream whose crash was known counted as that crash however much later it came, so that the attempt did not count towards max_attempts. Only where an upstream comes back under its id without telling its start.

Change: an attempt that began after the known crash counts as one on a crashed upstream only if that refuses connections. Completions older than their use are dropped.

Evidence: the case 'before the upstream was back' of test_attempt_on_an_upstream_that_is_known_to_have_crashed; test_old_completions_are_dropped.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
@@ -147,14 +147,23 @@
     """
     section.completed_at.pop(fingerprint, None)
     section.completed_at[fingerprint] = at
-    if len(section.completed_at) > MAX_FINGERPRINTS:
-        del section.completed_at[next(iter(section.completed_at))]
+    _forget_completions(section, at)
     crashes = section.crashes.get(fingerprint, ())
     for crash in crashes:
         clear_crash(section, fingerprint, crash.process, at)
     return bool(crashes)
 
 
+def _forget_completions(section: QuarantineSection, now: float) -> None:
+    completed_at = section.completed_at
+    while completed_at:
+        oldest = next(iter(completed_at))
+        is_expired = now - completed_at[oldest] >= COMPLETION_MEMORY_S
+        if not is_expired and len(completed_at) <= MAX_FINGERPRINTS:
+            return
+        del completed_at[oldest]
+
+
 def completed_recently(
     section: QuarantineSection, fingerprint: bytes, now: float
 ) -> bool:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_section.py
@@ -92,6 +92,13 @@
     assert not completed_recently(section, CULPRIT, 5.0)
 
 
+def test_old_completions_are_dropped():
+    section = QuarantineSection()
+    for at in (5.0, 6.0, 5.0 + COMPLETION_MEMORY_S):
+        record_completion(section, str(at).encode(), at)
+    assert list(section.completed_at.values()) == [6.0, 5.0 + COMPLETION_MEMORY_S]
+
+
 def test_only_the_completion_of_a_suspect_is_recorded():
     section = QuarantineSection()
     assert not record_completion(section, OTHER, 5.0)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -212,11 +212,11 @@
         crash = Crash(
             record.upstream, record.incarnation, self._clock(), result.had_answered
         )
-        if crash.process in self._section.crashed_at:
-            if started_at < self._section.crashed_at[crash.process]:
-                self._exchange.report_crash(fingerprint, crash)
-            return True
-        if await self._is_refused(record):
+        crashed_at = self._section.crashed_at.get(crash.process)
+        if crashed_at is not None and started_at >= crashed_at:
+            # The attempt began after the crash and is not its cause.
+            return await self._is_refused(record)
+        if crashed_at is not None or await self._is_refused(record):
             self._record_crash(fingerprint, crash)
             return True
         if len(self._unconfirmed) < MAX_UNCONFIRMED:
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -106,11 +106,26 @@
     assert not harness.suspects.crashes
 
 
-def test_attempt_that_begins_after_a_crash_is_not_suspected():
-    harness = RelayHarness([crash], ONCE)
-    harness.suspects.crashed_at["u0", 1] = 0.0
+# When the crash was noticed, the end of the attempt, and whether it is suspected.
+KNOWN_CRASHES = [
+    ("before the attempt", 0.0, crash, False),
+    ("during the attempt", 1e12, crash, True),
+    ("before the upstream was back", 0.0, reset_connection, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("crashed_at", "script", "is_suspected"),
+    [row[1:] for row in KNOWN_CRASHES],
+    ids=[row[0] for row in KNOWN_CRASHES],
+)
+def test_attempt_on_an_upstream_that_is_known_to_have_crashed(
+    crashed_at, script, is_suspected
+):
+    harness = RelayHarness([script], ONCE)
+    harness.suspects.crashed_at["u0", 1] = crashed_at
     send_raw(harness, get_request())
-    assert not harness.suspects.crashes
+    assert bool(harness.suspects.crashes) is is_suspected
 
 
 def test_crashes_do_not_count_towards_the_attempts_of_a_route():
