Split the choice of an upstream off the relay

The choice, which waits for reservations and for upstreams that have crashed, is a module of its own; the code is moved as it was.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -15,7 +15,7 @@
 )
 from cranberryfield.core.http1 import Exchange, Response, ResponseHead
 from cranberryfield.core.http1.message import remove_hop_by_hop
-from cranberryfield.core.ids import DataCentre, UpstreamId
+from cranberryfield.core.ids import DataCentre
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quota import QuotaClient
@@ -49,10 +49,7 @@
     metric_labels,
     record_outcome_metrics,
 )
-from cranberryfield.entry.relay.upstream_selection import (
-    RelayCostModel,
-    choose_relay_upstream,
-)
+from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
 from cranberryfield.entry.relay.usage import UsageSection, record_run_start
 from cranberryfield.entry.relay.windowed_retry_budget import (
     WindowedRetryBudget,
@@ -65,11 +62,6 @@
 MS_PER_S = 1000
 #: Attempts per request, including those that reach no upstream.
 MAX_TOTAL_ATTEMPTS = 6
-#: Interval at which a request looks for an upstream that it may run on, in seconds.
-UPSTREAM_POLL_S = 0.05
-#: Time for which a request waits for an upstream while all have crashed, in seconds;
-#: they are back after a few.
-MAX_RECOVERY_WAIT_S = 2.0
 #: Bounds of the retry delay that is sent to refused callers, in seconds.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 0.4
@@ -129,7 +121,6 @@
         clock: Clock,
         rng: Random,
     ):
-        self._table = table
         self._loads = loads
         self._demand = demand
         self._quota = quota
@@ -139,10 +130,11 @@
         self._transport = transport
         self._send_error = send_error
         self._metrics = metrics
-        self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
-        self._model = RelayCostModel()
+        self._chooser = RelayUpstreamChooser(
+            table, loads, quarantine, data_centre, clock
+        )
 
     async def run(self) -> None:
         """Look for crashed upstreams until cancelled."""
@@ -228,7 +220,7 @@
     async def _select_upstream(
         self, request: RelayRequest, state: RelayRequestState
     ) -> UpstreamRecord:
-        record = await self._reserve_upstream(request, state)
+        record = await self._chooser.choose(request, state)
         if record is None:
             if not state.tried_processes:
                 tokens_to_prefill = request.prompt_tokens
@@ -243,74 +235,6 @@
             raise self._unavailable_error(state)
         return record
 
-    async def _reserve_upstream(
-        self, request: RelayRequest, state: RelayRequestState
-    ) -> UpstreamRecord | None:
-        """Choose an upstream that the request may run on; None if all were tried.
-
-        A request that has lost a run to a crash waits for a while if all others have
-        crashed too.
-        """
-        reserved_for_others: set[UpstreamId] = set()
-        wait_until = self._clock() + (MAX_RECOVERY_WAIT_S if state.lost_runs else 0.0)
-        isolate_until = self._quarantine.isolate_until(
-            state.fingerprint, request.deadline
-        )
-        while True:
-            candidates = self._table.active_upstreams(request.service)
-            crashed = self._quarantine.crashed_among(candidates)
-            record = self._choose_upstream(
-                request, state, candidates, crashed, reserved_for_others
-            )
-            is_down = record is None or record.upstream in crashed
-            if record is None and reserved_for_others:
-                reserved_for_others.clear()
-            elif not is_down or self._clock() >= wait_until:
-                if record is None or self._clock() >= isolate_until:
-                    return record
-                if await self._quarantine.reserve(
-                    state.fingerprint, record.upstream, request.deadline
-                ):
-                    return record
-                reserved_for_others.add(record.upstream)
-                continue
-            state.waited_s += UPSTREAM_POLL_S
-            await anyio.sleep(UPSTREAM_POLL_S)
-
-    def _choose_upstream(
-        self,
-        request: RelayRequest,
-        state: RelayRequestState,
-        candidates: list[UpstreamRecord],
-        crashed: frozenset[UpstreamId],
-        reserved_for_others: set[UpstreamId],
-    ) -> UpstreamRecord | None:
-        """Choose an upstream; one that has crashed only if no other may be used."""
-        now = self._clock()
-
-        def choose(excluded: set[UpstreamId]) -> UpstreamRecord | None:
-            return choose_relay_upstream(
-                candidates,
-                self._loads,
-                request,
-                frozenset(excluded),
-                self._data_centre,
-                now,
-                self._model,
-            )
-
-        excluded = reserved_for_others.union(
-            record.upstream
-            for record in candidates
-            if (record.upstream, record.incarnation) in state.tried_processes
-        )
-        record = choose(excluded | crashed)
-        is_usable = (
-            record is not None
-            and self._loads.load_of(record.upstream).backoff_until <= now
-        )
-        return record if is_usable or not crashed else choose(excluded)
-
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
         if self._quarantine.is_quarantined(state.fingerprint):
             was_run = WasRun.YES if state.may_have_run else WasRun.NO
--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -0,0 +1,137 @@
+"""Chooses the upstream of each attempt, apart from crashes and other suspects."""
+
+import anyio
+
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.ids import DataCentre, UpstreamId
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.registry import RegistryTable
+from cranberryfield.entry.relay.loads import LoadSection
+from cranberryfield.entry.relay.quarantine import RelayQuarantine
+from cranberryfield.entry.relay.request import RelayRequest
+from cranberryfield.entry.relay.request_state import RelayRequestState
+from cranberryfield.entry.relay.upstream_selection import (
+    RelayCostModel,
+    choose_relay_upstream,
+)
+
+__all__ = ["RelayUpstreamChooser"]
+
+#: Interval at which a request looks for an upstream that it may run on, in seconds.
+UPSTREAM_POLL_S = 0.05
+#: Time for which a request waits for an upstream while all have crashed, in seconds;
+#: they are back after a few.
+MAX_RECOVERY_WAIT_S = 2.0
+
+
+class RelayUpstreamChooser:
+    """Chooses upstreams by expected time to the first event.
+
+    Parameters
+    ----------
+    table : RegistryTable
+        Announced upstreams.
+    loads : LoadSection
+        Their load.
+    quarantine : RelayQuarantine
+        Knows crashed upstreams, and reserves upstreams for suspects.
+    data_centre : DataCentre
+        Data centre of this host.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        table: RegistryTable,
+        loads: LoadSection,
+        quarantine: RelayQuarantine,
+        data_centre: DataCentre,
+        clock: Clock,
+    ):
+        self._table = table
+        self._loads = loads
+        self._quarantine = quarantine
+        self._data_centre = data_centre
+        self._clock = clock
+        self._model = RelayCostModel()
+
+    async def choose(
+        self, request: RelayRequest, state: RelayRequestState
+    ) -> UpstreamRecord | None:
+        """Choose an upstream that a request may run on.
+
+        A suspect waits for one that runs no other suspect. A request that has lost a
+        run to a crash waits for a while if all others have crashed too.
+
+        Parameters
+        ----------
+        request : RelayRequest
+            The request.
+        state : RelayRequestState
+            Its attempts so far.
+
+        Returns
+        -------
+        UpstreamRecord or None
+            The upstream, reserved for a suspect; None if all were tried.
+        """
+        reserved_for_others: set[UpstreamId] = set()
+        wait_until = self._clock() + (MAX_RECOVERY_WAIT_S if state.lost_runs else 0.0)
+        isolate_until = self._quarantine.isolate_until(
+            state.fingerprint, request.deadline
+        )
+        while True:
+            candidates = self._table.active_upstreams(request.service)
+            crashed = self._quarantine.crashed_among(candidates)
+            record = self._choose_now(
+                request, state, candidates, crashed, reserved_for_others
+            )
+            is_down = record is None or record.upstream in crashed
+            if record is None and reserved_for_others:
+                reserved_for_others.clear()
+            elif not is_down or self._clock() >= wait_until:
+                if record is None or self._clock() >= isolate_until:
+                    return record
+                if await self._quarantine.reserve(
+                    state.fingerprint, record.upstream, request.deadline
+                ):
+                    return record
+                reserved_for_others.add(record.upstream)
+                continue
+            state.waited_s += UPSTREAM_POLL_S
+            await anyio.sleep(UPSTREAM_POLL_S)
+
+    def _choose_now(
+        self,
+        request: RelayRequest,
+        state: RelayRequestState,
+        candidates: list[UpstreamRecord],
+        crashed: frozenset[UpstreamId],
+        reserved_for_others: set[UpstreamId],
+    ) -> UpstreamRecord | None:
+        """Choose an upstream; one that has crashed only if no other may be used."""
+        now = self._clock()
+
+        def choose(excluded: set[UpstreamId]) -> UpstreamRecord | None:
+            return choose_relay_upstream(
+                candidates,
+                self._loads,
+                request,
+                frozenset(excluded),
+                self._data_centre,
+                now,
+                self._model,
+            )
+
+        excluded = reserved_for_others.union(
+            record.upstream
+            for record in candidates
+            if (record.upstream, record.incarnation) in state.tried_processes
+        )
+        record = choose(excluded | crashed)
+        is_usable = (
+            record is not None
+            and self._loads.load_of(record.upstream).backoff_until <= now
+        )
+        return record if is_usable or not crashed else choose(excluded)
