Let a suspect look again at reserved upstreams while others have crashed

What callers saw: nothing yet; found by reading. A request whose next crash would quarantine it, with every live upstream reserved for others, took a crashed one at once, or waited for that for up to 2 s without asking for the others again.

Change: before each wait it forgets which upstreams were reserved.

Evidence: test_suspect_waits_for_a_reserved_upstream_and_not_for_a_crashed_one failed for both cases before, with ('crashed', ...).

--- /dev/null
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_chooser.py
@@ -0,0 +1,89 @@
+"""Which upstream a request waits for, with reservations and crashes as given."""
+
+from random import Random
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from cranberryfield.core.clock import monotonic_clock
+from cranberryfield.core.http1 import RequestHead
+from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.registry import RegistryTable, accept_record
+from cranberryfield.entry.relay import LoadSection, RelayRequest
+from cranberryfield.entry.relay.request_state import RelayRequestState
+from cranberryfield.entry.relay.upstream_chooser import (
+    MAX_RECOVERY_WAIT_S,
+    RelayUpstreamChooser,
+)
+
+REFUSALS = 3
+
+
+class ScriptedQuarantine:
+    """Grants an upstream after a number of refusals."""
+
+    def __init__(self, crashed, isolation_s):
+        self.crashed = frozenset(crashed)
+        self.isolation_s = isolation_s
+        self.refusals_left = REFUSALS
+        self.asked = []
+
+    def crashed_among(self, candidates):
+        return self.crashed
+
+    def isolate_until(self, fingerprint, deadline):
+        return monotonic_clock() + self.isolation_s
+
+    async def reserve(self, fingerprint, upstream, deadline):
+        self.asked.append(upstream)
+        self.refusals_left -= 1
+        return self.refusals_left < 0
+
+
+def choose(quarantine, names, lost_runs=0):
+    """Return the chosen upstream, and the state of the request."""
+    table = RegistryTable()
+    for name in names:
+        record = UpstreamRecord(name, 1, 1, "s", "d", f"{name}:1", "", (), 8, 0)
+        accept_record(table, record, 0.0)
+    chooser = RelayUpstreamChooser(
+        table, LoadSection(), quarantine, "d", monotonic_clock
+    )
+    head = RequestHead(b"GET", b"/", [])
+    route = SimpleNamespace(rank=0)
+    now = monotonic_clock()
+    request = RelayRequest("r", head, b"", route, "s", None, now, now + 60.0)
+    state = RelayRequestState(request.fingerprint, lost_runs=lost_runs)
+    record = anyio.run(chooser.choose, request, state)
+    return record.upstream if record is not None else None, state
+
+
+# Guards against a suspect that looks only at crashed upstreams while the one that it
+# waits for becomes free.
+@pytest.mark.parametrize("lost_runs", [0, 2])
+def test_suspect_waits_for_a_reserved_upstream_and_not_for_a_crashed_one(lost_runs):
+    quarantine = ScriptedQuarantine(["crashed"], isolation_s=60.0)
+    upstream, state = choose(quarantine, ["live", "crashed"], lost_runs)
+    assert (upstream, quarantine.asked) == ("live", ["live"] * (REFUSALS + 1))
+    assert 0.0 < state.waited_s < MAX_RECOVERY_WAIT_S
+
+
+def test_suspect_shares_an_upstream_when_its_wait_is_over():
+    quarantine = ScriptedQuarantine([], isolation_s=0.0)
+    assert choose(quarantine, ["live"])[0] == "live"
+    assert not quarantine.asked
+
+
+def test_request_that_lost_no_run_does_not_wait_for_crashed_upstreams():
+    quarantine = ScriptedQuarantine(["crashed"], isolation_s=0.0)
+    upstream, state = choose(quarantine, ["crashed"])
+    assert (upstream, state.waited_s) == ("crashed", 0.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_crashed_upstreams_are_chosen_last(seed):
+    names = ["live", "crashed-1", "crashed-2"]
+    Random(seed).shuffle(names)
+    quarantine = ScriptedQuarantine(["crashed-1", "crashed-2"], isolation_s=0.0)
+    assert choose(quarantine, names)[0] == "live"
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -88,19 +88,18 @@
                 request, state, candidates, crashed, reserved_for_others
             )
             is_down = record is None or record.upstream in crashed
-            if record is None and reserved_for_others:
+            if is_down and (reserved_for_others or self._clock() < wait_until):
                 reserved_for_others.clear()
-            elif not is_down or self._clock() >= wait_until:
-                if record is None or self._clock() >= isolate_until:
-                    return record
-                if await self._quarantine.reserve(
-                    state.fingerprint, record.upstream, request.deadline
-                ):
-                    return record
-                reserved_for_others.add(record.upstream)
+                state.waited_s += UPSTREAM_POLL_S
+                await anyio.sleep(UPSTREAM_POLL_S)
                 continue
-            state.waited_s += UPSTREAM_POLL_S
-            await anyio.sleep(UPSTREAM_POLL_S)
+            if record is None or self._clock() >= isolate_until:
+                return record
+            if await self._quarantine.reserve(
+                state.fingerprint, record.upstream, request.deadline
+            ):
+                return record
+            reserved_for_others.add(record.upstream)
 
     def _choose_now(
         self,
