Deliver an upstream's failure when no other upstream may be tried

What callers saw: 502 of the relay's own in place of the 500 that an upstream had answered, if an idempotent request could not be tried elsewhere.

Cause: the choice of an upstream raised the error itself, past the answer that was kept for this case.

Evidence: test_the_failure_of_an_only_upstream_is_delivered failed before (502).

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -185,6 +185,8 @@
         progress = _stream_progress(exchange)
         for _ in range(MAX_TOTAL_ATTEMPTS):
             record = await self._select_upstream(request, state)
+            if record is None:
+                break
             state.attempt_log.append(f"{record.upstream}: begun")
             result = await self._run_attempt(
                 request, record, progress if is_stream else None, state
@@ -203,8 +205,6 @@
                 state.fallback_response = result.response
             elif not self._may_try_another(request, result, state):
                 break
-            if self._quarantine.is_quarantined(state.fingerprint):
-                break
         if state.fallback_response is not None and not exchange.response_started:
             await _send_response(exchange, state.fallback_response)
             return f"answered {state.fallback_response.status}"
@@ -219,7 +219,8 @@
 
     async def _select_upstream(
         self, request: RelayRequest, state: RelayRequestState
-    ) -> UpstreamRecord:
+    ) -> UpstreamRecord | None:
+        """Return the upstream of the next attempt; None if there may be none."""
         record = await self._chooser.choose(request, state)
         if record is None:
             if not state.tried_processes:
@@ -227,12 +228,13 @@
                 record_prefill(
                     self._demand, request.service, tokens_to_prefill, self._clock()
                 )
-            raise self._unavailable_error(state)
-        if state.sent_attempts and not spend_windowed_retry(
+            return None
+        may_run = not state.sent_attempts or spend_windowed_retry(
             self._budget, request.service, self._clock()
-        ):
+        )
+        if not may_run:
             self._quarantine.release(state.fingerprint, record.upstream)
-            raise self._unavailable_error(state)
+            return None
         return record
 
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -195,7 +195,7 @@
         names = ControlHostNames.from_list(())
         self.suspects = QuarantineSection()
         exchange = SuspectExchange(self.suspects, mesh, names, clock, Random(1))
-        reserver = make_cluster_reserver(Blackboard(), mesh, names, clock)
+        self.reserver = make_cluster_reserver(Blackboard(), mesh, names, clock)
         self.relay = Relay(
             self.table,
             LoadSection(),
@@ -204,7 +204,7 @@
             WindowedRetryBudget(0.2, 50.0, 10.0, lambda: 1, clock() - 10.0),
             UsageSection(5.0, clock),
             RelayQuarantine(
-                self.suspects, exchange, reserver, self.table, pool, metrics, clock
+                self.suspects, exchange, self.reserver, self.table, pool, metrics, clock
             ),
             UpstreamTransport(
                 pool,
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -87,6 +87,15 @@
     assert harness.quota.used == used
 
 
+# Guards against a failure of the relay's own in place of the one that an upstream has
+# answered, where no other upstream may be tried.
+def test_the_failure_of_an_only_upstream_is_delivered():
+    harness = RelayHarness([respond(500, b"own words")])
+    response = send_raw(harness, get_request())
+    assert response.startswith(b"HTTP/1.1 500")
+    assert response.endswith(b"own words")
+
+
 def test_an_answer_to_another_request_is_never_delivered():
     harness = RelayHarness([respond_after_foreign(b"mine")])
     response = send_raw(harness, get_request())
