Look again whether a request is quarantined when it has waited

What callers saw: nothing yet; found by reading. A suspect waits for a reserved upstream; another copy of it may crash the third one meanwhile, on any relay, and it then ran on a fourth.

Evidence: test_request_that_is_quarantined_while_it_waits_does_not_run failed before.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -229,9 +229,10 @@
                     self._demand, request.service, tokens_to_prefill, self._clock()
                 )
             return None
-        may_run = not state.sent_attempts or spend_windowed_retry(
-            self._budget, request.service, self._clock()
-        )
+        # It may have been quarantined while it waited.
+        may_run = not self._quarantine.is_quarantined(state.fingerprint)
+        if may_run and state.sent_attempts:
+            may_run = spend_windowed_retry(self._budget, request.service, self._clock())
         if not may_run:
             self._quarantine.release(state.fingerprint, record.upstream)
             return None
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cranberryfield.core.deployment import RouteKind
-from cranberryfield.entry.quarantine import count_crashes
+from cranberryfield.entry.quarantine import Crash, count_crashes, record_crash
 from tests.relay_harness import (
     RESPONSE_HEAD,
     RelayHarness,
@@ -135,6 +135,34 @@
     assert len(harness.received_requests) == 3
 
 
+# Guards against a request that is quarantined while it waits for an upstream, and
+# then runs on it.
+def test_request_that_is_quarantined_while_it_waits_does_not_run():
+    harness = RelayHarness([respond()], ONCE)
+    processes = ["a", "b", "c"]
+
+    async def conversation(stream):
+        await stream.send(get_request())
+        await read_all(stream)
+        (fingerprint,) = harness.suspects.completed_at
+        for process in processes[:2]:
+            record_crash(harness.suspects, fingerprint, Crash(process, 1, 1e12))
+
+        async def reserve(upstream, fingerprint, deadline):
+            record_crash(harness.suspects, fingerprint, Crash(processes[2], 1, 1e12))
+            return True
+
+        harness.reserver.reserve = reserve
+        async with await anyio.connect_tcp("127.0.0.1", harness.port) as caller:
+            await caller.send(get_request())
+            response = await read_all(caller)
+        refusal = msgspec.json.decode(response.partition(b"\r\n\r\n")[2])
+        assert refusal == {"kind": "request_crashes_upstreams", "run": "no"}
+
+    anyio.run(harness.run, conversation)
+    assert len(harness.received_requests) == 1
+
+
 # Guards against callers that send many equal requests, which would all be refused after
 # three crashes beside them.
 def test_equal_request_that_was_answered_is_not_suspected():
