Clear suspects of the trial interface that ran to their end

What callers saw: a request that was in flight in two crashes of other causes was refused for good, though it had run to its end between them; with it all that have the same content.

The relay's modules are unchanged.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/attempt_runner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/attempt_runner.py
@@ -159,6 +159,8 @@
         is_model = request.settings.kind is ServiceKind.MODEL
         if end.result is AttemptResult.BROKEN and is_model:
             await self._check_crash(attempt)
+        if end.result is AttemptResult.FINISHED and is_model:
+            self._quarantine.report_completion(request)
         return end, outcome
 
     async def _check_crash(self, attempt: Attempt) -> None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
@@ -14,6 +14,7 @@
 from cranberryfield.core.ids import NodeId, UpstreamId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.base import Message
+from cranberryfield.core.messages.quarantine import SuspectReport
 from cranberryfield.core.messages.requests import CrashNoted
 from cranberryfield.entry.membership import KnownUpstream
 from cranberryfield.entry.quarantine import (
@@ -25,6 +26,11 @@
     record_crash,
     request_fingerprint,
 )
+from cranberryfield.entry.quarantine.reports import make_report, merge_report
+from cranberryfield.entry.quarantine.section import (
+    completed_recently,
+    record_completion,
+)
 from cranberryfield.entry.requests.placement import HostsSource
 from cranberryfield.entry.requests.request import Request
 from cranberryfield.entry.routing import UpstreamSelector
@@ -80,6 +86,7 @@
         self._choose = choose
         self._clock = clock
         mesh.handle(CrashNoted, self._on_crash)
+        mesh.handle(SuspectReport, self._on_report)
 
     def refuse_if_quarantined(self, request: Request) -> None:
         """Raise an error for a request that was in flight in too many crashes.
@@ -174,10 +181,19 @@
         record = upstream.record
         fingerprint = request_fingerprint(request.workspace, request.digest)
         name, incarnation = record.upstream, record.incarnation
+        if completed_recently(self._section, fingerprint, self._clock()):
+            return
         if record_crash(self._section, fingerprint, Crash(name, incarnation, at)):
             age_ms = int((self._clock() - at) * MS_PER_S)
             self._broadcast(CrashNoted(name, incarnation, (fingerprint,), age_ms))
 
+    def report_completion(self, request: Request) -> None:
+        """Record that a request ran to its end, so that its crashes do not count."""
+        now = self._clock()
+        fingerprint = request_fingerprint(request.workspace, request.digest)
+        if record_completion(self._section, fingerprint, now):
+            self._broadcast(make_report(self._section, [fingerprint], now))
+
     def _broadcast(self, message: Message) -> None:
         for host in self._hosts():
             if host.node != self._node:
@@ -188,3 +204,6 @@
         for fingerprint in message.fingerprints:
             crash = Crash(message.upstream, message.incarnation, at)
             record_crash(self._section, fingerprint, crash)
+
+    def _on_report(self, sender: NodeId, report: SuspectReport) -> None:
+        merge_report(self._section, report, self._clock())
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/tests/test_claimed_runs.py
@@ -124,6 +124,9 @@
     def report_crash(self, request, upstream):
         pass
 
+    def report_completion(self, request):
+        pass
+
 
 class NoCoordinator:
     async def find(self, workspace, key):
