Plan the upstreams to order in milliseconds

Cause: the leader of the large fleet took all of its processor for minutes before any traffic. `plan_runners`, called four times a second on the leader's one loop, enumerated every number of on-demand upstreams and, for each, every limit per data centre over tables of mixes that were copied as dicts.

Change: all upstreams of a service are equal, so the cheapest spread over data centres needs no tables: its price is convex in the limit per data centre and is found by bisection (`capacity/spread.py`). The number of on-demand upstreams is found by branch and bound. The autoscaler computes a plan only if its inputs have changed.

Ruled out: a ternary search over the number of on-demand upstreams, since the reserve, the bounds and the rounding make the price not convex; to count the reserve towards the spread, which would be cheaper but change what is ordered.

A test compares the spread with the general search, and prices of plans with those of the former code; one bounds the number of plans that are computed.

--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -1,9 +1,16 @@
 """Number of upstreams of a service to order by data centre and machine class."""
 
 from dataclasses import dataclass
-from math import ceil
-
-from cranberryfield.control.capacity.mix import HostOffer, cheapest_mix
+from functools import cache
+from heapq import heappop, heappush
+from math import ceil, inf
+
+from cranberryfield.control.capacity.spread import (
+    PRICE_TOLERANCE,
+    CentreOffer,
+    Spread,
+    cheapest_spread,
+)
 from cranberryfield.core.deployment import EngineCapacity, ScalingSpec
 from cranberryfield.core.ids import DataCentre
 from cranberryfield.core.messages.reports import ServiceDemand
@@ -173,43 +180,114 @@
         cheapest plan that meets the need or, if there is none, as many upstreams
         as are available. The number in each data centre is within the bounds.
     """
-    offers = tuple(
-        _reclaimable_offer(spec, one, pools) for one in sorted(spec.price_of)
+    offers = sorted(
+        (_reclaimable_offer(spec, one, pools) for one in spec.price_of),
+        key=lambda one: (one.price, one.data_centre),
     )
     reserve = max(MIN_RESERVE_PER_CENTRE, ceil(headroom / max(1, len(offers))))
     if spec.reclaimable_ratio > MAX_RESERVE_PRICE_RATIO:
         reserve = 0
-    plans = [
-        plan
-        for on_demand in range(need + 1)
-        if (plan := _plan_with_on_demand(spec, pools, offers, need, on_demand, reserve))
-        is not None
-    ]
-    if plans:
-        return min(plans, key=lambda plan: _plan_price(spec, plan))
+    plan = _cheapest_plan(spec, pools, offers, need, reserve)
+    if plan is not None:
+        return plan
     wanted = {Pool(one.data_centre, RECLAIMABLE): one.available for one in offers}
     return _complete_plan(spec, pools, wanted, need, reserve)
 
 
-def _plan_with_on_demand(
+def _cheapest_plan(
     spec: ScalingSpec,
     pools: dict[Pool, PoolState],
-    offers: tuple[HostOffer, ...],
+    offers: list[CentreOffer],
     need: int,
+    reserve: int,
+) -> dict[Pool, int] | None:
+    """Return the cheapest plan that meets the need, the least on-demand of equal.
+
+    Notes
+    -----
+    Branch and bound over the number of on-demand upstreams. The reclaimable
+    upstreams for ``high`` on-demand ones and the price of ``low`` on-demand ones
+    are a lower bound of all plans in between.
+    """
+    on_demand_prices = sorted(spec.price_of.values())
+
+    @cache
+    def reclaimable_spread(on_demand: int) -> Spread | None:
+        return cheapest_spread(offers, _reclaimable_need(offers, need - on_demand))
+
+    def lower_bound(low: int, high: int) -> float:
+        spread = reclaimable_spread(high)
+        if spread is None or low + spread.size > spec.most * len(offers):
+            return inf
+        return _on_demand_price(on_demand_prices, spec.most, low) + spread.price
+
+    best: dict[Pool, int] | None = None
+    best_price, best_count = inf, need + 1
+    first = 0 if _may_rely_on_reclaimable(spec, offers) else need
+    ranges = [(lower_bound(first, need), first, need)]
+    while ranges and ranges[0][0] <= best_price + PRICE_TOLERANCE:
+        _, low, high = heappop(ranges)
+        for count in {low, high}:
+            spread = reclaimable_spread(count)
+            if spread is None or lower_bound(count, count) > best_price:
+                continue
+            plan = _plan_with_on_demand(spec, pools, spread, count, reserve)
+            if plan is None:
+                continue
+            price = _plan_price(spec, plan)
+            is_tie = abs(price - best_price) <= PRICE_TOLERANCE
+            if count < best_count if is_tie else price < best_price:
+                best, best_price, best_count = plan, price, count
+        middle = (low + high) // 2
+        for part in ((low + 1, middle), (middle + 1, high - 1)):
+            bound = lower_bound(*part) if part[0] <= part[1] else inf
+            if bound <= best_price + PRICE_TOLERANCE and bound < inf:
+                heappush(ranges, (bound, *part))
+    return best
+
+
+def _on_demand_price(prices: list[float], most: int, count: int) -> float:
+    """Return the least price of on-demand upstreams, `most` in a data centre.
+
+    Examples
+    --------
+    >>> _on_demand_price([0.5, 1.0], 4, 6)
+    4.0
+    """
+    total = 0.0
+    for price in prices:
+        total += min(most, count) * price
+        count -= min(most, count)
+    return total
+
+
+def _may_rely_on_reclaimable(spec: ScalingSpec, offers: list[CentreOffer]) -> bool:
+    """Return whether reclaimable upstreams may count towards the need.
+
+    If only two of the data centres have any, they may lose them next.
+    """
+    return not _available_centres(offers) <= 2 < len(spec.price_of)
+
+
+def _available_centres(offers: list[CentreOffer]) -> int:
+    return sum(one.available > 0 for one in offers)
+
+
+def _reclaimable_need(offers: list[CentreOffer], need: int) -> int:
+    return _need_after_first_loss(need, _available_centres(offers))
+
+
+def _plan_with_on_demand(
+    spec: ScalingSpec,
+    pools: dict[Pool, PoolState],
+    spread: Spread,
     on_demand: int,
     reserve: int,
 ) -> dict[Pool, int] | None:
-    """Return the cheapest plan with `on_demand` on-demand upstreams, if any."""
-    available_centres = sum(one.available > 0 for one in offers)
-    if on_demand < need and available_centres <= 2 < len(spec.price_of):
-        # The only two data centres with reclaimable upstreams may lose them next.
-        return None
-    remaining_need = _need_after_first_loss(need - on_demand, available_centres)
-    mix = cheapest_mix(offers, remaining_need)
-    if mix is None:
-        return None
+    """Return the plan with `on_demand` on-demand upstreams, None without room."""
     wanted = {
-        Pool(one.data_centre, RECLAIMABLE): mix.hosts.get(one, 0) for one in offers
+        Pool(centre, RECLAIMABLE): spread.counts.get(centre, 0)
+        for centre in spec.price_of
     }
     plan = _complete_plan(spec, pools, wanted, on_demand, reserve)
     planned = sum(plan[one] for one in plan if one.machine_class == ON_DEMAND)
@@ -234,7 +312,7 @@
 
 def _reclaimable_offer(
     spec: ScalingSpec, centre: DataCentre, pools: dict[Pool, PoolState]
-) -> HostOffer:
+) -> CentreOffer:
     state = pools.get(Pool(centre, RECLAIMABLE), PoolState())
     # On-demand upstreams count towards the bound until they have been replaced.
     on_demand = pools.get(Pool(centre, ON_DEMAND), PoolState())
@@ -242,7 +320,7 @@
     if state.is_exhausted:
         available = min(available, state.running)
     price = spec.price_of[centre] * spec.reclaimable_ratio
-    return HostOffer(centre, RECLAIMABLE, price, 1, available)
+    return CentreOffer(centre, price, available)
 
 
 def _complete_plan(
--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cranberryfield.control.capacity import runners
 from cranberryfield.control.capacity.runners import (
     ON_DEMAND,
     RECLAIMABLE,
@@ -84,3 +85,66 @@
 def test_headroom_is_not_bought_on_demand():
     plan = plan_runners(SPEC, ALL_EXHAUSTED, 5, headroom=16)
     assert total(plan, ON_DEMAND) == 5
+
+
+SIX_PRICES = {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9, "e": 1.1, "f": 0.85}
+
+
+# The prices are those of an exhaustive search over all numbers of on-demand
+# upstreams and all limits per data centre.
+@pytest.mark.parametrize(
+    ("centres", "most", "ratio", "exhausted", "need", "headroom", "price"),
+    [
+        (4, 3, 0.18, {}, 9, 0, 2.133),
+        (4, 3, 0.18, {"a": 1, "b": 0}, 7, 0, 5.741),
+        (4, 5, 0.5, {}, 9, 0, 7.875),
+        (4, 5, 1.0, {}, 9, 0, 9.85),
+        (6, 8, 0.18, {}, 10, 0, 2.961),
+        (6, 8, 0.5, {}, 10, 16, 7.6),
+        (6, 8, 0.18, dict.fromkeys("abcdef", 0), 10, 0, 9.1),
+        (6, 8, 0.18, dict.fromkeys("abcd", 2), 10, 30, 3.177),
+        (2, 8, 0.25, {}, 5, 0, 2.25),
+        (1, 8, 0.18, {}, 5, 0, 5.36),
+        (6, 3, 0.18, {}, 12, 0, 3.186),
+        (3, 2, 0.18, {}, 9, 0, 1.098),
+    ],
+)
+def test_plan_has_the_price_of_an_exhaustive_search(
+    centres, most, ratio, exhausted, need, headroom, price
+):
+    prices = dict(list(SIX_PRICES.items())[:centres])
+    spec = ScalingSpec(1, most, 4.0, ratio, prices)
+    pools = {
+        Pool(centre, RECLAIMABLE): PoolState(running, is_exhausted=True)
+        for centre, running in exhausted.items()
+    }
+    plan = plan_runners(spec, pools, need, headroom)
+    planned = sum(
+        count
+        * prices[pool.data_centre]
+        * (ratio if pool.machine_class == RECLAIMABLE else 1.0)
+        for pool, count in plan.items()
+    )
+    assert planned == pytest.approx(price)
+
+
+@pytest.mark.parametrize("available", [0, 5, 133, 200])
+@pytest.mark.parametrize("ratio", [0.15, 0.5, 1.0])
+def test_few_plans_are_computed_for_hundreds_of_upstreams(
+    available, ratio, monkeypatch
+):
+    computed = []
+    complete_plan = runners._complete_plan
+
+    def count_plans(*args):
+        computed.append(args)
+        return complete_plan(*args)
+
+    monkeypatch.setattr(runners, "_complete_plan", count_plans)
+    prices = {**SIX_PRICES, "g": 0.95}
+    pools = {
+        Pool(centre, RECLAIMABLE): PoolState(available, is_exhausted=True)
+        for centre in "abcdefg"
+    }
+    plan_runners(ScalingSpec(1, 200, 4.0, ratio, prices), pools, 930)
+    assert len(computed) <= 150
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/autoscaler.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/autoscaler.py
@@ -16,7 +16,7 @@
     runners_needed,
 )
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.deployment import Deployment, ServiceSpec
+from cranberryfield.core.deployment import Deployment, ScalingSpec, ServiceSpec
 from cranberryfield.core.ids import ServiceName
 from cranberryfield.daemon.cluster.cloud_calls import (
     CallOutcome,
@@ -69,6 +69,16 @@
     max_lower_value: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _PlanInputs:
+    """Everything that a plan depends on."""
+
+    scaling: ScalingSpec
+    pools: dict[Pool, PoolState]
+    need: int
+    headroom: int
+
+
 @dataclass(slots=True)
 class _ServiceState:
     """Scaling state of one service."""
@@ -76,6 +86,8 @@
     need: _StabilisedNeed = field(default_factory=_StabilisedNeed)
     headroom: _StabilisedNeed = field(default_factory=_StabilisedNeed)
     orders: dict[Pool, _Order] = field(default_factory=dict)
+    plan_inputs: _PlanInputs | None = None
+    plan: dict[Pool, int] = field(default_factory=dict)
 
 
 def stabilise_need(need: _StabilisedNeed, current_need: int, now: float) -> int:
@@ -208,7 +220,8 @@
             is_backing_off = now < order.backoff_until
             pools[pool] = PoolState(state.running, state.leaving, is_backing_off)
         need = self._update_need(service, spec, pools, now)
-        planned_counts = plan_runners(spec.scaling, pools, need, service.headroom.value)
+        inputs = _PlanInputs(spec.scaling, pools, need, service.headroom.value)
+        planned_counts = _plan_for(service, inputs)
         running_counts = {pool: state.running for pool, state in pools.items()}
         for pool in _growing_pools_first(planned_counts, running_counts):
             if _must_delay_shrinking(pool, planned_counts, pools, service.orders):
@@ -290,6 +303,16 @@
         return outcome
 
 
+def _plan_for(service: _ServiceState, inputs: _PlanInputs) -> dict[Pool, int]:
+    """Return the plan for `inputs`, computed only if they have changed."""
+    if inputs != service.plan_inputs:
+        service.plan = plan_runners(
+            inputs.scaling, inputs.pools, inputs.need, inputs.headroom
+        )
+        service.plan_inputs = inputs
+    return service.plan
+
+
 def _is_due(
     order: _Order | None, desired: int, running: int, start_s: float, now: float
 ) -> bool:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_autoscaler.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_autoscaler.py
@@ -8,6 +8,7 @@
     RECLAIMABLE,
     Pool,
     RunnerCapacity,
+    plan_runners,
 )
 from cranberryfield.core.deployment import (
     Deployment,
@@ -17,6 +18,7 @@
 )
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.messages.reports import HostReport, ServiceDemand
+from cranberryfield.daemon.cluster import autoscaler
 from cranberryfield.daemon.cluster.autoscaler import (
     SCALE_DOWN_DELAY_S,
     UpstreamAutoscaler,
@@ -144,6 +146,21 @@
     assert simulation.total_running() >= 9
 
 
+def test_a_plan_is_computed_only_when_its_inputs_have_changed(monkeypatch):
+    computed = []
+
+    def count_plans(*inputs):
+        computed.append(inputs)
+        return plan_runners(*inputs)
+
+    monkeypatch.setattr(autoscaler, "plan_runners", count_plans)
+    simulation = Simulation(on_demand="aabbcccdd")
+    simulation.advance(2 * SCALE_DOWN_DELAY_S, runners=3)
+    settled = len(computed)
+    simulation.advance(10, runners=3)
+    assert len(computed) == settled
+
+
 @pytest.mark.parametrize("runners", [2, 5])
 def test_steady_load_needs_few_upstreams(runners):
     simulation = Simulation(on_demand="aabbcccdd")
