Send nothing to upstreams that say that they leave or want a pause

An upstream that leaves says so in its answers, and the host that passed one on sends it nothing more; one that refuses a request may give a time for which it wants nothing from that host. The relay knew neither: it went by announcements alone, and asked an upstream that had refused again at once.

Change: a notice of leaving is kept in the relay's registry as an announcement of it would be, and is told to a control host, which publishes it; the comparison of tables repeats it. A pause excludes the upstream process on this host. If all upstreams want a pause, a request is refused at once as not run, with the time until the first one takes requests and a random part that spreads the callers. A pause is no failure. Headers that cannot be read are logged once. `UpstreamRecord.process` replaces six copies of a pair.

The assertions on `invalid_limit` became ones on `invalid_fields`, which compare the same text and the name of the field. A refusal's `retry_after_s` gets the candidates that the caller has.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
@@ -8,6 +8,7 @@
     NodeId,
     ServiceName,
     UpstreamId,
+    UpstreamProcess,
 )
 from cranberryfield.core.messages.base import Message, NestedRecord
 
@@ -75,6 +76,11 @@
     home: NodeId = NodeId("")
     leave_ms: int = 0
 
+    @property
+    def process(self) -> UpstreamProcess:
+        """Id and incarnation, which tell starts under the same id apart."""
+        return self.upstream, self.incarnation
+
 
 class UpstreamUpdate(Message):
     """Announcements that the sender has newly received.
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -53,6 +53,8 @@
     UpstreamLimiter,
     make_upstream_leaser,
 )
+from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
+from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports import HostReporter
 
@@ -229,6 +231,13 @@
         replica.watch(detector.on_announcement)
         leaser = make_upstream_leaser(leader, hosts, mesh, clock)
         limiter = UpstreamLimiter(limits, table, leaser, hosts, clock)
+        statements = UpstreamStatements(
+            limiter,
+            board.add(UpstreamPauses()),
+            table,
+            replica.record_leaving,
+            clock,
+        )
         relay = Relay(
             table,
             loads,
@@ -239,7 +248,10 @@
             RelayQuarantine(suspects, reserver, clock),
             detector,
             limiter,
-            UpstreamTransport(pool, adapter.upstream_codec, clock, limiter.on_answer),
+            statements,
+            UpstreamTransport(
+                pool, adapter.upstream_codec, clock, statements.on_answer
+            ),
             adapter.answer_error,
             metrics,
             config.zone,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
@@ -117,9 +117,12 @@
             if not renewed:
                 continue
             update = self._make_update(renewed)
-            for peer in self._mesh.peers:
-                if CONTROL_ROLE in peer.roles:
-                    self._mesh.send(peer.node, update)
+            for node in self._control_hosts():
+                self._mesh.send(node, update)
+
+    def _control_hosts(self) -> list[NodeId]:
+        """Return the linked control hosts."""
+        return [peer.node for peer in self._mesh.peers if CONTROL_ROLE in peer.roles]
 
     def _make_update(self, upstreams: set[UpstreamId]) -> UpstreamUpdate:
         now = self._clock()
@@ -132,8 +135,18 @@
 
     def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
         now = self._clock()
+        is_from_relay = sender not in self._control_hosts()
         for record, age_ms in zip(update.records, update.ages_ms, strict=True):
-            accept_record(self._table, record, now - age_ms / MS_PER_S)
+            is_new = accept_record(self._table, record, now - age_ms / MS_PER_S)
+            # A control host publishes what it has heard to all hosts itself.
+            if is_new and is_from_relay:
+                logger.info(
+                    "upstream leaves, as a relay was told",
+                    upstream=record.upstream,
+                    incarnation=record.incarnation,
+                    told_by=sender,
+                )
+                self._enqueue_change(record.upstream)
 
     def _on_ask_upstreams(
         self, sender: NodeId, message: AskUpstreams
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
@@ -20,6 +20,7 @@
     accept_record,
     digest_table,
     forget_unknown,
+    mark_leaving,
     record_heard,
 )
 
@@ -70,6 +71,39 @@
         """Call `watcher` with each changed record."""
         self._watchers.append(watcher)
 
+    def record_leaving(self, record: UpstreamRecord) -> None:
+        """Record that an upstream has said itself that it leaves.
+
+        No later announcement of the same process makes it active again. Control
+        hosts are told, and they tell the other hosts; the comparison of digests
+        repeats that until they know.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+            Record of the process that has said so.
+        """
+        now = self._clock()
+        entry = self._table.entries.get(record.upstream)
+        if entry is None or entry.record.incarnation != record.incarnation:
+            return
+        leaving = mark_leaving(self._table, record.upstream, record.incarnation, now)
+        if leaving is None:
+            return
+        logger.info(
+            "upstream says that it leaves",
+            upstream=record.upstream,
+            incarnation=record.incarnation,
+        )
+        for watcher in self._watchers:
+            watcher(leaving)
+        linked = self._linked_control_hosts()
+        if linked:
+            self._mesh.send(self._rng.choice(linked), UpstreamUpdate((leaving,), (0,)))
+
+    def _linked_control_hosts(self) -> list[NodeId]:
+        return [one for one in self._names.known() if self._mesh.is_linked(one)]
+
     async def run(self) -> None:
         """Compare digests periodically until cancelled."""
         while True:
@@ -77,7 +111,7 @@
             await anyio.sleep(COMPARE_INTERVAL_S)
 
     async def _compare_digests(self) -> None:
-        linked = [one for one in self._names.known() if self._mesh.is_linked(one)]
+        linked = self._linked_control_hosts()
         if not linked:
             return
         node = self._rng.choice(linked)
@@ -93,6 +127,7 @@
             return
         self._on_update(node, update)
         if update.records:
+            self._tell_leaving(node, update)
             known = {record.upstream for record in update.records}
             for upstream in forget_unknown(self._table, known, self._clock()):
                 logger.info("upstream forgotten", upstream=upstream)
@@ -100,6 +135,21 @@
             silent = {one: ms / MS_PER_S for one, ms in update.silent_ms.items()}
             record_heard(self._table, silent, self._clock())
 
+    def _tell_leaving(self, node: NodeId, update: UpstreamUpdate) -> None:
+        """Tell a control host of upstreams that leave and that it takes for active."""
+        entries = self._table.entries
+        unknown = [
+            entries[one.upstream].record
+            for one in update.records
+            if not one.leaving
+            and one.upstream in entries
+            and entries[one.upstream].record.leaving
+            and entries[one.upstream].record.incarnation == one.incarnation
+        ]
+        if unknown:
+            ages_ms = (0,) * len(unknown)
+            self._mesh.send(node, UpstreamUpdate(tuple(unknown), ages_ms))
+
     def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
         now = self._clock()
         for record, age_ms in zip(update.records, update.ages_ms, strict=True):
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/crash_detection.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/crash_detection.py
@@ -256,7 +256,7 @@
 
 
 def _is_same_process(record: UpstreamRecord, other: UpstreamRecord) -> bool:
-    return (record.upstream, record.incarnation) == (other.upstream, other.incarnation)
+    return record.process == other.process
 
 
 def _replaces(record: UpstreamRecord, former: UpstreamRecord) -> bool:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -77,7 +77,7 @@
         return frozenset(
             one.upstream
             for one in candidates
-            if crashed_at.get((one.upstream, one.incarnation), -inf) > since
+            if crashed_at.get(one.process, -inf) > since
         )
 
     def isolate_until(self, fingerprint: bytes, deadline: float) -> float:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -58,6 +58,11 @@
 )
 from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
+from cranberryfield.entry.relay.upstream_pauses import (
+    paused_among,
+    time_to_first_end_s,
+)
+from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection, record_run_start
 from cranberryfield.entry.relay.windowed_retry_budget import (
     WindowedRetryBudget,
@@ -74,6 +79,9 @@
 #: Bounds of the retry delay that is sent to refused callers, in seconds.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 0.4
+#: Fraction of the time until an upstream takes requests again over which the refused
+#: callers are spread.
+RETRY_SPREAD_FRACTION = 0.25
 
 #: Sends an error response to the caller.
 SendError = Callable[[Exchange, CranberryfieldError], Awaitable[None]]
@@ -102,6 +110,8 @@
         Notices crashes of upstreams.
     limiter : UpstreamLimiter
         Keeps attempts within the limits that upstreams state.
+    statements : UpstreamStatements
+        Applies what upstreams say of themselves.
     transport : UpstreamTransport
         Transport to the upstreams.
     send_error : callable
@@ -127,6 +137,7 @@
         quarantine: RelayQuarantine,
         detector: CrashDetector,
         limiter: UpstreamLimiter,
+        statements: UpstreamStatements,
         transport: UpstreamTransport,
         send_error: SendError,
         metrics: Metrics,
@@ -143,20 +154,22 @@
         self._quarantine = quarantine
         self._detector = detector
         self._limiter = limiter
+        self._statements = statements
         self._transport = transport
         self._send_error = send_error
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
         self._chooser = RelayUpstreamChooser(
-            table, loads, quarantine, limiter, data_centre, clock
+            table, loads, quarantine, limiter, statements.pauses, data_centre, clock
         )
 
     async def run(self) -> None:
-        """Look for crashed upstreams and forget old limits, until cancelled."""
+        """Look for crashed upstreams and forget old statements, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._detector.run)
             tasks.start_soon(self._limiter.run)
+            tasks.start_soon(self._statements.run)
 
     async def handle(self, request: RelayRequest, exchange: Exchange) -> None:
         """Relay a request and send its response, or an error.
@@ -265,10 +278,9 @@
     def _unavailable_error(
         self, service: ServiceName, state: RelayRequestState
     ) -> CranberryfieldError:
-        retry_after_s = self._rng.uniform(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S)
-        limited_s = self._limiter.retry_after_s(service)
-        if limited_s is not None:
-            retry_after_s += limited_s
+        unavailable_s = self._time_to_first_available_s(service)
+        longest_s = max(MAX_RETRY_AFTER_S, RETRY_SPREAD_FRACTION * unavailable_s)
+        retry_after_s = unavailable_s + self._rng.uniform(MIN_RETRY_AFTER_S, longest_s)
         if state.may_have_run:
             return UnavailableError(
                 ErrorKind.UPSTREAM_FAILED,
@@ -278,13 +290,32 @@
             )
         return UnavailableError(
             ErrorKind.NO_UPSTREAM,
-            "no upstream of the service is accepting the request"
-            if limited_s is None
-            else "all upstreams of the service are at the limits that they state",
+            "all upstreams of the service want no requests at present"
+            if unavailable_s
+            else "no upstream of the service is accepting the request",
             was_run=WasRun.NO,
             retry_after_s=retry_after_s,
         )
 
+    def _time_to_first_available_s(self, service: ServiceName) -> float:
+        """Return the time until the first upstream takes requests again, in seconds.
+
+        That is 0 if one of them neither wants a pause nor is at its limit.
+        """
+        candidates = self._table.active_upstreams(service)
+        pauses, now = self._statements.pauses, self._clock()
+        paused = paused_among(pauses, candidates, now)
+        limited = [one for one in candidates if one.upstream not in paused]
+        pause_s = time_to_first_end_s(
+            pauses, (one for one in candidates if one.upstream in paused), now
+        )
+        if not limited:
+            return pause_s or 0.0
+        limited_s = self._limiter.retry_after_s(service, limited)
+        if limited_s is None:
+            return 0.0
+        return limited_s if pause_s is None else min(limited_s, pause_s)
+
     async def _run_attempt(
         self,
         request: RelayRequest,
@@ -355,7 +386,7 @@
         state: RelayRequestState,
     ) -> None:
         """Update the upstream's health and the request's state after an attempt."""
-        state.tried_processes.add((record.upstream, record.incarnation))
+        state.tried_processes.add(record.process)
         load = self._loads.load_of(record.upstream)
         now = self._clock()
         match result.outcome:
@@ -383,7 +414,9 @@
                 state.sent_attempts += 1
                 state.possible_runs += 1
                 state.may_have_run = True
-                if result.response.status in SERVER_ERRORS:
+                # An upstream that asks for a pause is full, not at fault.
+                is_full = result.metadata.pause_s is not None
+                if result.response.status in SERVER_ERRORS and not is_full:
                     record_failure(load, now, is_down=False)
                 else:
                     record_success(load)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
@@ -149,8 +149,13 @@
     limit_per_s : float or None
         Requests per second that the upstream takes from all hosts together, if it
         states a limit.
-    invalid_limit : str or None
-        Stated limit that cannot be read.
+    is_leaving : bool
+        Whether the upstream says that it leaves.
+    pause_s : float or None
+        Time in seconds for which it wants no requests from this host, if it has
+        refused one and gives a time.
+    invalid_fields : tuple of (str, str)
+        Name and value of each statement that cannot be read.
     """
 
     not_run: bool = False
@@ -158,7 +163,9 @@
     request_id: str | None = None
     is_signed: bool = False
     limit_per_s: float | None = None
-    invalid_limit: str | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
+    invalid_fields: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/retry_rules.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/retry_rules.py
@@ -79,7 +79,6 @@
     if not route.is_idempotent or state.possible_runs + 1 >= route.max_attempts:
         return False
     return any(
-        one.upstream != record.upstream
-        and (one.upstream, one.incarnation) not in state.tried_processes
+        one.upstream != record.upstream and one.process not in state.tried_processes
         for one in candidates
     )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_limits_over_hosts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_limits_over_hosts.py
@@ -16,7 +16,7 @@
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.limits import StatedLimits, TokenOwner
 from cranberryfield.entry.registry import RegistryTable, accept_record
-from cranberryfield.entry.relay import LoadSection, ResponseMetadata
+from cranberryfield.entry.relay import LoadSection
 from cranberryfield.entry.relay.demand import DemandSection
 from cranberryfield.entry.relay.upstream_limits import (
     UpstreamLimiter,
@@ -150,10 +150,9 @@
             at = self.network.now
             is_limited = LIMITED_AT <= at < self.ends_at
             limit_per_s = self.rate_per_s if is_limited else None
-            metadata = ResponseMetadata(limit_per_s=limit_per_s)
             if is_limited:
                 host.told_at = min(host.told_at, at)
-            host.limiter.on_answer(RECORD, metadata, now)
+            host.limiter.on_answer(RECORD, limit_per_s, now)
 
         self.at(now + RUN_S, answer)
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_chooser.py
@@ -16,6 +16,7 @@
     MAX_RECOVERY_WAIT_S,
     RelayUpstreamChooser,
 )
+from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
 
 REFUSALS = 3
 
@@ -74,6 +75,7 @@
         LoadSection(),
         quarantine,
         limiter or ScriptedLimiter(),
+        UpstreamPauses(),
         "d",
         monotonic_clock,
     )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_limits.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_limits.py
@@ -15,6 +15,8 @@
 from cranberryfield.entry.registry import RegistryTable, accept_record
 from cranberryfield.entry.relay import ResponseMetadata
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
+from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
+from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 
 PROCESS = ("engine-1", 1)
 
@@ -147,13 +149,17 @@
 def test_refused_callers_are_told_when_the_limits_allow_their_requests(
     rates, refused_until, delays
 ):
-    limiter, _ = limiter_with(ScriptedLeaser(**refused_until), rates)
-    assert [limiter.retry_after_s("s") for _ in delays] == delays
+    limiter, candidates = limiter_with(ScriptedLeaser(**refused_until), rates)
+    assert [limiter.retry_after_s("s", candidates) for _ in delays] == delays
 
 
 def test_invalid_limit_leaves_the_known_one():
     limiter, (record,) = limiter_with(ScriptedLeaser(a=11.0), {"a": 1.4})
-    limiter.on_answer(record, ResponseMetadata(invalid_limit="few"), 9.0)
+    statements = UpstreamStatements(
+        limiter, UpstreamPauses(), RegistryTable(), [].append, lambda: 10.0
+    )
+    invalid = ResponseMetadata(invalid_fields=(("limit", "few"),))
+    statements.on_answer(record, invalid, 9.0)
     assert limiter.exhausted_among([record]) == {"a"}
-    limiter.on_answer(record, ResponseMetadata(), 9.0)
+    statements.on_answer(record, ResponseMetadata(), 9.0)
     assert not limiter.exhausted_among([record])
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -11,6 +11,7 @@
 from cranberryfield.entry.relay.request import RelayRequest
 from cranberryfield.entry.relay.request_state import RelayRequestState
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
+from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses, paused_among
 from cranberryfield.entry.relay.upstream_selection import (
     RelayCostModel,
     choose_relay_upstream,
@@ -38,6 +39,8 @@
         Knows crashed upstreams, and reserves upstreams for suspects.
     limiter : UpstreamLimiter
         Keeps attempts within the limits that upstreams state.
+    pauses : UpstreamPauses
+        Upstreams that want no requests for a while.
     data_centre : DataCentre
         Data centre of this host.
     clock : Clock
@@ -50,6 +53,7 @@
         loads: LoadSection,
         quarantine: RelayQuarantine,
         limiter: UpstreamLimiter,
+        pauses: UpstreamPauses,
         data_centre: DataCentre,
         clock: Clock,
     ):
@@ -57,6 +61,7 @@
         self._loads = loads
         self._quarantine = quarantine
         self._limiter = limiter
+        self._pauses = pauses
         self._data_centre = data_centre
         self._clock = clock
         self._model = RelayCostModel()
@@ -80,7 +85,7 @@
         -------
         UpstreamRecord or None
             The upstream, reserved for a suspect, with a token of its limit; None if
-            all were tried or are at their limits.
+            all were tried, are at their limits, or want no requests.
         """
         reserved_for_others: set[UpstreamId] = set()
         wait_until = self._clock() + (MAX_RECOVERY_WAIT_S if state.lost_runs else 0.0)
@@ -90,10 +95,11 @@
         while True:
             candidates = self._table.active_upstreams(request.service)
             crashed = self._quarantine.crashed_among(candidates)
-            exhausted = self._limiter.exhausted_among(candidates)
-            record = self._choose_now(
-                request, state, candidates, crashed, reserved_for_others | exhausted
+            unavailable = reserved_for_others.union(
+                self._limiter.exhausted_among(candidates),
+                paused_among(self._pauses, candidates, self._clock()),
             )
+            record = self._choose_now(request, state, candidates, crashed, unavailable)
             is_down = record is None or record.upstream in crashed
             if is_down and (reserved_for_others or self._clock() < wait_until):
                 reserved_for_others.clear()
@@ -143,7 +149,7 @@
         excluded = unavailable.union(
             record.upstream
             for record in candidates
-            if (record.upstream, record.incarnation) in state.tried_processes
+            if record.process in state.tried_processes
         )
         record = choose(excluded | doubtful)
         is_usable = (
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_limits.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_limits.py
@@ -6,7 +6,7 @@
 import structlog
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.ids import NodeId, ServiceName, UpstreamId, UpstreamProcess
+from cranberryfield.core.ids import NodeId, ServiceName, UpstreamId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.limits import StatedLimits, TokenLeaser
@@ -17,7 +17,6 @@
     record_answer,
 )
 from cranberryfield.entry.registry import RegistryTable
-from cranberryfield.entry.relay.request import ResponseMetadata
 
 __all__ = ["UpstreamLimiter", "make_upstream_leaser"]
 
@@ -99,7 +98,7 @@
         self._backlogs: dict[ServiceName, RefusalBacklog] = {}
 
     def on_answer(
-        self, record: UpstreamRecord, metadata: ResponseMetadata, sent_at: float
+        self, record: UpstreamRecord, rate_per_s: float | None, sent_at: float
     ) -> None:
         """Record what an answer says of the limit of its upstream.
 
@@ -107,20 +106,12 @@
         ----------
         record : UpstreamRecord
             Upstream that answered.
-        metadata : ResponseMetadata
-            Metadata of the answer.
+        rate_per_s : float or None
+            Limit that the answer states, in requests per second.
         sent_at : float
             Monotonic time in seconds at which the request was sent.
         """
-        if metadata.invalid_limit is not None:
-            logger.warning(
-                "upstream states an invalid limit",
-                upstream=record.upstream,
-                limit=metadata.invalid_limit,
-            )
-            return
-        process = _process(record)
-        rate_per_s = metadata.limit_per_s
+        process = record.process
         if record_answer(self._section, process, rate_per_s, sent_at, self._clock()):
             logger.info(
                 "upstream limit changed",
@@ -145,7 +136,7 @@
 
         An upstream without a limit needs no message.
         """
-        rate_per_s = limit_of(self._section, _process(record))
+        rate_per_s = limit_of(self._section, record.process)
         if rate_per_s is None:
             return True
         rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
@@ -153,16 +144,20 @@
 
     def put_back(self, record: UpstreamRecord) -> None:
         """Put back the token of an attempt that was not begun."""
-        if limit_of(self._section, _process(record)) is not None:
+        if limit_of(self._section, record.process) is not None:
             self._leaser.put_back(_limit_name(record))
 
-    def retry_after_s(self, service: ServiceName) -> float | None:
+    def retry_after_s(
+        self, service: ServiceName, candidates: list[UpstreamRecord]
+    ) -> float | None:
         """Record a refusal and return when its caller may come back, in seconds.
 
         Parameters
         ----------
         service : ServiceName
             Service of the refused request.
+        candidates : list of UpstreamRecord
+            Upstreams that might take it.
 
         Returns
         -------
@@ -171,10 +166,9 @@
             the requests that were refused before; None if some upstream has no limit,
             or has a token.
         """
-        candidates = self._table.active_upstreams(service)
         if len(self.exhausted_among(candidates)) < len(candidates) or not candidates:
             return None
-        rates = (limit_of(self._section, _process(one)) or 0.0 for one in candidates)
+        rates = (limit_of(self._section, one.process) or 0.0 for one in candidates)
         total_per_s = sum(max(MIN_RATE_PER_S, rate) for rate in rates)
         backlog = self._backlogs.setdefault(service, RefusalBacklog())
         share_per_s = total_per_s / max(1, self._host_count())
@@ -189,14 +183,10 @@
             forget_limits(self._section, self._table.is_known, self._clock())
 
     def _refused_until(self, record: UpstreamRecord) -> float:
-        if limit_of(self._section, _process(record)) is None:
+        if limit_of(self._section, record.process) is None:
             return float("-inf")
         return self._leaser.refused_until(_limit_name(record))
 
 
-def _process(record: UpstreamRecord) -> UpstreamProcess:
-    return record.upstream, record.incarnation
-
-
 def _limit_name(record: UpstreamRecord) -> str:
     return f"{record.upstream}\0{record.incarnation}"
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/requests/quarantine_coordinator.py
@@ -162,7 +162,7 @@
     def crashed_at(self, upstream: KnownUpstream) -> float | None:
         """Return when the crash of an upstream's incarnation was noticed, or None."""
         record = upstream.record
-        return self._section.crashed_at.get((record.upstream, record.incarnation))
+        return self._section.crashed_at.get(record.process)
 
     def report_crash(
         self, request: Request, upstream: KnownUpstream, at: float
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -193,7 +193,56 @@
 def test_limit_of_a_runner_is_parsed(stated, rate, invalid):
     pairs = [] if stated is None else [(b"Server-Limit", stated.encode())]
     metadata = UPSTREAM_CODEC.decode(ResponseHead(200, pairs))
-    assert (metadata.limit_per_s, metadata.invalid_limit) == (rate, invalid)
+    invalid_fields = () if invalid is None else (("limit", invalid),)
+    assert (metadata.limit_per_s, metadata.invalid_fields) == (rate, invalid_fields)
+
+
+# Status, values of Retry-After, the pause in seconds, and what cannot be read.
+PAUSES = [
+    (503, ["2"], 2.0, []),
+    (503, ["0.25"], 0.25, []),
+    (503, ["0"], 0.0, []),
+    (503, ["7200"], 7200.0, []),
+    (503, [], None, []),
+    (503, ["1", "3"], 3.0, []),
+    (503, ["soon", "3"], 3.0, ["soon"]),
+    (503, ["-1"], None, ["-1"]),
+    (503, ["nan"], None, ["nan"]),
+    (503, ["1e9"], None, ["1e9"]),
+    (503, [""], None, [""]),
+    (503, ["Fri, 04 Dec 2026 10:00:00 GMT"], None, ["Fri, 04 Dec 2026 10:00:00 GMT"]),
+    (429, ["2"], None, []),
+    (200, ["2"], None, []),
+]
+
+
+@pytest.mark.parametrize(("status", "values", "pause_s", "invalid"), PAUSES)
+def test_pause_that_a_runner_asks_for_is_parsed(status, values, pause_s, invalid):
+    pairs = [(b"Retry-After", value.encode()) for value in values]
+    metadata = UPSTREAM_CODEC.decode(ResponseHead(status, pairs))
+    assert metadata.pause_s == pause_s
+    assert list(metadata.invalid_fields) == [("pause", text) for text in invalid]
+
+
+# Values of Server-Leaving, whether the runner leaves, and what cannot be read.
+LEAVING_FLAGS = [
+    ([], False, []),
+    (["1"], True, []),
+    (["0"], False, []),
+    (["true"], False, ["true"]),
+    ([""], False, [""]),
+    (["1", "1"], True, []),
+    (["0", "1"], True, []),
+    (["yes", "1"], True, ["yes"]),
+]
+
+
+@pytest.mark.parametrize(("values", "is_leaving", "invalid"), LEAVING_FLAGS)
+def test_notice_of_a_leaving_runner_is_parsed(values, is_leaving, invalid):
+    pairs = [(b"Server-Leaving", value.encode()) for value in values]
+    metadata = UPSTREAM_CODEC.decode(ResponseHead(200, pairs))
+    assert metadata.is_leaving is is_leaving
+    assert list(metadata.invalid_fields) == [("leaving", text) for text in invalid]
 
 
 class RecordingExchange:
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -32,7 +32,11 @@
     SuspectExchange,
     make_cluster_reserver,
 )
-from cranberryfield.entry.registry import RegistryTable, accept_record
+from cranberryfield.entry.registry import (
+    RegistryReplica,
+    RegistryTable,
+    accept_record,
+)
 from cranberryfield.entry.relay import (
     LoadSection,
     Relay,
@@ -49,6 +53,8 @@
     UpstreamLimiter,
     make_upstream_leaser,
 )
+from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
+from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
 from standins.processes import free_port
 from standins.scripted_upstream import ScriptedUpstream, UpstreamCrash
@@ -82,12 +88,15 @@
 
 def _read_response_metadata(head):
     limit = find_header(head.headers, b"limit")
+    pause = find_header(head.headers, b"pause")
     return ResponseMetadata(
         not_run=find_header(head.headers, b"not-run") is not None,
         is_misdirected=head.status == 421,
         request_id=find_header(head.headers, b"id"),
         is_signed=find_header(head.headers, b"signed") is not None,
         limit_per_s=float(limit) if limit is not None else None,
+        is_leaving=find_header(head.headers, b"leaving") is not None,
+        pause_s=float(pause) if pause is not None else None,
     )
 
 
@@ -189,6 +198,7 @@
             **{**fields, **route},
         )
         self.port = free_port()
+        self.retry_delays_s = []
         self.table = RegistryTable()
         for number, one in enumerate(self.upstreams):
             record = UpstreamRecord(
@@ -206,15 +216,24 @@
         self.limiter = UpstreamLimiter(
             self.limits, self.table, leaser, lambda: 1, clock
         )
+        self.replica = RegistryReplica(self.table, mesh, names, clock, Random(1))
+        statements = UpstreamStatements(
+            self.limiter,
+            UpstreamPauses(),
+            self.table,
+            self.replica.record_leaving,
+            clock,
+        )
         self.suspects = QuarantineSection()
         exchange = SuspectExchange(self.suspects, mesh, names, clock, Random(1))
         self.reserver = make_cluster_reserver(Blackboard(), mesh, names, clock)
         self.detector = CrashDetector(
             self.suspects, exchange, self.table, pool, metrics, clock
         )
+        self.loads = LoadSection()
         self.relay = Relay(
             self.table,
-            LoadSection(),
+            self.loads,
             DemandSection(),
             self.quota,
             WindowedRetryBudget(0.2, 50.0, 10.0, lambda: 1, clock() - 10.0),
@@ -222,11 +241,12 @@
             RelayQuarantine(self.suspects, self.reserver, clock),
             self.detector,
             self.limiter,
+            statements,
             UpstreamTransport(
                 pool,
                 UpstreamCodec(_encode_request_headers, _read_response_metadata),
                 clock,
-                self.limiter.on_answer,
+                statements.on_answer,
             ),
             self._refuse,
             metrics,
@@ -237,6 +257,7 @@
 
     async def _refuse(self, exchange, error):
         body = msgspec.json.encode({"kind": error.kind.value, "run": error.was_run})
+        self.retry_delays_s.append(error.retry_after_s)
         await exchange.respond(error.response.status, [], body)
 
     async def _handle(self, exchange):
