Log a lost connection of a caller in one line

Cause: a caller's connection that timed out or was reset was logged as an unhandled exception with a trace of 60 lines. The error was caught by its type, but the task groups that wait for bytes and run the handler wrap it.

Change: the server looks into groups; a loss of the connection alone is one line. Errors of the operating system other than those of a connection are faults again, with their trace.

Ruled out: to catch the error in each task, four places that the next one would miss.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -24,6 +24,13 @@
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 
+#: Errors of a connection that the peer or the network has ended.
+LOST_CONNECTION = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    ConnectionError,
+)
+
 logger = structlog.get_logger(__name__)
 
 
@@ -195,9 +202,11 @@
             try:
                 enable_dead_peer_detection(stream.extra(SocketAttribute.raw_socket))
                 await _Connection(stream, handler, state).run()
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
-                return
-            except Exception:
+            except Exception as error:
+                if (lost := _find_lost_connection(error)) is not None:
+                    cause = lost.__cause__ or lost
+                    logger.info("caller's connection lost", cause=repr(cause))
+                    return
                 logger.exception("connection closed after an unhandled exception")
 
     async with (
@@ -211,6 +220,19 @@
         accepting.cancel_scope.cancel()
 
 
+def _find_lost_connection(error: Exception) -> Exception | None:
+    """Return the loss of the connection if `error` is nothing else, else None.
+
+    Task groups wrap the errors of their tasks.
+    """
+    if isinstance(error, LOST_CONNECTION):
+        return error
+    if not isinstance(error, ExceptionGroup):
+        return None
+    lost = [_find_lost_connection(one) for one in error.exceptions]
+    return None if None in lost else lost[0]
+
+
 class _Connection:
     """Server side of one connection, which handles its requests in order."""
 
