Bound memory and time of answers that have no end

Cause: an upstream may send bytes that are no answer until the relay closes. The relay kept up to 64 MB of a body, read any number of informational answers, and kept an event until its boundary came; a stream that sends a byte now and then and no event was never resumed.

Change: a response is kept up to 512 KiB and forwarded beyond that; bodies that are not forwarded, events and informational answers are bounded; a resumable stream without a whole event for 6 s is resumed elsewhere.

Ruled out: one smaller limit, which a large sound answer would not pass; forwarding all answers at once, after which no attempt may follow.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -23,6 +23,8 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+#: Maximum number of informational responses before a response.
+MAX_INFORMATIONAL_RESPONSES = 16
 #: Idle time for which a connection is reused if the server sends no
 #: ``Keep-Alive`` timeout, in seconds.
 DEFAULT_KEEP_ALIVE_S = 4.0
@@ -134,13 +136,15 @@
 
     async def read_head(self) -> ResponseHead:
         """Read the head of the next response on the connection."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._update_keep_alive(event)
                 return ResponseHead(event.status_code, event.headers.raw_items())
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenExchangeError("connection closed before the response")
+        self._must_close = True
+        raise BrokenExchangeError("too many informational responses")
 
     async def read_part(self) -> bytes | None:
         """Read the next part of the body; return None at its end."""
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/fetch.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/fetch.py
@@ -7,7 +7,7 @@
 
 __all__ = ["fetch"]
 
-MAX_BODY_BYTES = 4 << 20
+MAX_BODY_BYTES = 1 << 19
 
 
 async def fetch(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -36,12 +36,19 @@
 ]
 
 MS_PER_S = 1000
-MAX_RESPONSE_BYTES = 64 << 20
+#: Part of a response that is kept until the whole has arrived, in bytes, so that
+#: another attempt may follow. A larger response is forwarded as it arrives.
+MAX_BUFFERED_BYTES = 1 << 19
+#: Largest body of a response that is not forwarded, in bytes.
+MAX_DISCARDED_BYTES = 1 << 19
 #: Responses to earlier requests that are skipped on one connection.
 MAX_STALE_RESPONSES = 2
 #: Time without data after which a resumable stream is resumed on another
 #: upstream, in seconds.
 STREAM_IDLE_TIMEOUT_S = 2.0
+#: Time without a complete event after which it is resumed although data arrives, in
+#: seconds.
+STREAM_STALL_TIMEOUT_S = 6.0
 #: Fraction of the time left after which a reused connection that has returned no
 #: response head is considered dead. Applies if another attempt may follow.
 REUSED_CONNECTION_WAIT_FRACTION = 0.45
@@ -187,7 +194,7 @@
                 if not metadata.is_misdirected:
                     transport.on_answer(record, metadata, sent_at)
                 return _PendingExchange(connection, response_head, metadata)
-            await connection.read_body(MAX_RESPONSE_BYTES)
+            await connection.read_body(MAX_DISCARDED_BYTES)
             if not connection.start_next_response():
                 break
         raise BrokenExchangeError("response carries the id of another request")
@@ -256,10 +263,13 @@
     transport: UpstreamTransport,
     request: RelayRequest,
     record: UpstreamRecord,
+    progress: StreamProgress,
     has_alternative: bool,
 ) -> RelayAttemptResult:
     """Send a request and read the complete response.
 
+    A response that is too large to be kept is forwarded as it arrives.
+
     Parameters
     ----------
     transport : UpstreamTransport
@@ -268,13 +278,16 @@
         The request.
     record : UpstreamRecord
         Upstream to send it to.
+    progress : StreamProgress
+        Sends a large response to the caller.
     has_alternative : bool
         Whether another attempt may follow if this one gets no response.
 
     Returns
     -------
     RelayAttemptResult
-        Whether the request was run, as far as known, and the response.
+        Whether the request was run, as far as known, and the response; ``STREAMED``
+        if it was forwarded.
     """
     try:
         exchange = await _open_exchange(
@@ -284,7 +297,7 @@
         return RelayAttemptResult(RelayAttemptOutcome.NOT_SENT, str(error))
     except BrokenExchangeError as error:
         return _broken_result(error)
-    return await _read_response(transport, request, record, exchange)
+    return await _read_response(transport, request, record, exchange, progress)
 
 
 async def _read_response(
@@ -292,10 +305,14 @@
     request: RelayRequest,
     record: UpstreamRecord,
     exchange: _PendingExchange,
+    progress: StreamProgress,
 ) -> RelayAttemptResult:
     early_result = _result_from_head(request, exchange)
     try:
-        body = await exchange.connection.read_body(MAX_RESPONSE_BYTES)
+        if early_result is None and exchange.head.status not in SERVER_ERRORS:
+            body = await _read_or_forward_body(exchange, progress)
+        else:
+            body = await exchange.connection.read_body(MAX_DISCARDED_BYTES)
     except BrokenExchangeError as error:
         await exchange.connection.close()
         return early_result or _broken_result(error, had_answered=True)
@@ -308,12 +325,37 @@
     await transport.pool.release(record.address, exchange.connection)
     if early_result is not None:
         return early_result
+    if body is None:
+        return RelayAttemptResult(
+            RelayAttemptOutcome.STREAMED, metadata=exchange.metadata
+        )
     response = Response(exchange.head.status, exchange.head.headers, body)
     return RelayAttemptResult(
         RelayAttemptOutcome.ANSWERED, "", response, exchange.metadata
     )
 
 
+async def _read_or_forward_body(
+    exchange: _PendingExchange, progress: StreamProgress
+) -> bytes | None:
+    """Return the body, or None if it was too large to be kept and was forwarded."""
+    parts: list[bytes] = []
+    size = 0
+    while (part := await exchange.connection.read_part()) is not None:
+        if progress.is_head_sent:
+            await progress.send_events(part)
+            continue
+        parts.append(part)
+        size += len(part)
+        if size > MAX_BUFFERED_BYTES:
+            progress.is_head_sent = True
+            await progress.send_head(exchange.head)
+            for kept in parts:
+                await progress.send_events(kept)
+            parts.clear()
+    return None if progress.is_head_sent else b"".join(parts)
+
+
 async def stream_upstream(
     transport: UpstreamTransport,
     request: RelayRequest,
@@ -356,7 +398,7 @@
         return _broken_result(error)
     early_result = _result_from_head(request, exchange)
     if early_result is not None or exchange.head.status not in SUCCESS_STATUSES:
-        return await _read_response(transport, request, record, exchange)
+        return await _read_response(transport, request, record, exchange, progress)
     is_complete = False
     events_before = progress.events_sent
     try:
@@ -385,10 +427,18 @@
 ) -> None:
     buffer = EventBoundaryBuffer()
     is_first = True
-    while (chunk := await _read_stream_chunk(request, exchange.connection)) is not None:
+    stalled_at = clock() + STREAM_STALL_TIMEOUT_S
+    while True:
+        timeout_s = min(STREAM_IDLE_TIMEOUT_S, stalled_at - clock())
+        chunk = await _read_stream_chunk(request, exchange.connection, timeout_s)
+        if chunk is None:
+            break
         events = buffer.feed(chunk)
+        if buffer.is_overfull:
+            raise BrokenExchangeError("stream sent an event that is too large")
         if not events.count:
             continue
+        stalled_at = clock() + STREAM_STALL_TIMEOUT_S
         if is_first:
             is_first = False
             on_first_event()
@@ -405,12 +455,13 @@
 
 
 async def _read_stream_chunk(
-    request: RelayRequest, connection: UpstreamConnection
+    request: RelayRequest, connection: UpstreamConnection, timeout_s: float
 ) -> bytes | None:
     if not request.route.resumable:
         return await connection.read_part()
     try:
-        with anyio.fail_after(STREAM_IDLE_TIMEOUT_S):
+        with anyio.fail_after(timeout_s):
             return await connection.read_part()
     except TimeoutError as error:
-        raise ResponseTimeoutError("stream sent no data before the timeout") from error
+        detail = "stream sent no data or no whole event before the timeout"
+        raise ResponseTimeoutError(detail) from error
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/event_boundaries.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/event_boundaries.py
@@ -4,6 +4,8 @@
 
 __all__ = ["CompleteEvents", "EventBoundaryBuffer"]
 
+#: Size of an incomplete event from which the stream is invalid, in bytes.
+MAX_EVENT_BYTES = 1 << 19
 _SEPARATOR = b"\n\n"
 _ID = b"id:"
 
@@ -30,7 +32,12 @@
     """
 
     def __init__(self):
-        self._partial = b""
+        self._partial = bytearray()
+
+    @property
+    def is_overfull(self) -> bool:
+        """Whether the buffered event is larger than `MAX_EVENT_BYTES`."""
+        return len(self._partial) > MAX_EVENT_BYTES
 
     @property
     def has_partial_event(self) -> bool:
@@ -39,13 +46,15 @@
 
     def feed(self, chunk: bytes) -> CompleteEvents:
         """Add a chunk of the stream; return the events that it completes."""
-        data = self._partial + chunk
-        end = data.rfind(_SEPARATOR)
+        # A separator may begin with the last byte of the previous chunk.
+        start = max(0, len(self._partial) - len(_SEPARATOR) + 1)
+        self._partial += chunk
+        end = self._partial.rfind(_SEPARATOR, start)
         if end < 0:
-            self._partial = data
             return CompleteEvents(b"", None, 0)
         end += len(_SEPARATOR)
-        complete_events, self._partial = data[:end], data[end:]
+        complete_events = bytes(self._partial[:end])
+        del self._partial[:end]
         return CompleteEvents(
             complete_events,
             _last_id(complete_events),
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -219,14 +219,13 @@
             if record is None:
                 break
             state.attempt_log.append(f"{record.upstream}: begun")
-            result = await self._run_attempt(
-                request, record, progress if is_stream else None, state
-            )
+            result = await self._run_attempt(request, record, progress, state)
             state.attempt_log[-1] = (
                 f"{record.upstream}: {result.outcome.value} {result.detail}"
             )
             if result.outcome is RelayAttemptOutcome.STREAMED:
-                self._record_pauses(request, progress)
+                if progress.events_sent:
+                    self._record_pauses(request, progress)
                 await exchange.finish()
                 return "streamed"
             if result.outcome is RelayAttemptOutcome.ANSWERED:
@@ -234,7 +233,9 @@
                     await _send_response(exchange, result.response)
                     return f"answered {result.response.status}"
                 state.fallback_response = result.response
-            elif not may_try_another(request.route, result, state):
+            elif (exchange.response_started and not is_stream) or not may_try_another(
+                request.route, result, state
+            ):
                 break
         if state.fallback_response is not None and not exchange.response_started:
             await _send_response(exchange, state.fallback_response)
@@ -320,7 +321,7 @@
         self,
         request: RelayRequest,
         record: UpstreamRecord,
-        progress: StreamProgress | None,
+        progress: StreamProgress,
         state: RelayRequestState,
     ) -> RelayAttemptResult:
         load = self._loads.load_of(record.upstream)
@@ -351,9 +352,9 @@
             request.route, record, candidates, state
         ) and has_windowed_retry(self._budget, request.service, started_at)
         try:
-            if progress is None:
+            if request.route.kind is not RouteKind.STREAM:
                 result = await call_upstream(
-                    self._transport, request, record, has_alternative
+                    self._transport, request, record, progress, has_alternative
                 )
             else:
                 result = await stream_upstream(
@@ -428,6 +429,8 @@
                 state.may_have_run = True
                 record_reply(self._table, record.upstream, now)
                 record_success(load)
+                if request.route.kind is not RouteKind.STREAM:
+                    record_run_start(self._usage, request)
 
     async def _end_after_deadline(
         self, exchange: Exchange, state: RelayRequestState
