Keep loads as running totals, and the registry's digest by record

Cause: the leader summed the reports of all hosts anew for each reply, four times a second for each host, so that its work grew with the square of the hosts; and both sides of each comparison of registries encoded the whole table, twice a second for each relay.

Change: a report replaces the part of its host in totals by upstream, and a reply is the totals without the host's own part. Silent hosts are removed from the front of the reports, which are ordered by their time. The digest of the registry is kept as records change.

Ruled out: totals that are decayed or corrected now and then, since all counts are whole numbers and the sums stay exact; a cache of the digest that each change discards, since announcements change a record every few milliseconds at 930 upstreams.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_autoscaler.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_autoscaler.py
@@ -30,7 +30,7 @@
     FencingToken,
 )
 from cranberryfield.entry.registry import RegistryTable, accept_record
-from cranberryfield.entry.reports.collector import CollectedReports, _ReceivedReport
+from cranberryfield.entry.reports.collector import CollectedReports, record_report
 
 PRICES = {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9}
 SPEC = ServiceSpec(
@@ -121,7 +121,7 @@
     def report_demand(self, runners):
         tokens = runners * TOKENS_PER_RUNNER - 1.0
         report = HostReport(1, (), (), (ServiceDemand("drafts", tokens, 1.0),))
-        self.reports.hosts["relay-1"] = _ReceivedReport(report, self.now)
+        record_report(self.reports, "relay-1", report, self.now)
 
     def advance(self, seconds, runners=None):
         """Advance the clock, with demand for `runners` upstreams if given."""
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/__init__.py
@@ -11,7 +11,6 @@
     RegistryEntry,
     RegistryTable,
     accept_record,
-    digest_table,
     doubtful_among,
     record_reply,
 )
@@ -22,7 +21,6 @@
     "RegistryReplica",
     "RegistryTable",
     "accept_record",
-    "digest_table",
     "doubtful_among",
     "record_reply",
 ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
@@ -15,7 +15,6 @@
 from cranberryfield.entry.registry.table import (
     RegistryTable,
     accept_record,
-    digest_table,
     find_silent,
     forget_silent,
     mark_leaving,
@@ -151,7 +150,7 @@
     def _on_ask_upstreams(
         self, sender: NodeId, message: AskUpstreams
     ) -> UpstreamUpdate:
-        if message.digest == digest_table(self._table):
+        if message.digest == self._table.digest:
             silent = find_silent(self._table, self._clock())
             silent_ms = {one: int(age_s * MS_PER_S) for one, age_s in silent.items()}
             return UpstreamUpdate((), (), silent_ms)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
@@ -18,7 +18,6 @@
 from cranberryfield.entry.registry.table import (
     RegistryTable,
     accept_record,
-    digest_table,
     forget_unknown,
     mark_leaving,
     record_heard,
@@ -115,7 +114,7 @@
         if not linked:
             return
         node = self._rng.choice(linked)
-        request = AskUpstreams(digest_table(self._table))
+        request = AskUpstreams(self._table.digest)
         try:
             update = await self._mesh.request(node, request, ASK_TIMEOUT_S)
         except CranberryfieldError as error:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/table.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/table.py
@@ -18,7 +18,6 @@
     "RegistryEntry",
     "RegistryTable",
     "accept_record",
-    "digest_table",
     "doubtful_among",
     "find_silent",
     "forget_silent",
@@ -79,6 +78,19 @@
     latest_heard_at: float = float("-inf")
     replaced_at: dict[UpstreamId, float] = field(default_factory=dict)
     max_silence_s: float = 5.0
+    _digests: dict[UpstreamId, int] = field(default_factory=dict)
+    _digest: int = 0
+
+    @property
+    def digest(self) -> int:
+        """Hash of the records that ignores sequences and order.
+
+        Examples
+        --------
+        >>> RegistryTable().digest
+        0
+        """
+        return self._digest
 
     def active_upstreams(self, service: ServiceName) -> list[UpstreamRecord]:
         """Return the upstreams of a service that are not leaving.
@@ -103,6 +115,7 @@
         """Add or replace the entry of an upstream."""
         record = entry.record
         self.entries[record.upstream] = entry
+        self._replace_digest(record.upstream, _digest_record(record))
         known = self.newest_at.get(record.address, record.incarnation)
         self.newest_at[record.address] = max(known, record.incarnation)
         self.latest_heard_at = max(self.latest_heard_at, entry.heard_at)
@@ -111,9 +124,21 @@
         """Remove an upstream."""
         record = self.entries.pop(upstream).record
         self.replaced_at.pop(upstream, None)
+        self._replace_digest(upstream, 0)
         if self.newest_at.get(record.address) == record.incarnation:
             del self.newest_at[record.address]
 
+    def _replace_digest(self, upstream: UpstreamId, digest: int) -> None:
+        """Replace the part of an upstream in the digest; 0 to remove it."""
+        self._digest ^= self._digests.pop(upstream, 0) ^ digest
+        if digest:
+            self._digests[upstream] = digest
+
+
+def _digest_record(record: UpstreamRecord) -> int:
+    encoded = msgspec.msgpack.encode(_without_sequence(record))
+    return xxhash.xxh64_intdigest(encoded)
+
 
 def _without_sequence(record: UpstreamRecord) -> UpstreamRecord:
     """Return a record without its sequence, which each announcement changes."""
@@ -221,21 +246,6 @@
     return removed
 
 
-def digest_table(table: RegistryTable) -> int:
-    """Return a hash of the table that ignores sequences and order.
-
-    Examples
-    --------
-    >>> digest_table(RegistryTable()) == digest_table(RegistryTable())
-    True
-    """
-    total = 0
-    for entry in table.entries.values():
-        encoded = msgspec.msgpack.encode(_without_sequence(entry.record))
-        total ^= xxhash.xxh64_intdigest(encoded)
-    return total
-
-
 def find_silent(table: RegistryTable, now: float) -> dict[UpstreamId, float]:
     """Return the time since the last announcement of silent upstreams, in seconds.
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_table.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_table.py
@@ -1,5 +1,7 @@
 """Merging of announcements that arrive out of order or from several incarnations."""
 
+from random import Random
+
 import msgspec
 import pytest
 
@@ -8,7 +10,6 @@
     FORGET_AFTER_S,
     RegistryTable,
     accept_record,
-    digest_table,
     doubtful_among,
     find_silent,
     forget_silent,
@@ -81,9 +82,29 @@
 
 def test_digest_ignores_the_sequence():
     table = table_with(KNOWN)
-    assert digest_table(table) == digest_table(table_with(changed(sequence=99)))
-    assert digest_table(table) != digest_table(table_with(changed(leaving=True)))
-    assert digest_table(table) != digest_table(RegistryTable())
+    assert table.digest == table_with(changed(sequence=99)).digest
+    assert table.digest != table_with(changed(leaving=True)).digest
+    assert table.digest != RegistryTable().digest
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_digest_depends_on_the_records_alone(seed):
+    rng = Random(seed)
+    table = RegistryTable()
+    for now in range(0, 600, 3):
+        record = changed(
+            upstream=f"u{rng.randrange(5)}",
+            incarnation=rng.randrange(3),
+            sequence=now,
+            address=f"10.0.0.{rng.randrange(3)}:80",
+        )
+        accept_record(table, record, now)
+        if rng.random() < 0.2:
+            mark_leaving(table, f"u{rng.randrange(5)}", None, now)
+        forget_silent(table, now + rng.choice([0, 90]))
+        records = [entry.record for entry in table.entries.values()]
+        rng.shuffle(records)
+        assert table.digest == table_with(*records).digest
 
 
 @pytest.mark.parametrize(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/reports/collector.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/collector.py
@@ -25,8 +25,9 @@
 __all__ = [
     "CollectedReports",
     "ReportCollector",
+    "forget_silent_hosts",
     "loads_of_other_hosts",
-    "record_usage",
+    "record_report",
 ]
 
 #: Age at which the report of a host is ignored, in seconds.
@@ -44,15 +45,22 @@
 class CollectedReports:
     """Section of the blackboard: reports of relay hosts in one term.
 
+    Loads are kept as running totals, so that the cost of a report depends on what
+    its host has in progress and not on the number of hosts.
+
     Attributes
     ----------
     hosts : dict
-        Latest report of each host.
+        Latest report of each host, the one that was received first at the start.
+    totals : dict
+        By upstream, the requests in progress from all these hosts, and the prompt
+        tokens of these that are still to be processed.
     usage : dict
         Started runs in each window by host, incarnation and workspace.
     """
 
     hosts: dict[NodeId, _ReceivedReport] = field(default_factory=dict)
+    totals: dict[UpstreamId, tuple[int, int]] = field(default_factory=dict)
     usage: dict[int, dict[tuple[NodeId, int, WorkspaceId], int]] = field(
         default_factory=dict
     )
@@ -66,10 +74,10 @@
 
     def demand_for(self, service: ServiceName, now: float) -> ServiceDemand:
         """Return the demand for a service, summed over all hosts."""
+        forget_silent_hosts(self, now)
         found = [
             one
             for host in self.hosts.values()
-            if now - host.received_at < REPORT_TTL_S
             for one in host.report.demand
             if one.service == service
         ]
@@ -81,31 +89,89 @@
             sum(one.paused_per_s for one in found),
         )
 
+    def clear(self) -> None:
+        """Remove all reports."""
+        self.hosts.clear()
+        self.totals.clear()
+        self.usage.clear()
 
-def record_usage(reports: CollectedReports, node: NodeId, report: HostReport) -> None:
-    """Record the usage counts of a report, which replace earlier ones of its host."""
-    for share in report.usage:
-        window = reports.usage.setdefault(share.window, {})
-        window[node, report.incarnation, share.workspace] = share.count
-    for expired in sorted(reports.usage)[:-RETAINED_WINDOWS]:
-        del reports.usage[expired]
+
+def record_report(
+    reports: CollectedReports, node: NodeId, report: HostReport, now: float
+) -> None:
+    """Record a report, which replaces the earlier one of its host.
+
+    Parameters
+    ----------
+    reports : CollectedReports
+        Changed in place.
+    node : NodeId
+        Host that has sent the report.
+    report : HostReport
+        The report.
+    now : float
+        Monotonic time in seconds.
+    """
+    _remove_host(reports, node)
+    reports.hosts[node] = _ReceivedReport(report, now)
+    _add_loads(reports, report.loads, 1)
+    _record_usage(reports, node, report)
+
+
+def forget_silent_hosts(reports: CollectedReports, now: float) -> None:
+    """Remove the hosts that have not reported for `REPORT_TTL_S`."""
+    while reports.hosts:
+        node, received = next(iter(reports.hosts.items()))
+        if now - received.received_at < REPORT_TTL_S:
+            return
+        _remove_host(reports, node)
 
 
 def loads_of_other_hosts(
     reports: CollectedReports, excluded: NodeId, now: float
 ) -> tuple[LoadShare, ...]:
     """Return the load of each upstream, summed over all hosts except one."""
-    total: dict[UpstreamId, tuple[int, int]] = {}
-    for node, host in reports.hosts.items():
-        if node == excluded or now - host.received_at >= REPORT_TTL_S:
-            continue
-        for share in host.report.loads:
-            runs, tokens = total.get(share.upstream, (0, 0))
-            total[share.upstream] = (
-                runs + share.in_flight,
-                tokens + share.prefill_tokens,
-            )
-    return tuple(LoadShare(one, runs, tokens) for one, (runs, tokens) in total.items())
+    forget_silent_hosts(reports, now)
+    received = reports.hosts.get(excluded)
+    own_loads = received.report.loads if received is not None else ()
+    own = {share.upstream: share for share in own_loads}
+    shares = []
+    for upstream, (in_flight, tokens) in reports.totals.items():
+        share = own.get(upstream)
+        if share is not None:
+            in_flight -= share.in_flight
+            tokens -= share.prefill_tokens
+        if in_flight or tokens:
+            shares.append(LoadShare(upstream, in_flight, tokens))
+    return tuple(shares)
+
+
+def _remove_host(reports: CollectedReports, node: NodeId) -> None:
+    received = reports.hosts.pop(node, None)
+    if received is not None:
+        _add_loads(reports, received.report.loads, -1)
+
+
+def _add_loads(
+    reports: CollectedReports, loads: tuple[LoadShare, ...], sign: int
+) -> None:
+    for share in loads:
+        in_flight, tokens = reports.totals.get(share.upstream, (0, 0))
+        in_flight += sign * share.in_flight
+        tokens += sign * share.prefill_tokens
+        if in_flight or tokens:
+            reports.totals[share.upstream] = in_flight, tokens
+        else:
+            reports.totals.pop(share.upstream, None)
+
+
+def _record_usage(reports: CollectedReports, node: NodeId, report: HostReport) -> None:
+    """Record the usage counts of a report, which replace earlier ones of its host."""
+    for share in report.usage:
+        window = reports.usage.setdefault(share.window, {})
+        window[node, report.incarnation, share.workspace] = share.count
+    while len(reports.usage) > RETAINED_WINDOWS:
+        del reports.usage[min(reports.usage)]
 
 
 class ReportCollector:
@@ -149,16 +215,12 @@
             return HostsView(0)
         if term != self._term:
             self._term = term
-            self._reports.hosts.clear()
-            self._reports.usage.clear()
+            self._reports.clear()
             self._limits.limits.clear()
         now = self._clock()
-        self._reports.hosts[sender] = _ReceivedReport(report, now)
-        record_usage(self._reports, sender, report)
-        hosts = sum(
-            now - one.received_at < REPORT_TTL_S for one in self._reports.hosts.values()
-        )
+        record_report(self._reports, sender, report, now)
         loads = loads_of_other_hosts(self._reports, sender, now)
+        hosts = len(self._reports.hosts)
         return HostsView(term, hosts, loads, self._exchange_limits(report, now))
 
     def _exchange_limits(
