--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/directory.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 import anyio
 import structlog
@@ -68,15 +69,23 @@
         Whether the hosts at the seeds may form a new group.
     clock : Clock
         Monotonic clock.
+    rng : random.Random
+        Selects the control host to ask.
     """
 
     def __init__(
-        self, mesh: Mesh, seeds: tuple[str, ...], first_start: bool, clock: Clock
+        self,
+        mesh: Mesh,
+        seeds: tuple[str, ...],
+        first_start: bool,
+        clock: Clock,
+        rng: Random,
     ):
         self._mesh = mesh
         self._seeds = seeds
         self._first_start = first_start
         self._clock = clock
+        self._rng = rng
         self._addresses: dict[NodeId, str] = {}
         self._last_seen_at: dict[NodeId, float] = {}
         self._is_control = CONTROL_ROLE in mesh.hello.roles
@@ -106,9 +115,9 @@
             missing = [seed for seed in self._seeds if not self._is_linked_at(seed)]
             for seed in missing:
                 self._mesh.dial_once(seed)
-            await self._query_linked_hosts()
+            searching = bool(missing) and len(missing) * 2 >= len(self._seeds)
+            await self._query_linked_hosts(searching)
             self._mesh.set_persistent_peers(self._hosts_to_dial())
-            searching = missing and len(missing) * 2 >= len(self._seeds)
             await anyio.sleep(SEARCH_INTERVAL_S if searching else FOLLOW_INTERVAL_S)
 
     def _is_linked_at(self, address: str) -> bool:
@@ -130,11 +139,17 @@
             if node != own and (not self._is_control or own < node)
         )
 
-    async def _query_linked_hosts(self) -> None:
+    async def _query_linked_hosts(self, searching: bool) -> None:
+        """Ask all linked control hosts for others; one, if most seeds are linked."""
+        own = self._mesh.hello.node
+        linked = [
+            one for one in self._known() if one != own and self._mesh.is_linked(one)
+        ]
+        if linked and not searching and not self._is_control:
+            linked = [self._rng.choice(linked)]
         async with anyio.create_task_group() as tasks:
-            for node in self._known():
-                if node != self._mesh.hello.node and self._mesh.is_linked(node):
-                    tasks.start_soon(self._query_host, node)
+            for node in linked:
+                tasks.start_soon(self._query_host, node)
 
     async def _query_host(self, node: NodeId) -> None:
         try:
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -32,14 +32,20 @@
 
 __all__ = ["Handler", "Mesh"]
 
+#: Pings of the process that has dialled; it opens another link if they fail.
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 2.0
+#: Pings of the other process, which only has to forget links that are gone.
+ACCEPTED_PING_INTERVAL_S = 5.0
+ACCEPTED_PING_TIMEOUT_S = 5.0
 OPEN_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 0.5
 REDIAL_MIN_S = 0.1
 REDIAL_MAX_S = 2.0
 #: Idle time after which a link that was opened on demand is closed, in seconds.
 IDLE_TIMEOUT_S = 15.0
+#: The same for a link to a process to which a newer link is open, in seconds.
+REPLACED_IDLE_TIMEOUT_S = 2.0
 IDLE_POLL_S = 1.0
 #: Maximum number of messages queued for a peer while its link is being opened.
 MAX_QUEUED_PER_OPENING_LINK = 1000
@@ -270,8 +276,8 @@
                 port,
                 compression=None,
                 max_size=MAX_FRAME_BYTES,
-                ping_interval=PING_INTERVAL_S,
-                ping_timeout=PING_TIMEOUT_S,
+                ping_interval=ACCEPTED_PING_INTERVAL_S,
+                ping_timeout=ACCEPTED_PING_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
                 ssl=server_tls(self._tls),
             ),
@@ -365,14 +371,19 @@
             self._remove_link(link)
 
     async def _close_when_idle(self, link: Link) -> None:
+        """Close a link when it has been idle, or another one has replaced it."""
         seen_envelopes = -1
         idle_s = 0.0
-        while idle_s < IDLE_TIMEOUT_S:
+        while idle_s < self._idle_timeout_s(link):
             await anyio.sleep(IDLE_POLL_S)
             idle_s = idle_s + IDLE_POLL_S if link.envelopes == seen_envelopes else 0.0
             seen_envelopes = link.envelopes
         await link.close()
 
+    def _idle_timeout_s(self, link: Link) -> float:
+        is_replaced = self._links[link.peer.node][-1] is not link
+        return REPLACED_IDLE_TIMEOUT_S if is_replaced else IDLE_TIMEOUT_S
+
     def _remove_link(self, link: Link) -> None:
         node = link.peer.node
         self._closed_bytes = (
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -63,7 +63,9 @@
     clock = boot_time_clock
     rng = Random(config.node)
     metrics = Metrics()
-    directory = ControlDirectory(mesh, config.mesh_seeds, config.first_start, clock)
+    directory = ControlDirectory(
+        mesh, config.mesh_seeds, config.first_start, clock, rng
+    )
     roles = []
     if config.control is not None:
         roles.append(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/demand.py
@@ -29,9 +29,18 @@
 
 @dataclass(slots=True)
 class DemandSection:
-    """Section of the blackboard: demand by service."""
+    """Section of the blackboard: demand by service.
+
+    Attributes
+    ----------
+    services : dict
+        Averages of each service.
+    arrived_at : float
+        Monotonic time in seconds of the last request that has arrived.
+    """
 
     services: dict[ServiceName, _DemandAverages] = field(default_factory=dict)
+    arrived_at: float = float("-inf")
 
 
 def _advance(demand: _DemandAverages, now: float) -> None:
@@ -48,6 +57,7 @@
     demand = section.services.setdefault(service, _DemandAverages(updated_at=now))
     _advance(demand, now)
     demand.running_requests += 1
+    section.arrived_at = now
 
 
 def record_prefill(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/reports/reporter.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/reporter.py
@@ -31,6 +31,9 @@
 __all__ = ["HostReporter", "unreported_usage"]
 
 REPORT_INTERVAL_S = 0.25
+#: The same on a host that has had no request for `REST_AFTER_S`.
+REST_INTERVAL_S = 1.0
+REST_AFTER_S = 3.0
 REQUEST_TIMEOUT_S = 0.5
 #: Number of past windows whose counts are retained for a new leader.
 RETAINED_WINDOWS = 5
@@ -115,7 +118,7 @@
     async def run(self) -> None:
         """Send reports periodically until cancelled."""
         while True:
-            await anyio.sleep(REPORT_INTERVAL_S)
+            await anyio.sleep(self._interval_s())
             drop_windows_before(
                 self._usage, self._usage.current_window() - RETAINED_WINDOWS
             )
@@ -123,6 +126,13 @@
             if leader is not None:
                 await self.report(leader)
 
+    def _interval_s(self) -> float:
+        """Return the time until the next report, longer on a host at rest."""
+        idle_s = self._clock() - self._demand.arrived_at
+        has_attempts = any(load.own_attempts for load in self._loads.loads.values())
+        is_at_rest = idle_s > REST_AFTER_S and not has_attempts
+        return REST_INTERVAL_S if is_at_rest else REPORT_INTERVAL_S
+
     async def report(self, leader: NodeId) -> None:
         """Send a report to the leader and apply its reply."""
         if leader != self._acknowledged.leader:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/reports/tests/test_reports.py
@@ -19,6 +19,7 @@
     record_prefill,
     record_stream,
 )
+from cranberryfield.entry.relay.loads import InFlightAttempt, LoadSection
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports.collector import (
     REPORT_TTL_S,
@@ -27,7 +28,13 @@
     loads_of_other_hosts,
     record_report,
 )
-from cranberryfield.entry.reports.reporter import unreported_usage
+from cranberryfield.entry.reports.reporter import (
+    REPORT_INTERVAL_S,
+    REST_AFTER_S,
+    REST_INTERVAL_S,
+    HostReporter,
+    unreported_usage,
+)
 
 
 def report(incarnation=1, loads=(), usage=(), demand=()):
@@ -166,3 +173,25 @@
     (reported,) = current_demand(section, 10.0)
     assert reported.streams_per_s == pytest.approx(10.0, rel=0.1)
     assert reported.paused_per_s == pytest.approx(2.5, rel=0.3)
+
+
+# Time since the last request and attempts in progress, and the interval of reports.
+@pytest.mark.parametrize(
+    ("idle_s", "attempts", "interval_s"),
+    [
+        (0.0, 0, REPORT_INTERVAL_S),
+        (REST_AFTER_S, 0, REPORT_INTERVAL_S),
+        (REST_AFTER_S + 0.1, 0, REST_INTERVAL_S),
+        (60.0, 1, REPORT_INTERVAL_S),
+    ],
+)
+def test_a_host_at_rest_reports_less_often(idle_s, attempts, interval_s):
+    loads, demand = LoadSection(), DemandSection()
+    record_arrival(demand, "drafts", 100.0)
+    for number in range(attempts):
+        loads.load_of("u1").own_attempts[str(number)] = InFlightAttempt(1, 1)
+    reporter = HostReporter(
+        None, lambda: None, loads, demand, None, None, lambda: 100.0 + idle_s
+    )
+    assert reporter._interval_s() == interval_s
+    assert REST_INTERVAL_S < REPORT_TTL_S / 1.5
