Let the simulation of lagging hosts use the collector of reports

Cause: the simulation summed the reports of all hosts in code of its own, at a cost that grew with the square of the hosts. Change: it calls record_report and loads_of_other_hosts. Ruled out: a faster copy.

--- a/standins/relay_simulation.py
+++ b/standins/relay_simulation.py
@@ -7,7 +7,9 @@
 
 from cranberryfield.core.deployment import Route, RouteKind, WeightedService
 from cranberryfield.core.http1 import RequestHead
+from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.messages.reports import HostReport, LoadShare
 from cranberryfield.entry.relay.demand import (
     DemandSection,
     current_demand,
@@ -29,6 +31,11 @@
     RelayCostModel,
     choose_relay_upstream,
 )
+from cranberryfield.entry.reports.collector import (
+    CollectedReports,
+    loads_of_other_hosts,
+    record_report,
+)
 
 __all__ = ["RequestClass", "SimulationResult", "SimulationSpec", "simulate"]
 
@@ -133,6 +140,7 @@
     events: list = field(default_factory=list)
     sequence: int = 0
     result: SimulationResult = field(default_factory=SimulationResult)
+    reports: CollectedReports = field(default_factory=CollectedReports)
 
     def schedule(self, when: float, callback: Callable[[float], None]) -> None:
         """Schedule a callback at a simulated time."""
@@ -268,14 +276,17 @@
     """Schedule periodic updates of a host with the load reported by other hosts."""
 
     def report(now: float) -> None:
-        others: dict[str, tuple[int, int]] = {}
-        for number, loads in enumerate(simulation.load_sections):
-            if number == host:
-                continue
-            for upstream, load in loads.loads.items():
-                runs, tokens = others.get(upstream, (0, 0))
-                own = load.own_prefill_tokens
-                others[upstream] = (runs + len(load.own_attempts), tokens + own)
+        own = tuple(
+            LoadShare(upstream, len(load.own_attempts), load.own_prefill_tokens)
+            for upstream, load in simulation.load_sections[host].loads.items()
+            if load.own_attempts
+        )
+        node = NodeId(f"host-{host}")
+        record_report(simulation.reports, node, HostReport(1, own), now)
+        others = {
+            share.upstream: (share.in_flight, share.prefill_tokens)
+            for share in loads_of_other_hosts(simulation.reports, node, now)
+        }
         seen_at = now
 
         def apply_report(now: float) -> None:
