Measure how long steps hold the event loop

Cause: a plan that computed for seconds on the leader's only loop showed as lost leases and silent links, and no log line or metric named it.

Used for plans, installs of deployments and updates of the registry.

Ruled out: the debug mode of the event loop, which costs on each callback; processor time in place of lateness for the monitor, since the loop may also be held by waiting.

Before and after: nothing measured it before.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/autoscaler.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/autoscaler.py
@@ -18,6 +18,7 @@
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.deployment import Deployment, ScalingSpec, ServiceSpec
 from cranberryfield.core.ids import ServiceName
+from cranberryfield.core.loop_monitor import timed_step
 from cranberryfield.daemon.cluster.cloud_calls import (
     CallOutcome,
     CloudClient,
@@ -306,9 +307,10 @@
 def _plan_for(service: _ServiceState, inputs: _PlanInputs) -> dict[Pool, int]:
     """Return the plan for `inputs`, computed only if they have changed."""
     if inputs != service.plan_inputs:
-        service.plan = plan_runners(
-            inputs.scaling, inputs.pools, inputs.need, inputs.headroom
-        )
+        with timed_step("plan of upstreams"):
+            service.plan = plan_runners(
+                inputs.scaling, inputs.pools, inputs.need, inputs.headroom
+            )
         service.plan_inputs = inputs
     return service.plan
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -14,6 +14,7 @@
 from cranberryfield.core.config.daemon import split_address
 from cranberryfield.core.http1 import Exchange, ServerState, serve_http
 from cranberryfield.core.ids import Incarnation
+from cranberryfield.core.loop_monitor import LoopMonitor
 from cranberryfield.core.mesh import ControlDirectory, Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.metrics import Metrics
@@ -95,6 +96,7 @@
     async with anyio.create_task_group() as tasks:
         await tasks.start(mesh.listen, config.mesh)
         tasks.start_soon(directory.run)
+        tasks.start_soon(LoopMonitor(metrics).run)
         if config.metrics is not None:
             address = split_address(config.metrics)
             tasks.start_soon(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/deployment/follower.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/deployment/follower.py
@@ -7,6 +7,7 @@
 from cranberryfield.core.deployment import decode_deployment
 from cranberryfield.core.errors import CranberryfieldError
 from cranberryfield.core.ids import NodeId
+from cranberryfield.core.loop_monitor import timed_step
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.deployment import DeploymentView, FollowDeployment
 from cranberryfield.entry.deployment.section import (
@@ -110,7 +111,8 @@
 
     def _install(self, view: DeploymentView) -> None:
         if view.content and view.version > self._section.version:
-            install_deployment(self._section, decode_deployment(view.content))
+            with timed_step("install of a deployment"):
+                install_deployment(self._section, decode_deployment(view.content))
             logger.info("deployment in force", version=view.version)
 
     def _on_deployment_view(self, sender: NodeId, view: DeploymentView) -> None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
@@ -5,6 +5,7 @@
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.ids import NodeId, UpstreamId
+from cranberryfield.core.loop_monitor import timed_step
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.membership import (
@@ -126,11 +127,12 @@
     def _make_update(self, upstreams: set[UpstreamId]) -> UpstreamUpdate:
         now = self._clock()
         entries = self._table.entries
-        found = [entries[one] for one in sorted(upstreams) if one in entries]
-        return UpstreamUpdate(
-            tuple(entry.record for entry in found),
-            tuple(int((now - entry.heard_at) * MS_PER_S) for entry in found),
-        )
+        with timed_step("update of the registry"):
+            found = [entries[one] for one in sorted(upstreams) if one in entries]
+            return UpstreamUpdate(
+                tuple(entry.record for entry in found),
+                tuple(int((now - entry.heard_at) * MS_PER_S) for entry in found),
+            )
 
     def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
         now = self._clock()
