Start hosts sooner: import only what their role needs

Cause: after a loss of all power the hosts' own start decides how long nothing is served. Of the start, nearly all is imports: 630 modules, among them the control role and httpx at relays, the export of metrics, and packages of the machine's own Python that libraries look for (rich, click).

Change: a host imports its roles alone, the export of metrics at the first scrape, the client of the cloud at control hosts; the types that both roles need are in daemon/cluster/cloud.

Ruled out: a pause of the garbage collector during imports, which gained nothing; imports in functions elsewhere, as no other group of modules takes more than a twentieth.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -9,8 +9,11 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 ROOT = Path(__file__).resolve().parent.parent
+DEPENDENCIES = ROOT / "target" / "deps"
 SOURCE_FOLDERS = [*sorted((ROOT / "packages").glob("*/src")), ROOT / "platform" / "src"]
 sys.path[:0] = [str(folder) for folder in SOURCE_FOLDERS]
+if DEPENDENCIES.is_dir():
+    sys.path.append(str(DEPENDENCIES))
 
 from cranberryfield.platform.main import main  # noqa: E402 - needs the path above
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/autoscaler.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/autoscaler.py
@@ -19,12 +19,8 @@
 from cranberryfield.core.deployment import Deployment, ScalingSpec, ServiceSpec
 from cranberryfield.core.ids import ServiceName
 from cranberryfield.core.loop_monitor import timed_step
-from cranberryfield.daemon.cluster.cloud_calls import (
-    CallOutcome,
-    CloudClient,
-    FencingToken,
-    FencingTokenIssuer,
-)
+from cranberryfield.daemon.cluster.cloud import CallOutcome, CloudClient, FencingToken
+from cranberryfield.daemon.cluster.cloud_calls import FencingTokenIssuer
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.reports.collector import CollectedReports
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/cloud_calls.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/cloud_calls.py
@@ -1,18 +1,15 @@
 """Calls to the cloud API, which only the leader makes."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from enum import Enum
 
 import anyio
 import structlog
 
-from cranberryfield.control.capacity.runners import Pool
 from cranberryfield.control.runtime import ControlRuntime, ControlSection
 from cranberryfield.control.usage import next_unreported_window
 from cranberryfield.core.clock import Clock, wall_clock
 from cranberryfield.core.errors import CranberryfieldError
-from cranberryfield.core.ids import NodeId, ServiceName, WorkspaceId
+from cranberryfield.core.ids import NodeId
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.codec import encode_message
 from cranberryfield.core.messages.reports import (
@@ -20,15 +17,10 @@
     UsageReported,
     UsageSettled,
 )
+from cranberryfield.daemon.cluster.cloud import CallOutcome, CloudClient, FencingToken
 from cranberryfield.entry.reports.collector import CollectedReports
 
-__all__ = [
-    "CallOutcome",
-    "CloudClient",
-    "FencingToken",
-    "FencingTokenIssuer",
-    "UsageReporter",
-]
+__all__ = ["FencingTokenIssuer", "UsageReporter"]
 
 POLL_S = 0.25
 #: Time for the counts of all hosts to arrive after the end of a window, in seconds.
@@ -41,46 +33,6 @@
 logger = structlog.get_logger(__name__)
 
 
-class CallOutcome(Enum):
-    """Outcome of a call to the cloud API."""
-
-    DONE = "done"
-    #: Rejected: a higher fencing number has been used.
-    FENCED = "fenced"
-    #: The ordered upstreams are currently not available.
-    REFUSED = "refused"
-    #: The call failed, or its outcome is unknown.
-    FAILED = "failed"
-
-
-@dataclass(frozen=True, slots=True)
-class FencingToken:
-    """Caller of the cloud API and its fencing number; higher numbers supersede."""
-
-    holder: NodeId
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class CloudClient:
-    """Client of the cloud API.
-
-    Attributes
-    ----------
-    report_usage : callable
-        Reports the usage counts of a window by workspace.
-    order_upstreams : callable
-        Sets the desired number of upstreams of a service in a pool.
-    """
-
-    report_usage: Callable[
-        [FencingToken, int, dict[WorkspaceId, int]], Awaitable[CallOutcome]
-    ]
-    order_upstreams: Callable[
-        [FencingToken, ServiceName, Pool, int], Awaitable[CallOutcome]
-    ]
-
-
 class FencingTokenIssuer:
     """Decides whether this host may call the cloud API, and issues its token.
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from random import Random
+from typing import TYPE_CHECKING
 
 import anyio
 import structlog
@@ -18,10 +19,11 @@
 from cranberryfield.core.mesh import ControlDirectory, Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.metrics import Metrics
-from cranberryfield.core.metrics.prometheus import render_metrics
-from cranberryfield.daemon.cluster.control import ControlHost
 from cranberryfield.daemon.cluster.protocol_adapter import ProtocolAdapter
-from cranberryfield.daemon.cluster.relay import RelayHost
+
+if TYPE_CHECKING:
+    from cranberryfield.daemon.cluster.control import ControlHost
+    from cranberryfield.daemon.cluster.relay import RelayHost
 
 __all__ = ["run_cluster_host"]
 
@@ -68,13 +70,18 @@
         mesh, config.mesh_seeds, config.first_start, clock, rng
     )
     roles = []
+    # A host imports only the roles that it has, as imports are most of its start.
     if config.control is not None:
+        from cranberryfield.daemon.cluster.control import ControlHost
+
         roles.append(
             ControlHost.from_config(
                 config, adapter, mesh, board, directory.names, clock, rng
             )
         )
     if config.relay is not None:
+        from cranberryfield.daemon.cluster.relay import RelayHost
+
         roles.append(
             RelayHost.from_config(
                 config, adapter, mesh, board, metrics, directory.names, clock, rng
@@ -89,7 +96,7 @@
     config: ClusterConfig,
     mesh: Mesh,
     directory: ControlDirectory,
-    roles: list[ControlHost | RelayHost],
+    roles: "list[ControlHost | RelayHost]",
     metrics: Metrics,
     signals: AsyncIterator[signal.Signals],
 ) -> None:
@@ -120,6 +127,8 @@
 
 def _metrics_handler(metrics: Metrics) -> Callable[[Exchange], Awaitable[None]]:
     async def answer(exchange: Exchange) -> None:
+        from cranberryfield.core.metrics.prometheus import render_metrics
+
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         await exchange.respond(200, headers, render_metrics(metrics))
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/protocol_adapter.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/protocol_adapter.py
@@ -14,7 +14,7 @@
     DeploymentView,
 )
 from cranberryfield.core.messages.membership import UpstreamRecord
-from cranberryfield.daemon.cluster.cloud_calls import CloudClient
+from cranberryfield.daemon.cluster.cloud import CloudClient
 from cranberryfield.entry.relay import RelayRequest, UpstreamCodec
 
 __all__ = ["ControlOperations", "ProtocolAdapter"]
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_autoscaler.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_autoscaler.py
@@ -24,11 +24,7 @@
     UpstreamAutoscaler,
     count_upstreams,
 )
-from cranberryfield.daemon.cluster.cloud_calls import (
-    CallOutcome,
-    CloudClient,
-    FencingToken,
-)
+from cranberryfield.daemon.cluster.cloud import CallOutcome, CloudClient, FencingToken
 from cranberryfield.entry.registry import RegistryTable, accept_record
 from cranberryfield.entry.reports.collector import CollectedReports, record_report
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_fencing_token.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_fencing_token.py
@@ -7,7 +7,8 @@
 from cranberryfield.control.consensus.leader_replication import is_first_leader
 from cranberryfield.control.consensus.replica import Replica, ReplicaRole
 from cranberryfield.core.messages.consensus import LogEntry
-from cranberryfield.daemon.cluster.cloud_calls import FencingToken, FencingTokenIssuer
+from cranberryfield.daemon.cluster.cloud import FencingToken
+from cranberryfield.daemon.cluster.cloud_calls import FencingTokenIssuer
 
 WAIT_S = 3.0
 
