Elect a leader sooner after a start of all control hosts

Cause: a recovered replica denied votes, and waited with its first election, for a whole election timeout from its recovery, as its former process may have acknowledged a heartbeat just before it ended. But the start itself takes half a second, in which that process had already ended; after a loss of all power nothing is served until there is a leader.

Change: the timeout runs from the first moment of the process, which the launcher records before the other imports, and the first election waits a random 0.15 to 0.45 s for links.

Ruled out: a shorter timeout for all elections, which would also depose leaders that are slow; to trust the time of the last write, as heartbeats are not written. The launcher must start after the former process has ended, as supervisors do; the lock of the data folder refuses it otherwise.

Tests give the times at which a vote is granted and an election begins.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -15,6 +15,8 @@
 if DEPENDENCIES.is_dir():
     sys.path.append(str(DEPENDENCIES))
 
-from cranberryfield.platform.main import main  # noqa: E402 - needs the path above
+# Imported first, as it takes the time. Both imports need the path above.
+import cranberryfield.core.process_start  # noqa: E402, F401, I001
+from cranberryfield.platform.main import main  # noqa: E402
 
 main()
--- a/packages/cranberryfield-control/src/cranberryfield/control/recovery.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/recovery.py
@@ -22,6 +22,12 @@
 __all__ = ["StoredReplica", "decode_state", "encode_state", "recover_replica"]
 
 
+#: Bounds of the random time from a start to the first election, in seconds: links to
+#: the other replicas open within the first of them.
+MIN_LINK_TIME_S = 0.15
+MAX_LINK_TIME_S = 0.45
+
+
 @dataclass(slots=True)
 class StoredReplica:
     """A recovered replica, its applied state and its open files."""
@@ -63,7 +69,12 @@
 
 
 def recover_replica(
-    path: Path, group: str, node: NodeId, rng: Random, now: float
+    path: Path,
+    group: str,
+    node: NodeId,
+    rng: Random,
+    now: float,
+    started_at: float | None = None,
 ) -> StoredReplica:
     """Open a data folder and recover its replica.
 
@@ -79,13 +90,16 @@
         Random generator for election timeouts.
     now : float
         Monotonic time in seconds.
+    started_at : float, optional
+        Monotonic time in seconds by which the earlier process on this folder had
+        ended; `now` by default. It must not be later than `now`.
 
     Returns
     -------
     StoredReplica
         The replica and its files. The replica grants no vote within the
-        shortest election timeout, because it may have acknowledged a heartbeat
-        just before it stopped.
+        shortest election timeout after `started_at`, because the earlier process
+        may have acknowledged a heartbeat just before it ended.
 
     Raises
     ------
@@ -98,6 +112,10 @@
         journal, loaded = Journal.open(path)
         log = _rebuild_log(loaded, snapshots.header, journal)
         timing = ConsensusTiming()
+        contact_at = now if started_at is None else started_at
+        timeout_s = rng.uniform(timing.election_min_s, timing.election_max_s)
+        # No vote counts before the links to other replicas are open.
+        linked_at = now + rng.uniform(MIN_LINK_TIME_S, MAX_LINK_TIME_S)
         replica = Replica(
             folder.replica,
             rng,
@@ -106,8 +124,8 @@
             loaded.voted_for,
             log,
             snapshots.header.last_index,
-            last_leader_contact_at=now,
-            deadline=now + rng.uniform(timing.election_min_s, timing.election_max_s),
+            last_leader_contact_at=contact_at,
+            deadline=max(contact_at + timeout_s, linked_at),
         )
         return StoredReplica(folder, journal, snapshots, replica, decode_state(state))
     except StorageError:
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -63,6 +63,7 @@
     SnapshotRequest,
     node_of,
 )
+from cranberryfield.core.process_start import PROCESS_STARTED_AT
 from cranberryfield.core.settings.follow import SettingsSection
 
 __all__ = ["ControlRuntime", "ControlSection"]
@@ -182,7 +183,11 @@
             If the folder cannot be opened, or its contents are invalid.
         """
         path = Path(config.data_folder)
-        stored = recover_replica(path, config.group, config.node_id, rng, clock())
+        now = clock()
+        started_at = min(now, PROCESS_STARTED_AT)
+        stored = recover_replica(
+            path, config.group, config.node_id, rng, now, started_at
+        )
         applied = stored.snapshots.header.last_index
         section = board.add(ControlSection(stored.replica, stored.state, applied))
         return cls(section, stored, names, mesh, board, clock)
--- a/packages/cranberryfield-control/src/cranberryfield/control/storage/tests/test_storage.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/storage/tests/test_storage.py
@@ -5,8 +5,16 @@
 import anyio
 import pytest
 
+from cranberryfield.control.consensus import MessageReceived, SendMessage
+from cranberryfield.control.consensus import step as step_replica
+from cranberryfield.control.consensus.replica import ConsensusTiming
 from cranberryfield.control.machine import ControlState
-from cranberryfield.control.recovery import encode_state, recover_replica
+from cranberryfield.control.recovery import (
+    MAX_LINK_TIME_S,
+    MIN_LINK_TIME_S,
+    encode_state,
+    recover_replica,
+)
 from cranberryfield.control.storage import (
     DataFolder,
     Journal,
@@ -15,7 +23,8 @@
 )
 from cranberryfield.control.storage.snapshots import CHUNK_BYTES
 from cranberryfield.core.errors import ErrorKind, StorageError
-from cranberryfield.core.messages.consensus import LogEntry, Members
+from cranberryfield.core.ids import LogIndex, ReplicaId, Term
+from cranberryfield.core.messages.consensus import LogEntry, Members, VoteRequest
 
 FIRST_SEGMENT = "log-00000001"
 
@@ -239,3 +248,41 @@
     write_snapshot(new_folder(tmp_path), 3, 1, b"state")
     (tmp_path / "snapshot.new").write_bytes(b"half")
     assert SnapshotStore.open(tmp_path)[1] == b"state"
+
+
+# Time from the end of the earlier process to the recovery, and whether the replica
+# grants a vote at the recovery and when the earlier heartbeat has expired.
+@pytest.mark.parametrize(
+    ("age_s", "grants"),
+    [(0.0, (False, True)), (0.5, (False, True)), (0.7, (True, True))],
+)
+def test_recovered_replica_grants_no_vote_while_an_earlier_heartbeat_counts(
+    tmp_path, age_s, grants
+):
+    path, now = new_folder(tmp_path), 100.0
+    timing = ConsensusTiming()
+    granted = []
+    expired_at = now - age_s + timing.election_min_s + 0.01
+    for at in (now, max(now, expired_at)):
+        stored = recover_replica(path, "group", "c1", Random(1), now, now - age_s)
+        replica = stored.replica
+        request = VoteRequest(Term(5), LogIndex(0), Term(0), False)
+        actions = step_replica(replica, MessageReceived(ReplicaId("c2-b"), request), at)
+        granted.append(
+            any(isinstance(one, SendMessage) and one.message.granted for one in actions)
+        )
+        stored.close()
+    assert tuple(granted) == grants
+
+
+@pytest.mark.parametrize("age_s", [0.0, 0.5, 3.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_first_election_after_a_start_waits_for_links(tmp_path, age_s, seed):
+    stored = recover_replica(
+        new_folder(tmp_path), "group", "c1", Random(seed), 100.0, 100.0 - age_s
+    )
+    timing = ConsensusTiming()
+    stored.close()
+    earliest = max(100.0 - age_s + timing.election_min_s, 100.0 + MIN_LINK_TIME_S)
+    latest = max(100.0 - age_s + timing.election_max_s, 100.0 + MAX_LINK_TIME_S)
+    assert earliest <= stored.replica.deadline <= latest
--- a/tests/adapter/test_imports.py
+++ b/tests/adapter/test_imports.py
@@ -14,7 +14,7 @@
     ),
     (
         "cranberryfield.daemon.cluster.control",
-        ("prometheus_client", "cyclopts"),
+        ("httpx", "prometheus_client", "cyclopts"),
     ),
 ]
 
