Let urgent and small requests go first within a short quota

Cause: a workspace that asks for several times its quota got it first come first served, so that large requests took two thirds of it and few of its urgent or small ones were admitted; a host that had been refused a grant refused all of the workspace's requests for up to 0.3 s.

Change: requests of the most urgent routes, and those that cost at most 20 ms of the quota, are favoured: others leave one second of what these ask for in the leader's bucket. Nobody is favoured if they alone ask for 0.8 of the rate. The bounds of the bucket are the same.

The test harness's quota takes the rank; no assertion has changed.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/reports.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/reports.py
@@ -146,12 +146,16 @@
         Amount that upcoming requests are expected to need.
     returned : int
         Unused amount of earlier grants.
+    is_favoured : bool
+        Whether the waiting request goes before others of its workspace while the
+        quota is short.
     """
 
     workspace: WorkspaceId
     needed: int
     ahead: int
     returned: int = 0
+    is_favoured: bool = False
 
 
 class LeaseQuota(Message):
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/client.py
@@ -19,6 +19,7 @@
 __all__ = [
     "QuotaBalance",
     "QuotaClient",
+    "is_favoured",
     "make_quota_request",
     "may_admit",
     "record_demand",
@@ -30,6 +31,10 @@
 PREFETCH_S = 0.4
 #: Averaging window of the demand, in seconds.
 DEMAND_WINDOW_S = 2.0
+#: Rank of the most urgent routes.
+MOST_URGENT_RANK = 0
+#: Largest cost of a small request, as a time in seconds at the rate of the quota.
+SMALL_COST_S = 0.02
 #: Age at which an unused grant is returned to the leader, in seconds.
 UNUSED_GRANT_TTL_S = 1.5
 #: Timeout of a quota request to the leader, in seconds: a quarter of the shortest
@@ -64,8 +69,9 @@
         Cost that may be admitted without asking the leader; negative if overdrawn.
     granted_at : float
         Monotonic time in seconds of the last grant.
-    empty_until : float
-        Monotonic time in seconds before which the leader has no more to grant.
+    empty_until, favoured_empty_until : float
+        Monotonic time in seconds before which the leader has no more to grant, in
+        general and to favoured requests.
     demand_per_s : float
         Average cost requested on this host per second, as of `demand_at`.
     local_refill_at : float
@@ -80,6 +86,7 @@
     available: float = 0.0
     granted_at: float = float("-inf")
     empty_until: float = float("-inf")
+    favoured_empty_until: float = float("-inf")
     demand_per_s: float = 0.0
     demand_at: float = 0.0
     local_refill_at: float | None = None
@@ -95,25 +102,47 @@
     balance.demand_at = now
 
 
+def is_favoured(spec: WorkspaceSpec, cost: float, rank: int) -> bool:
+    """Return whether a request goes before others while its quota is short.
+
+    Those of the most urgent routes do, and small ones, as one large request takes
+    the place of many of them.
+
+    Examples
+    --------
+    >>> spec = WorkspaceSpec("notary", rate_per_s=10_000.0)
+    >>> cases = [(200.0, 2), (900.0, 0), (900.0, 1)]
+    >>> [is_favoured(spec, cost, rank) for cost, rank in cases]
+    [True, True, False]
+    """
+    return rank == MOST_URGENT_RANK or cost <= SMALL_COST_S * spec.rate_per_s
+
+
 def make_quota_request(
-    workspace: WorkspaceId, balance: QuotaBalance, cost: float, now: float
+    workspace: WorkspaceId,
+    balance: QuotaBalance,
+    cost: float,
+    now: float,
+    favoured: bool = False,
 ) -> QuotaRequest:
     """Return a quota request to the leader, which also returns expired grants.
 
     Examples
     --------
     >>> balance = QuotaBalance(100.0, 5.0, demand_per_s=1000.0)
-    >>> make_quota_request("notary", balance, 300.0, 5.5)
-    QuotaRequest(workspace='notary', needed=200, ahead=400, returned=0)
-    >>> make_quota_request("notary", QuotaBalance(100.0, 5.0), 300.0, 9.0)
-    QuotaRequest(workspace='notary', needed=300, ahead=0, returned=100)
+    >>> request = make_quota_request("notary", balance, 300.0, 5.5)
+    >>> request.needed, request.ahead, request.returned
+    (200, 400, 0)
+    >>> request = make_quota_request("notary", QuotaBalance(100.0, 5.0), 300.0, 9.0)
+    >>> request.needed, request.ahead, request.returned
+    (300, 0, 100)
     """
     returned = 0
     if now - balance.granted_at > UNUSED_GRANT_TTL_S and balance.available > 0.0:
         returned, balance.available = int(balance.available), 0.0
     needed = ceil(max(0.0, cost - balance.available))
     ahead = int(balance.demand_per_s * PREFETCH_S)
-    return QuotaRequest(workspace, needed, ahead, returned)
+    return QuotaRequest(workspace, needed, ahead, returned, favoured)
 
 
 def may_admit(
@@ -170,6 +199,10 @@
     balance.local_refill_at = now
 
 
+def _empty_until(balance: QuotaBalance, favoured: bool) -> float:
+    return balance.favoured_empty_until if favoured else balance.empty_until
+
+
 class QuotaClient:
     """Admits requests on one host against the quotas of their workspaces.
 
@@ -204,7 +237,7 @@
         self._unresponsive_leader: NodeId | None = None
         self._unresponsive_until = float("-inf")
 
-    async def admit(self, spec: WorkspaceSpec, cost: float) -> None:
+    async def admit(self, spec: WorkspaceSpec, cost: float, rank: int) -> None:
         """Charge the cost of a request to its workspace's quota.
 
         Parameters
@@ -213,6 +246,8 @@
             Workspace with the quota in force.
         cost : float
             Cost of the request.
+        rank : int
+            Rank of its route; 0 is the most urgent.
 
         Raises
         ------
@@ -226,8 +261,10 @@
         now = self._clock()
         record_demand(balance, cost, now)
         is_stale = now - balance.granted_at > UNUSED_GRANT_TTL_S
-        if (is_stale or balance.available < cost) and now >= balance.empty_until:
-            await self._refill(spec, balance, cost)
+        favoured = is_favoured(spec, cost, rank)
+        empty_until = _empty_until(balance, favoured)
+        if (is_stale or balance.available < cost) and now >= empty_until:
+            await self._refill(spec, balance, cost, favoured)
         share_per_s = spec.rate_per_s / max(1, self._hosts())
         now = self._clock()
         if not may_admit(balance, cost, share_per_s, self._is_unresponsive(now), now):
@@ -247,27 +284,30 @@
         )
 
     async def _refill(
-        self, spec: WorkspaceSpec, balance: QuotaBalance, cost: float
+        self, spec: WorkspaceSpec, balance: QuotaBalance, cost: float, favoured: bool
     ) -> None:
         while balance.pending_request is not None:
             await balance.pending_request.wait()
-            if balance.available >= cost or self._clock() < balance.empty_until:
+            is_empty = self._clock() < _empty_until(balance, favoured)
+            if balance.available >= cost or is_empty:
                 return
         if self._is_unresponsive(self._clock()):
             refill_locally(balance, spec, self._hosts(), self._clock())
             return
         balance.pending_request = anyio.Event()
         try:
-            await self._request_grant(spec, balance, cost)
+            await self._request_grant(spec, balance, cost, favoured)
         finally:
             balance.pending_request.set()
             balance.pending_request = None
 
     async def _request_grant(
-        self, spec: WorkspaceSpec, balance: QuotaBalance, cost: float
+        self, spec: WorkspaceSpec, balance: QuotaBalance, cost: float, favoured: bool
     ) -> None:
         leader = self._leader()
-        quota_request = make_quota_request(spec.name, balance, cost, self._clock())
+        quota_request = make_quota_request(
+            spec.name, balance, cost, self._clock(), favoured
+        )
         try:
             if leader is None:
                 raise UnavailableError(
@@ -292,14 +332,19 @@
             return
         balance.local_refill_at = None
         for grant in reply.grants:
-            self._apply_grant(balance, grant)
+            self._apply_grant(balance, grant, favoured)
 
-    def _apply_grant(self, balance: QuotaBalance, grant: QuotaGrant) -> None:
+    def _apply_grant(
+        self, balance: QuotaBalance, grant: QuotaGrant, favoured: bool
+    ) -> None:
         now = self._clock()
         balance.available += grant.amount
         balance.granted_at = now
         if grant.next_ms:
-            balance.empty_until = now + min(grant.next_ms / MS_PER_S, MAX_EMPTY_WAIT_S)
+            until = now + min(grant.next_ms / MS_PER_S, MAX_EMPTY_WAIT_S)
+            balance.empty_until = max(until, balance.empty_until)
+            if favoured:
+                balance.favoured_empty_until = until
 
     def _over_limit_error(
         self, spec: WorkspaceSpec, balance: QuotaBalance, cost: float
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/server.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/server.py
@@ -17,13 +17,19 @@
 )
 from cranberryfield.entry.limits.token_bucket import TokenBucket, refill
 
-__all__ = ["QuotaLeeway", "QuotaServer", "grant_quota"]
+__all__ = ["FavouredDemand", "QuotaLeeway", "QuotaServer", "grant_quota"]
 
 MS_PER_S = 1000
 #: Fractions of the tolerated overage and of the fixed tolerance that are used.
 OVERAGE_FACTOR = 0.5
 BURST_FACTOR = 0.4
 DEBT_FACTOR = 0.2
+#: Demand of favoured requests for which quota is kept, as a time in seconds.
+RESERVE_S = 1.0
+#: Fraction of a quota that favoured requests may take before others.
+MAX_FAVOURED_FRACTION = 0.8
+#: Averaging window of the demand of favoured requests, in seconds.
+DEMAND_WINDOW_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +75,61 @@
         )
 
 
+@dataclass(slots=True)
+class FavouredDemand:
+    """Average amount that favoured requests of a workspace ask for per second.
+
+    Attributes
+    ----------
+    per_s : float
+        The average, as of `at`.
+    at : float
+        Monotonic time in seconds of the last request.
+    """
+
+    per_s: float = 0.0
+    at: float = 0.0
+
+    def at_time(self, now: float) -> float:
+        """Return the average at a monotonic time in seconds.
+
+        Examples
+        --------
+        >>> FavouredDemand(100.0, at=5.0).at_time(6.0)
+        50.0
+        """
+        elapsed_s = max(0.0, now - self.at)
+        return self.per_s * max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
+
+    def record(self, amount: float, now: float) -> None:
+        """Add the amount of a request."""
+        self.per_s = self.at_time(now) + amount / DEMAND_WINDOW_S
+        self.at = now
+
+
+def _kept_amount(
+    favoured: FavouredDemand | None, is_favoured: bool, rate_per_s: float, now: float
+) -> float | None:
+    """Return the amount that a request has to leave; None if it may use up all.
+
+    Favoured requests lose their advantage if they alone would use most of the quota,
+    so that the others are not starved.
+    """
+    if favoured is None:
+        return 0.0
+    demand_per_s = favoured.at_time(now)
+    if demand_per_s > MAX_FAVOURED_FRACTION * rate_per_s:
+        return 0.0
+    return None if is_favoured else RESERVE_S * demand_per_s
+
+
 def grant_quota(
     bucket: TokenBucket,
     spec: WorkspaceSpec,
     quota_request: QuotaRequest,
     leeway: QuotaLeeway,
     now: float,
+    favoured: FavouredDemand | None = None,
 ) -> tuple[int, int]:
     """Grant a part of a quota to a host.
 
@@ -90,6 +145,9 @@
         Amount by which the workspace may exceed its quota.
     now : float
         Monotonic time in seconds.
+    favoured : FavouredDemand, optional
+        Demand of the workspace's favoured requests, for which other requests leave
+        a part.
 
     Returns
     -------
@@ -113,16 +171,19 @@
     rate_per_s = spec.rate_per_s * leeway.rate_factor
     refill(bucket, rate_per_s, now, max(spec.burst, 1.0) + leeway.extra_burst)
     bucket.tokens += quota_request.returned
-    allowed = bucket.tokens >= quota_request.needed or (
-        bucket.tokens > 0 and bucket.tokens - quota_request.needed >= -leeway.max_debt
-    )
+    kept = _kept_amount(favoured, quota_request.is_favoured, rate_per_s, now)
+    left = bucket.tokens - quota_request.needed
+    if kept is None:
+        allowed = left >= -leeway.max_debt
+    else:
+        may_overdraw = bucket.tokens > kept and left >= kept - leeway.max_debt
+        allowed = left >= kept or may_overdraw
     if not allowed:
-        missing = min(
-            quota_request.needed - bucket.tokens, max(1.0, 1.0 - bucket.tokens)
-        )
+        available = bucket.tokens - (kept or 0.0)
+        missing = min(quota_request.needed - available, max(1.0, 1.0 - available))
         return 0, ceil(missing / rate_per_s * MS_PER_S)
-    bucket.tokens -= quota_request.needed
-    ahead = int(max(0.0, min(quota_request.ahead, bucket.tokens / 2)))
+    bucket.tokens = left
+    ahead = int(max(0.0, min(quota_request.ahead, (left - (kept or 0.0)) / 2)))
     bucket.tokens -= ahead
     return quota_request.needed + ahead, 0
 
@@ -165,6 +226,7 @@
         self._clock = clock
         self._term: int | None = None
         self._buckets: dict[WorkspaceId, TokenBucket] = {}
+        self._favoured: dict[WorkspaceId, FavouredDemand] = {}
         mesh.handle(LeaseQuota, self._on_lease_quota)
 
     def _on_lease_quota(self, sender: NodeId, message: LeaseQuota) -> QuotaLeased:
@@ -175,7 +237,7 @@
                 ErrorKind.NO_QUORUM, "this host is not the leader of the control group"
             )
         if term != self._term:
-            self._term, self._buckets = term, {}
+            self._term, self._buckets, self._favoured = term, {}, {}
         specs = {one.name: one for one in deployment.workspaces}
         grants = [
             self._grant(specs[quota_request.workspace], quota_request)
@@ -193,7 +255,11 @@
         if bucket is None:
             bucket = TokenBucket(refilled_at=self._leader_since())
             self._buckets[quota_request.workspace] = bucket
+        now = self._clock()
+        favoured = self._favoured.setdefault(spec.name, FavouredDemand())
+        if quota_request.is_favoured:
+            favoured.record(quota_request.needed, now)
         granted, next_ms = grant_quota(
-            bucket, spec, quota_request, self._leeway, self._clock()
+            bucket, spec, quota_request, self._leeway, now, favoured
         )
         return QuotaGrant(quota_request.workspace, granted, next_ms)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quota/tests/test_quota.py
@@ -24,6 +24,8 @@
 DEBT = 50_000.0
 LEEWAY = QuotaLeeway(max_debt=DEBT)
 STEP_S = 0.01
+#: A rank that is not the most urgent one.
+RANK = 1
 
 
 def simulate(hosts, demand, sizes, seconds, seed=1):
@@ -160,7 +162,7 @@
         clock.now += size / (0.5 * RATE)
         asked += 1
         with contextlib.suppress(UnavailableError):
-            await rng.choice(clients).admit(SPEC, size)
+            await rng.choice(clients).admit(SPEC, size, RANK)
             admitted += 1
     if limited:
         assert admitted * size <= RATE * seconds
@@ -187,7 +189,7 @@
     for _ in range(4 * per_s):
         clock.now += 1.0 / per_s
         with contextlib.suppress(UnavailableError):
-            await client.admit(SPEC, 0.3 * RATE / per_s)
+            await client.admit(SPEC, 0.3 * RATE / per_s, RANK)
             admitted += 1
     assert mesh.asked <= 1 + (clock.now - started) / LEADER_RETRY_S
     assert admitted >= 0.9 * 4 * per_s
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -209,7 +209,9 @@
     ) -> str:
         self._refuse_if_quarantined(state)
         if request.workspace is not None:
-            await self._quota.admit(request.workspace, request.quota_cost)
+            await self._quota.admit(
+                request.workspace, request.quota_cost, request.route.rank
+            )
             state.charged_workspace = request.workspace
         state.admitted_at = self._clock()
         is_stream = request.route.kind is RouteKind.STREAM
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -175,7 +175,7 @@
     def __init__(self):
         self.used = 0.0
 
-    async def admit(self, spec, cost):
+    async def admit(self, spec, cost, rank):
         self.used += cost
 
     def refund(self, spec, cost):
