--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -8,7 +8,12 @@
 import httpx
 import msgspec
 
-from standins.platform_runner import DURATION_HEADER, LIMIT_SUFFIX
+from standins.platform_runner import (
+    DURATION_HEADER,
+    LEAVING_SUFFIX,
+    LIMIT_SUFFIX,
+    PAUSE_SUFFIX,
+)
 from standins.processes import Process, free_port, wait_until
 
 __all__ = ["CONTROL", "RELAYS", "Cluster", "deployment_document", "running_cluster"]
@@ -174,12 +179,23 @@
 
     def state_limit(self, limit_per_s: float | None) -> None:
         """Have the runner state a limit in its answers from now on; None for none."""
-        path = self.runs_path.with_name(self.runs_path.name + LIMIT_SUFFIX)
-        if limit_per_s is None:
+        self._state(LIMIT_SUFFIX, limit_per_s)
+
+    def state_pause(self, pause_s: float | None) -> None:
+        """Have the runner refuse all requests and ask for a pause; None to serve."""
+        self._state(PAUSE_SUFFIX, pause_s)
+
+    def state_leaving(self, is_leaving: bool) -> None:
+        """Have the runner say in its answers that it leaves, or no longer."""
+        self._state(LEAVING_SUFFIX, 1.0 if is_leaving else None)
+
+    def _state(self, suffix: str, value: float | None) -> None:
+        path = self.runs_path.with_name(self.runs_path.name + suffix)
+        if value is None:
             path.unlink(missing_ok=True)
             return
-        written = path.with_suffix(".new")
-        written.write_text(str(limit_per_s))
+        written = path.with_name(path.name + ".new")
+        written.write_text(str(value))
         written.rename(path)
 
     def is_ready(self, name: str) -> bool:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -12,7 +12,10 @@
     "CRASH_BODY",
     "CRASH_WORD",
     "DURATION_HEADER",
+    "LEAVING_SUFFIX",
     "LIMIT_SUFFIX",
+    "PAUSE_SUFFIX",
+    "REFUSED_WORD",
     "EchoRunner",
 ]
 
@@ -28,7 +31,15 @@
 #: Suffix of the file beside the journal with the limit that answers state, in requests
 #: a second; without the file they state none.
 LIMIT_SUFFIX = ".limit"
+#: Suffix of the file beside the journal while which exists answers say that the runner
+#: leaves.
+LEAVING_SUFFIX = ".leaving"
+#: Suffix of the file beside the journal with the pause in seconds that it wants;
+#: while it exists, all requests are refused, and recorded with `REFUSED_WORD`.
+PAUSE_SUFFIX = ".pause"
+REFUSED_WORD = "refused"
 MISDIRECTED = 421
+REFUSED = 503
 
 
 class EchoRunner(BaseHTTPRequestHandler):
@@ -38,20 +49,23 @@
     disable_nagle_algorithm = True
     journal = None
     runner_id = None
-    limit_file = None
+    journal_path = None
 
     def do_GET(self) -> None:
         """Serve a request: append a journal line, then respond."""
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         headers = {name.lower(): value for name, value in self.headers.items()}
         if self.runner_id not in (None, headers.get("target-instance")):
-            self._refuse_misdirected()
+            self._refuse(MISDIRECTED)
+            return
+        pause_s = self._statement(PAUSE_SUFFIX)
+        if pause_s is not None:
+            self._record(headers, REFUSED_WORD)
+            self._refuse(REFUSED, pause_s)
             return
         crashes = body.startswith(CRASH_BODY)
         if self.journal is not None:
-            words = [headers["attempt-id"], str(headers.get("tenant"))]
-            words += [f"{time.monotonic():.3f}", *([CRASH_WORD] if crashes else [])]
-            self.journal.write(" ".join(words) + "\n")
+            self._record(headers, *([CRASH_WORD] if crashes else []))
             duration_ms = headers.get(DURATION_HEADER.lower())
             time.sleep(float(duration_ms) / 1000 if duration_ms else RUN_DURATION_S)
         if crashes:
@@ -62,15 +76,34 @@
         self.send_header("Content-Length", str(len(body)))
         self.send_header("Attempt-Id", self.headers["Attempt-Id"])
         self.send_header("Server-Signature", "signed")
-        if self.limit_file is not None and self.limit_file.exists():
-            self.send_header("Server-Limit", self.limit_file.read_text())
+        limit = self._statement(LIMIT_SUFFIX)
+        if limit is not None:
+            self.send_header("Server-Limit", limit)
+        if self._statement(LEAVING_SUFFIX) is not None:
+            self.send_header("Server-Leaving", "1")
         self.end_headers()
         self.wfile.write(body)
 
     do_POST = do_GET  # noqa: N815 - the name that the library calls
 
-    def _refuse_misdirected(self) -> None:
-        self.send_response(MISDIRECTED)
+    def _record(self, headers: dict[str, str], *words: str) -> None:
+        request = [headers["attempt-id"], str(headers.get("tenant"))]
+        line = [*request, f"{time.monotonic():.3f}", *words]
+        self.journal.write(" ".join(line) + "\n")
+
+    def _statement(self, suffix: str) -> str | None:
+        """Return what the file of a statement says; None if there is no such file."""
+        if self.journal_path is None:
+            return None
+        try:
+            return Path(self.journal_path + suffix).read_text()
+        except FileNotFoundError:
+            return None
+
+    def _refuse(self, status: int, pause_s: str | None = None) -> None:
+        self.send_response(status)
+        if pause_s is not None:
+            self.send_header("Retry-After", pause_s)
         self.send_header("Content-Length", "0")
         self.send_header("Attempt-Id", self.headers["Attempt-Id"])
         self.send_header("Not-Executed", "1")
@@ -83,7 +116,7 @@
 if __name__ == "__main__":
     if len(sys.argv) > 2:
         EchoRunner.journal = open(sys.argv[2], "a", buffering=1)  # noqa: SIM115
-        EchoRunner.limit_file = Path(sys.argv[2] + LIMIT_SUFFIX)
+        EchoRunner.journal_path = sys.argv[2]
     if len(sys.argv) > 3:
         EchoRunner.runner_id = sys.argv[3]
     address = ("127.0.0.1", int(sys.argv[1]))
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -25,6 +25,9 @@
 #: states, and some requests more.
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR, LIMIT_ALLOWANCE = 1.5, 5
+#: Requests of one start of a relay that may reach a runner while it wants a pause: one
+#: of each caller that was on its way, and two more.
+MAX_REQUESTS_IN_PAUSE = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +86,13 @@
         limit in requests per second.
     run_times : list of float
         Monotonic times of the runs on that runner, in order.
+    pauses : list of (float, float)
+        Beginning and end of each span in which the runner refused all requests and
+        asked for a pause that lasts longer.
+    refused_times : list of float
+        Monotonic times of the requests that it refused, in order.
+    relays : int
+        Number of relays.
     """
 
     sent: list[SentRequest] = field(default_factory=list)
@@ -94,6 +104,9 @@
     disturbances: list[tuple[float, float]] = field(default_factory=list)
     limits: list[tuple[float, float, float]] = field(default_factory=list)
     run_times: list[float] = field(default_factory=list)
+    pauses: list[tuple[float, float]] = field(default_factory=list)
+    refused_times: list[float] = field(default_factory=list)
+    relays: int = 1
 
 
 def broken_promises(observations: Observations) -> list[str]:
@@ -126,6 +139,11 @@
         most = most_in_window(times, LIMIT_WINDOW_S)
         if most > LIMIT_FACTOR * rate * LIMIT_WINDOW_S + LIMIT_ALLOWANCE:
             broken.append(f"{most} runs in {LIMIT_WINDOW_S} s at a limit of {rate:.1f}")
+    for begin, end in observations.pauses:
+        restarts = sum(fault < end for fault, _ in observations.disturbances)
+        count = sum(begin <= at < end for at in observations.refused_times)
+        if count > MAX_REQUESTS_IN_PAUSE * (observations.relays + restarts):
+            broken.append(f"{count} requests in a pause of {end - begin:.1f} s")
     for at, version in observations.reads:
         newest = max((v for t, v in observations.acknowledged if t < at), default=-1)
         if version < newest:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
     deployment_document,
     running_cluster,
 )
+from standins.platform_runner import REFUSED_WORD
 from standins.processes import free_port, wait_until
 from standins.proxy import FaultProxy
 from standins.runner_fleet import RunnerFleet
@@ -42,6 +43,9 @@
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 0.5, 10.0
 MIN_LIMITED_S, MAX_LIMITED_S = 6.0, 12.0
 MAX_UNLIMITED_S = 2.0
+#: Pause that a runner asks for, and bounds of the time between pauses, in seconds.
+PAUSE_S = 4.0
+MIN_SERVING_S, MAX_SERVING_S = 3.0, 8.0
 OK = 200
 #: Kind in the refusal of a request that crashes its upstreams.
 QUARANTINED = ErrorKind.REQUEST_CRASHES_UPSTREAMS.value
@@ -133,6 +137,16 @@
             self.observations.limits.append((begin, time.monotonic(), rate))
             self.cluster.state_limit(None)
 
+    def ask_for_pauses(self) -> None:
+        """Have the runner behind the link refuse requests and ask for pauses."""
+        rng = Random(f"{self.seed}-pauses")
+        while not self.ended.wait(rng.uniform(MIN_SERVING_S, MAX_SERVING_S)):
+            self.cluster.state_pause(PAUSE_S)
+            begin = time.monotonic()
+            self.ended.wait(rng.uniform(0.5, PAUSE_S))
+            self.observations.pauses.append((begin, time.monotonic()))
+            self.cluster.state_pause(None)
+
     def declare_and_read(self, withdraw_at: float) -> None:
         """Declare and read deployments until the run ends."""
         rng = Random(f"{self.seed}-operator")
@@ -212,6 +226,7 @@
             )
         )
         threads.append(threading.Thread(target=soak.state_limits))
+        threads.append(threading.Thread(target=soak.ask_for_pauses))
         for thread in threads:
             thread.start()
         try:
@@ -260,6 +275,10 @@
 def _evaluate(soak: _SoakRun, cluster, faults: list[str]) -> Outcome:
     observations = soak.observations
     lines = cluster.runs_path.read_text().splitlines()
+    refused = [line for line in lines if line.endswith(REFUSED_WORD)]
+    observations.refused_times = [float(line.split()[2]) for line in refused]
+    observations.relays = len(RELAYS)
+    lines = [line for line in lines if not line.endswith(REFUSED_WORD)]
     observations.run_times = [float(line.split()[2]) for line in lines]
     lines += [" ".join(words) for words in soak.fleet.journal]
     observations.crash_times = {
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -90,6 +90,22 @@
     assert bool(broken_promises(observations)) is is_broken
 
 
+# Number of requests that a runner refused while it wanted a pause, before two relays,
+# whether one of them was restarted, and whether a promise is broken.
+@pytest.mark.parametrize(
+    ("count", "restarted", "is_broken"),
+    [(12, False, False), (13, False, True), (13, True, False), (19, True, True)],
+)
+def test_requests_in_a_pause_are_reported(count, restarted, is_broken):
+    observations = Observations(
+        pauses=[(10.0, 14.0)],
+        refused_times=[9.0, *[11.0] * count, 14.5],
+        disturbances=[(10.5, 11.0)] if restarted else [],
+        relays=2,
+    )
+    assert bool(broken_promises(observations)) is is_broken
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_promise_is_broken_under_faults(seed, tmp_path):
     outcome = run_seed(tmp_path, seed, SECONDS)
