--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_lagging_hosts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_lagging_hosts.py
@@ -24,6 +24,14 @@
     assert simulate(spec, seed).wait_quantile_s(0.95) <= TARGET_S
 
 
+# Guards against hundreds of hosts that decide alike from the same old reports.
+@pytest.mark.parametrize("hosts", [9, 60, 195, 360])
+@pytest.mark.parametrize(("engines", "rate_per_s"), [(47, 309), (30, 309)])
+def test_waits_do_not_grow_with_the_number_of_hosts(hosts, engines, rate_per_s):
+    spec = SimulationSpec(hosts, engines, rate_per_s, 8.0, CLASSES, capacity=12)
+    assert simulate(spec, 1).wait_quantile_s(0.95) <= TARGET_S
+
+
 @pytest.mark.parametrize("hosts", [1, 9, 60])
 def test_demand_matches_prefilled_tokens(hosts):
     duration_s = 10.0
