Keep Starlette out of the hosts of a cluster

Change: the bodies are in core/problems; no text has changed. Ruled out: imports inside functions, as the body is needed at each error.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http/__init__.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http/__init__.py
@@ -7,21 +7,14 @@
     require_key,
 )
 from cranberryfield.core.http.bodies import decode_json, read_body
-from cranberryfield.core.http.problems import (
-    Problem,
-    handle_error,
-    problem_of_error,
-    problem_response,
-)
+from cranberryfield.core.http.problems import handle_error, problem_response
 
 __all__ = [
-    "Problem",
     "bearer_digest",
     "decode_json",
     "handle_error",
     "key_digest",
     "key_matches",
-    "problem_of_error",
     "problem_response",
     "read_body",
     "require_key",
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/callers/responses.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/callers/responses.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cranberryfield.core.errors import CallerError, CranberryfieldError, ErrorKind
-from cranberryfield.core.http import problem_of_error
+from cranberryfield.core.problems import problem_of_error
 from cranberryfield.entry.dispatch.event_payloads import DONE_PAYLOAD
 from cranberryfield.entry.requests.records import RequestRecord, RequestState
 
