--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -1,9 +1,8 @@
 """Sends a request to one upstream and reads or streams its response."""
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
 import anyio
 
@@ -19,6 +18,12 @@
     UpstreamConnection,
 )
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.relay.attempt_results import (
+    SERVER_ERRORS,
+    RelayAttemptOutcome,
+    RelayAttemptResult,
+    StreamProgress,
+)
 from cranberryfield.entry.relay.event_boundaries import EventBoundaryBuffer
 from cranberryfield.entry.relay.request import (
     RelayRequest,
@@ -26,15 +31,7 @@
     UpstreamCodec,
 )
 
-__all__ = [
-    "SERVER_ERRORS",
-    "RelayAttemptOutcome",
-    "RelayAttemptResult",
-    "StreamProgress",
-    "UpstreamTransport",
-    "call_upstream",
-    "stream_upstream",
-]
+__all__ = ["UpstreamTransport", "call_upstream", "stream_upstream"]
 
 MS_PER_S = 1000
 #: Part of a response that is kept until the whole has arrived, in bytes, so that
@@ -54,89 +51,10 @@
 #: response head is considered dead. Applies if another attempt may follow.
 REUSED_CONNECTION_WAIT_FRACTION = 0.45
 SUCCESS_STATUSES = range(200, 300)
-#: Statuses of upstream failures that may be temporary.
-SERVER_ERRORS = range(500, 600)
 #: Statuses from which a caller concludes that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class RelayAttemptOutcome(Enum):
-    """How an attempt ended."""
-
-    NOT_SENT = "not sent"
-    NOT_RUN = "not run"
-    MISDIRECTED = "misdirected"
-    ANSWERED = "answered"
-    STREAMED = "streamed"
-    BROKEN = "broken"
-
-
-@dataclass(frozen=True, slots=True)
-class RelayAttemptResult:
-    """Result of one attempt.
-
-    Attributes
-    ----------
-    outcome : RelayAttemptOutcome
-        How the attempt ended.
-    detail : str
-        Explanation for the log.
-    response : Response or None
-        The complete response, if the attempt ended as ``ANSWERED``.
-    metadata : ResponseMetadata or None
-        Metadata from the response headers.
-    connection_lost : bool
-        Whether the connection ended during the attempt.
-    had_answered : bool
-        Whether the upstream had begun its answer before that.
-    """
-
-    outcome: RelayAttemptOutcome
-    detail: str = ""
-    response: Response | None = None
-    metadata: ResponseMetadata | None = None
-    connection_lost: bool = False
-    had_answered: bool = False
-
-
-@dataclass(slots=True)
-class StreamProgress:
-    """Part of a streamed response that has been sent to the caller.
-
-    Attributes
-    ----------
-    send_head : callable
-        Sends the response head; called once, before the first event.
-    send_events : callable
-        Sends complete events.
-    is_head_sent : bool
-        Whether the head was sent.
-    last_event_id : str or None
-        Id of the last event sent.
-    events_sent : int
-        Events sent.
-    last_sent_at : float or None
-        Monotonic time in seconds at which events were last sent.
-    longest_pause_s : float
-        Longest time between two sends, in seconds.
-    """
-
-    send_head: Callable[[ResponseHead], Awaitable[None]]
-    send_events: Callable[[bytes], Awaitable[None]]
-    is_head_sent: bool = False
-    last_event_id: str | None = None
-    events_sent: int = 0
-    last_sent_at: float | None = None
-    longest_pause_s: float = 0.0
-
-    def record_sent(self, count: int, now: float) -> None:
-        """Count sent events and update the longest pause."""
-        self.events_sent += count
-        if self.last_sent_at is not None:
-            self.longest_pause_s = max(self.longest_pause_s, now - self.last_sent_at)
-        self.last_sent_at = now
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamTransport:
     """Transport that attempts use to reach upstreams.
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/crash_detection.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/crash_detection.py
@@ -13,7 +13,7 @@
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quarantine import Crash, QuarantineSection, SuspectExchange
 from cranberryfield.entry.registry import RegistryTable
-from cranberryfield.entry.relay.attempts import (
+from cranberryfield.entry.relay.attempt_results import (
     SERVER_ERRORS,
     RelayAttemptOutcome,
     RelayAttemptResult,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -20,11 +20,13 @@
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import RegistryTable, record_reply
-from cranberryfield.entry.relay.attempts import (
+from cranberryfield.entry.relay.attempt_results import (
     SERVER_ERRORS,
     RelayAttemptOutcome,
     RelayAttemptResult,
     StreamProgress,
+)
+from cranberryfield.entry.relay.attempts import (
     UpstreamTransport,
     call_upstream,
     stream_upstream,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/retry_rules.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/retry_rules.py
@@ -2,7 +2,7 @@
 
 from cranberryfield.core.deployment import Route
 from cranberryfield.core.messages.membership import UpstreamRecord
-from cranberryfield.entry.relay.attempts import (
+from cranberryfield.entry.relay.attempt_results import (
     SERVER_ERRORS,
     RelayAttemptOutcome,
     RelayAttemptResult,
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -71,6 +71,7 @@
     "reset_connection",
     "respond",
     "respond_after_foreign",
+    "send_all",
     "send_raw",
     "stream_events",
 ]
@@ -325,6 +326,21 @@
     return response
 
 
+def send_all(harness, count):
+    """Send requests one after the other; return the bodies of their responses."""
+    bodies = []
+
+    async def conversation(stream):
+        for _ in range(count):
+            async with await anyio.connect_tcp("127.0.0.1", harness.port) as caller:
+                await caller.send(get_request())
+                response = await read_all(caller)
+            bodies.append(response.partition(b"\r\n\r\n")[2])
+
+    anyio.run(harness.run, conversation)
+    return bodies
+
+
 def get_request(*lines, target=b"/x/y?q=%20A"):
     head = b"GET " + target + b" HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n"
     return (
--- a/tests/test_relay_limits.py
+++ b/tests/test_relay_limits.py
@@ -1,6 +1,5 @@
 """Requests at a relay whose upstreams state limits in their answers."""
 
-import anyio
 import msgspec
 import pytest
 
@@ -9,9 +8,8 @@
 from cranberryfield.entry.limits.stated_limits import StatedLimit
 from tests.relay_harness import (
     RelayHarness,
-    get_request,
-    read_all,
     respond,
+    send_all,
 )
 
 LIMITED = respond(body=b"limited", extra=b"Limit: 0.5\r\n")
@@ -19,21 +17,6 @@
 IDEMPOTENT, ONCE = RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT
 
 
-def send_all(harness, count):
-    """Send requests one after the other; return the bodies of their responses."""
-    bodies = []
-
-    async def conversation(stream):
-        for _ in range(count):
-            async with await anyio.connect_tcp("127.0.0.1", harness.port) as caller:
-                await caller.send(get_request())
-                response = await read_all(caller)
-            bodies.append(response.partition(b"\r\n\r\n")[2])
-
-    anyio.run(harness.run, conversation)
-    return bodies
-
-
 # Guards against requests that wait for an upstream at its limit, or that go there.
 @pytest.mark.parametrize("kind", [IDEMPOTENT, ONCE])
 def test_request_that_no_upstream_may_take_is_refused_at_once(kind):
--- a/tests/test_relay_statements.py
+++ b/tests/test_relay_statements.py
@@ -13,6 +13,7 @@
     read_all,
     refuse,
     respond,
+    send_all,
     send_raw,
     stream_events,
 )
@@ -26,21 +27,6 @@
 REFUSED = {"kind": "no_upstream", "run": "no"}
 
 
-def send_all(harness, count):
-    """Send requests one after the other; return the bodies of their responses."""
-    bodies = []
-
-    async def conversation(stream):
-        for _ in range(count):
-            async with await anyio.connect_tcp("127.0.0.1", harness.port) as caller:
-                await caller.send(get_request())
-                response = await read_all(caller)
-            bodies.append(response.partition(b"\r\n\r\n")[2])
-
-    anyio.run(harness.run, conversation)
-    return bodies
-
-
 def leave_with_broken_stream(request, stream):
     """Send the head of a stream, and an event of which the end is missing."""
 
