--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -296,12 +296,6 @@
         enable_dead_peer_detection(stream.extra(SocketAttribute.raw_socket))
         return UpstreamConnection(stream)
 
-    def idle_addresses(self) -> frozenset[str]:
-        """Return the addresses to which idle connections are kept."""
-        return frozenset(
-            address for address, idle in self._idle_connections.items() if idle
-        )
-
     def has_idle(self, address: str) -> bool:
         """Return whether an idle connection to an address is still open."""
         now = self.clock()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -168,7 +168,6 @@
             quarantine,
             limiter,
             statements.pauses,
-            transport.pool.idle_addresses,
             data_centre,
             clock,
         )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -1,7 +1,5 @@
 """Chooses the upstream of each attempt, apart from suspects and within limits."""
 
-from collections.abc import Callable, Container
-
 import anyio
 
 from cranberryfield.core.clock import Clock
@@ -43,8 +41,6 @@
         Keeps attempts within the limits that upstreams state.
     pauses : UpstreamPauses
         Upstreams that want no requests for a while.
-    idle_addresses : callable
-        Returns the addresses to which idle connections are kept.
     data_centre : DataCentre
         Data centre of this host.
     clock : Clock
@@ -58,7 +54,6 @@
         quarantine: RelayQuarantine,
         limiter: UpstreamLimiter,
         pauses: UpstreamPauses,
-        idle_addresses: Callable[[], Container[str]],
         data_centre: DataCentre,
         clock: Clock,
     ):
@@ -67,7 +62,6 @@
         self._quarantine = quarantine
         self._limiter = limiter
         self._pauses = pauses
-        self._idle_addresses = idle_addresses
         self._data_centre = data_centre
         self._clock = clock
         self._model = RelayCostModel()
@@ -139,7 +133,6 @@
     ) -> UpstreamRecord | None:
         """Choose an upstream; one that is probably gone only if there is no other."""
         now = self._clock()
-        connected = () if request.prompt_tokens else self._idle_addresses()
         doubtful = crashed | doubtful_among(self._table, candidates)
 
         def choose(excluded: set[UpstreamId]) -> UpstreamRecord | None:
@@ -151,7 +144,6 @@
                 self._data_centre,
                 now,
                 self._model,
-                connected,
             )
 
         excluded = unavailable.union(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_selection.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_selection.py
@@ -1,6 +1,5 @@
 """Selects the upstream of a relay attempt by expected time to first event."""
 
-from collections.abc import Container
 from dataclasses import dataclass
 
 import xxhash
@@ -93,7 +92,6 @@
     data_centre: DataCentre,
     now: float,
     model: RelayCostModel,
-    connected_addresses: Container[str] = (),
 ) -> UpstreamRecord | None:
     """Choose the upstream of the next attempt.
 
@@ -113,8 +111,6 @@
         Monotonic time in seconds.
     model : RelayCostModel
         Parameters of the estimate.
-    connected_addresses : container of str
-        Addresses to which this host has an idle connection.
 
     Returns
     -------
@@ -122,10 +118,9 @@
         None if all candidates were tried. If all untried ones are in backoff,
         the one whose backoff ends first. Otherwise those with a free slot are
         preferred. Among these, of the upstreams whose expected times are within
-        the margin, the one that has to prefill the fewest tokens, and for requests
-        without a prompt one to which a connection is open, as a host with few
-        requests would open one for each; remaining ties are broken by a hash of the
-        prompt and the upstream, which is the same on all hosts.
+        the margin, the one that has to prefill the fewest tokens; remaining
+        ties are broken by a hash of the prompt and the upstream, which is the
+        same on all hosts.
     """
     untried = [
         (record, loads.load_of(record.upstream))
@@ -157,15 +152,9 @@
         if expected_s <= limit_s
     ]
 
-    def selection_order(
-        estimate: tuple[int, UpstreamRecord],
-    ) -> tuple[int, bool, int]:
+    def selection_order(estimate: tuple[int, UpstreamRecord]) -> tuple[int, int]:
         tokens_to_prefill, record = estimate
-        needs_connection = (
-            not request.prompt_tokens and record.address not in connected_addresses
-        )
-        tie_break = _tie_break_hash(record.upstream, request)
-        return tokens_to_prefill, needs_connection, tie_break
+        return tokens_to_prefill, _tie_break_hash(record.upstream, request)
 
     return min(ties, key=selection_order)[1]
 
