Do not count data as sent that comes together with a stream's timeout

Cause: found while reading. A resumable stream is read and its events are sent under one scope. If its timeout and data came in the same step of the loop, the data was read, its id counted as sent, and the send was cancelled before it wrote: the stream then went on after an event that the caller never got.

Change: data that was read when the scope is already cancelled is not used; the stream goes on after the last event that was sent. Ruled out: to shield the send, which would let a caller that does not read hold the run.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -47,6 +47,7 @@
 #: Time without a complete event after which it is resumed although data arrives, in
 #: seconds.
 STREAM_STALL_TIMEOUT_S = 6.0
+STREAM_TIMED_OUT = "stream sent no data or no whole event before the timeout"
 #: Fraction of the time left after which a reused connection that has returned no
 #: response head is considered dead. Applies if another attempt may follow.
 REUSED_CONNECTION_WAIT_FRACTION = 0.45
@@ -333,8 +334,7 @@
             )
             is_complete = True
         if not is_complete:
-            detail = "stream sent no data or no whole event before the timeout"
-            raise ResponseTimeoutError(detail)
+            raise ResponseTimeoutError(STREAM_TIMED_OUT)
         return RelayAttemptResult(
             RelayAttemptOutcome.STREAMED, metadata=exchange.metadata
         )
@@ -365,6 +365,10 @@
             idle_scope.deadline = anyio.current_time() + timeout_s
         chunk = await exchange.connection.read_part()
         idle_scope.deadline = math.inf
+        if idle_scope.cancel_called:
+            # Data and the timeout came together. The data must not count as sent, as
+            # the next step that waits is cancelled.
+            raise ResponseTimeoutError(STREAM_TIMED_OUT)
         if chunk is None:
             break
         events = buffer.feed(chunk)
