--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -1,7 +1,7 @@
 """A small cluster of the platform adapter on loopback, with one runner."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -21,6 +21,8 @@
 CONTROL = ["control-1", "control-2", "control-3", "control-4"]
 RELAYS = ["relay-1", "relay-2"]
 MS_PER_S = 1000
+#: Tokens of each prompt part, and maximum number of output tokens.
+PART_TOKENS = 100
 #: Time after its deadline that a caller waits for a response, in seconds.
 ANSWER_GRACE_S = 2
 #: Retries per window of all hosts. Relays divide it by 12 until they know better.
@@ -224,6 +226,7 @@
         run_ms: float = 0.0,
         deadline_ms: int = 4_000,
         client: httpx.Client | None = None,
+        prompt_parts: Sequence[str] = (),
     ) -> httpx.Response | None:
         """Send a request to a relay; return None if the response is incomplete.
 
@@ -237,6 +240,11 @@
         }
         if run_ms:
             headers[DURATION_HEADER] = str(run_ms)
+        if prompt_parts:
+            headers["Prefix-Hash"] = ",".join(
+                f"{part}:{PART_TOKENS}" for part in prompt_parts
+            )
+            headers["Token-Usage"] = f"{PART_TOKENS * len(prompt_parts)},{PART_TOKENS}"
         url = f"http://{self.ip_addresses[name]}:{self.relay_port}{path}"
         try:
             if client is not None:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CRASH_BODY",
+    "CRASH_PART",
     "CRASH_WORD",
     "DURATION_HEADER",
     "LEAVING_SUFFIX",
@@ -25,6 +26,9 @@
 DURATION_HEADER = "Run-Ms"
 #: Beginning of the body of a request that ends the process when it begins to run.
 CRASH_BODY = b"crash"
+#: Beginning of the id of a prompt part, other than the last, that ends the process when
+#: a request with it begins to run.
+CRASH_PART = "dead"
 #: Last word of the journal line of a run that ended the process.
 CRASH_WORD = "crashed"
 CRASH_EXIT_CODE = 70
@@ -42,6 +46,11 @@
 REFUSED = 503
 
 
+def _has_crash_part(headers: dict[str, str]) -> bool:
+    *shared_parts, _ = headers.get("prefix-hash", "").split(",")
+    return any(part.startswith(CRASH_PART) for part in shared_parts)
+
+
 class EchoRunner(BaseHTTPRequestHandler):
     """Records each run in a journal and responds with the request headers."""
 
@@ -63,7 +72,7 @@
             self._record(headers, REFUSED_WORD)
             self._refuse(REFUSED, pause_s)
             return
-        crashes = body.startswith(CRASH_BODY)
+        crashes = body.startswith(CRASH_BODY) or _has_crash_part(headers)
         if self.journal is not None:
             self._record(headers, *([CRASH_WORD] if crashes else []))
             duration_ms = headers.get(DURATION_HEADER.lower())
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -23,6 +23,10 @@
 MAX_LATE_RETRIES = 3
 #: Time after the third crash at which hosts must know of it, in seconds.
 NOTICE_S = 3.0
+#: Crashes under requests with one prompt part until the part is known.
+MAX_PART_CRASHES = 5
+#: Requests of each kind that share a prompt part, and of sound ones beside them.
+PART_REQUESTS = 24
 #: Long enough for innocent requests on a busy machine.
 DEADLINE_MS = 30_000
 
@@ -165,3 +169,61 @@
     response = cluster.send_request("relay-2", body=body)
     assert response.status_code == 503
     assert count_crashes(fleet, body) == crashes
+
+
+# Position of the part that crashes upstreams, and path of the requests.
+CRASHING_PARTS = [
+    ("first part, idempotent", 0, "/x/1"),
+    ("first part, at most once", 0, "/once/1"),
+    ("second part, idempotent", 1, "/x/1"),
+    ("second part, at most once", 1, "/once/1"),
+]
+
+
+# Guards against requests that differ in all but one part of their prompts and crash
+# upstream after upstream with it, as each is new to the quarantine of requests.
+@pytest.mark.parametrize(
+    ("position", "path"),
+    [row[1:] for row in CRASHING_PARTS],
+    ids=[row[0] for row in CRASHING_PARTS],
+)
+def test_requests_with_a_prompt_part_that_crashes_upstreams_are_refused(
+    cluster, fleet, position, path
+):
+    name = f"{position}-{path.strip('/1')}-{fleet.keeps_ids}"
+    shared, deadly = f"shared-{name}", f"dead-{name}"
+
+    def send(number, kind):
+        """Send a request with parts of its own beside the shared ones."""
+        own = f"{kind}-{name}-{number}"
+        parts = [shared, f"{own}-2", f"{own}-3"]
+        if kind == "deadly":
+            parts[position] = deadly
+        return cluster.send_request(
+            RELAYS[number % len(RELAYS)],
+            path=path,
+            request=own,
+            body=own.encode(),
+            deadline_ms=DEADLINE_MS,
+            prompt_parts=parts,
+        ).status_code
+
+    def crashes():
+        return sum(one.startswith(f"deadly-{name}") for one in fleet.crashing_ids())
+
+    numbers = iter(range(1_000))
+    while crashes() < MAX_PART_CRASHES:
+        wait_until_served(cluster, fleet)
+        send(next(numbers), "deadly")
+        send(next(numbers), "sound")
+    known_at = time.monotonic() + NOTICE_S
+    wait_until(lambda: time.monotonic() > known_at, "relays have heard of it")
+    wait_until_served(cluster, fleet)
+    before = crashes()
+    statuses = {"deadly": [], "sound": []}
+    for _ in range(PART_REQUESTS):
+        for kind, results in statuses.items():
+            results.append(send(next(numbers), kind))
+    assert crashes() <= before + MAX_LATE_RETRIES
+    assert statuses["deadly"][-len(RELAYS) :] == [503] * len(RELAYS)
+    assert statuses["sound"] == [200] * PART_REQUESTS
