Refuse requests with a prompt part that crashes upstreams

Cause: the quarantine knew a request by its whole content. Class of fault: evidence is kept under a key that is narrower than the cause.

Change: a crash is also recorded for the prompt parts of the requests that had not got beyond their beginning, and hosts exchange it with the suspects. A part is the cause if at least three crashes apart in time (or five upstreams at two times) are explained by nothing else: no single request was in all of them, no run with the part went on for 0.5 s since, and no later part of the prompts explains them. It is refused for 60 s, doubled with each crash after that. Requests with it get the refusal of the quarantine at once, and no further attempt.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/quarantine.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/quarantine.py
@@ -19,6 +19,8 @@
         Time since the crash was noticed, in milliseconds.
     had_answered : bool
         Whether the run had begun its answer.
+    prompt_parts : tuple of bytes
+        Digests of the parts of its prompt that may have caused the crash.
     """
 
     fingerprint: bytes
@@ -26,19 +28,20 @@
     incarnation: Incarnation
     age_ms: int
     had_answered: bool
+    prompt_parts: tuple[bytes, ...] = ()
 
 
 class ClearedCrash(NestedRecord):
-    """A crash that does not count for a request, as it ran to its end later.
+    """A crash that does not count for a request or a prompt part.
 
     Attributes
     ----------
     fingerprint : bytes
-        Fingerprint of the request.
+        Fingerprint of the request, or digest of the part.
     upstream, incarnation
         The upstream process that crashed.
     age_ms : int
-        Time since the end of the request, in milliseconds.
+        Time since this was found, in milliseconds.
     """
 
     fingerprint: bytes
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/__init__.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/__init__.py
@@ -10,6 +10,13 @@
     body_digest,
     request_fingerprint,
 )
+from cranberryfield.entry.quarantine.prompt_parts import (
+    RUN_SETTLED_S,
+    crashing_part,
+    digest_prompt_parts,
+    part_crashes,
+    refused_until,
+)
 from cranberryfield.entry.quarantine.reservations import ReservationSection
 from cranberryfield.entry.quarantine.reserver import (
     UpstreamReserver,
@@ -26,6 +33,7 @@
 )
 
 __all__ = [
+    "RUN_SETTLED_S",
     "Crash",
     "QuarantineSection",
     "ReservationSection",
@@ -33,10 +41,14 @@
     "UpstreamReserver",
     "body_digest",
     "count_crashes",
+    "crashing_part",
+    "digest_prompt_parts",
     "is_quarantined",
     "make_cluster_reserver",
     "must_be_isolated",
+    "part_crashes",
     "quarantine_ends_at",
     "record_crash",
+    "refused_until",
     "request_fingerprint",
 ]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/exchange.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/exchange.py
@@ -1,5 +1,6 @@
 """Exchange of suspected requests among the hosts of a cluster."""
 
+from collections.abc import Collection
 from random import Random
 
 import anyio
@@ -11,6 +12,11 @@
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.quarantine import CompareSuspects, SuspectReport
+from cranberryfield.entry.quarantine.prompt_parts import (
+    crashing_part,
+    part_crashes,
+    record_settled_run,
+)
 from cranberryfield.entry.quarantine.reports import (
     answer_comparison,
     digest_suspects,
@@ -79,6 +85,7 @@
         self._rng = rng
         self._is_control = CONTROL_ROLE in mesh.hello.roles
         self._changed: set[bytes] = set()
+        self._refused_parts: set[bytes] = set()
         self._has_changes = anyio.Event()
         self._compare_now = anyio.Event()
         mesh.handle(SuspectReport, self._on_report)
@@ -99,6 +106,20 @@
             logger.info("request no longer suspected", fingerprint=fingerprint.hex())
             self._enqueue(fingerprint)
 
+    def report_settled_run(self, parts: Collection[bytes], began_at: float) -> None:
+        """Record that a run got beyond its beginning, and tell others if it matters.
+
+        Parameters
+        ----------
+        parts : collection of bytes
+            Digests of the prompt parts of its request.
+        began_at : float
+            Monotonic time in seconds at which its answer began.
+        """
+        for part in record_settled_run(self._section, parts, began_at, self._clock()):
+            self._enqueue(part)
+            self._log_part(part)
+
     async def run(self) -> None:
         """Exchange suspects until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -116,6 +137,21 @@
             crash_count=count_crashes(self._section, fingerprint),
             told_by=told_by,
             age_ms=int((self._clock() - crash.at) * MS_PER_S),
+            prompt_parts=[part.hex() for part in crash.prompt_parts],
+        )
+        for part in crash.prompt_parts:
+            self._log_part(part)
+
+    def _log_part(self, part: bytes) -> None:
+        """Log that requests with a prompt part are refused from now on, or no more."""
+        is_refused = crashing_part(self._section, [part], self._clock()) is not None
+        if is_refused == (part in self._refused_parts):
+            return
+        self._refused_parts ^= {part}
+        logger.info(
+            "prompt part refused" if is_refused else "prompt part no longer refused",
+            prompt_part=part.hex(),
+            crash_count=len(part_crashes(self._section, part)),
         )
 
     def _enqueue(self, fingerprint: bytes) -> None:
@@ -171,6 +207,8 @@
         merged = merge_report(self._section, report, self._clock())
         for fingerprint, crash in merged.crashes:
             self._log_crash(fingerprint, crash, sender)
+        for key in merged.cleared:
+            self._log_part(key)
         if self._is_control:
             for fingerprint in [*merged.cleared, *dict(merged.crashes)]:
                 self._enqueue(fingerprint)
@@ -183,3 +221,5 @@
         while True:
             await anyio.sleep(FORGET_INTERVAL_S)
             forget_expired(self._section, self._clock())
+            for part in list(self._refused_parts):
+                self._log_part(part)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/reports.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/reports.py
@@ -42,7 +42,7 @@
     crashes : list of tuple
         Fingerprints with the crashes that were not yet known for them.
     cleared : list of bytes
-        Fingerprints for which a crash was not yet known not to count.
+        Fingerprints and digests for which a crash was not yet known not to count.
     """
 
     crashes: list[tuple[bytes, Crash]]
@@ -75,7 +75,7 @@
     section : QuarantineSection
         Suspects known to this host.
     fingerprints : collection of bytes
-        Requests to report.
+        Requests, and prompt parts with cleared crashes, to report.
     now : float
         Monotonic time in seconds.
     """
@@ -84,7 +84,13 @@
         return int((now - at) * MS_PER_S)
 
     crashes = tuple(
-        CrashMark(fingerprint, *one.process, age_ms(one.at), one.had_answered)
+        CrashMark(
+            fingerprint,
+            *one.process,
+            age_ms(one.at),
+            one.had_answered,
+            one.prompt_parts,
+        )
         for fingerprint in fingerprints
         for one in section.crashes.get(fingerprint, ())
     )
@@ -140,7 +146,13 @@
     crashes = []
     for mark in report.crashes:
         age_s = mark.age_ms / MS_PER_S
-        crash = Crash(mark.upstream, mark.incarnation, now - age_s, mark.had_answered)
+        crash = Crash(
+            mark.upstream,
+            mark.incarnation,
+            now - age_s,
+            mark.had_answered,
+            mark.prompt_parts,
+        )
         is_recent = age_s < MAX_LEARNED_AGE_S
         if is_recent and record_crash(section, mark.fingerprint, crash):
             crashes.append((mark.fingerprint, crash))
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
@@ -44,12 +44,16 @@
     had_answered : bool
         Whether the run of the request had already begun its answer, which makes
         it less likely that the request caused the crash.
+    prompt_parts : tuple of bytes
+        Digests of the prompt parts, in order, that may have caused the crash; none
+        if the run had got beyond its beginning.
     """
 
     upstream: UpstreamId
     incarnation: Incarnation
     at: float
     had_answered: bool = False
+    prompt_parts: tuple[bytes, ...] = ()
 
     @property
     def process(self) -> UpstreamProcess:
@@ -70,16 +74,25 @@
         When requests last ran to their end on this host, by fingerprint, as
         monotonic time in seconds; the latest is last.
     cleared : dict
-        Crashes that do not count for a request, as it ran to its end later: by
-        fingerprint and process, the monotonic time in seconds of that end.
+        Crashes that do not count for a request, as it ran to its end later, or for
+        a prompt part, as a run with it got beyond its beginning: by fingerprint or
+        digest and process, the monotonic time in seconds of that.
     crashed_at : dict
         Earliest time at which each crash was noticed, by process.
+    requests_by_part : dict
+        By digest of a prompt part, the fingerprints of the requests in `crashes`
+        that have it.
+    part_refusals : dict
+        By digest of a prompt part, until when requests with it are refused, as
+        monotonic time in seconds; computed when asked for, until the next change.
     """
 
     crashes: dict[bytes, tuple[Crash, ...]] = field(default_factory=dict)
     completed_at: dict[bytes, float] = field(default_factory=dict)
     cleared: dict[tuple[bytes, UpstreamProcess], float] = field(default_factory=dict)
     crashed_at: dict[UpstreamProcess, float] = field(default_factory=dict)
+    requests_by_part: dict[bytes, set[bytes]] = field(default_factory=dict)
+    part_refusals: dict[bytes, float] = field(default_factory=dict)
 
 
 def record_crash(section: QuarantineSection, fingerprint: bytes, crash: Crash) -> bool:
@@ -109,11 +122,25 @@
         return False
     section.crashes.pop(fingerprint, None)
     section.crashes[fingerprint] = (*known, crash)
+    section.part_refusals.clear()
+    for part in crash.prompt_parts:
+        section.requests_by_part.setdefault(part, set()).add(fingerprint)
     if len(section.crashes) > MAX_FINGERPRINTS:
-        del section.crashes[_least_suspected(section)]
+        _remove_request(section, _least_suspected(section))
     return True
 
 
+def _remove_request(section: QuarantineSection, fingerprint: bytes) -> None:
+    """Forget the crashes of a request."""
+    section.part_refusals.clear()
+    for crash in section.crashes.pop(fingerprint, ()):
+        for part in crash.prompt_parts:
+            requests = section.requests_by_part.get(part, set())
+            requests.discard(fingerprint)
+            if not requests:
+                section.requests_by_part.pop(part, None)
+
+
 def _least_suspected(section: QuarantineSection) -> bytes:
     """Return the oldest fingerprint with a single crash, else the oldest of all."""
     for fingerprint, crashes in section.crashes.items():
@@ -177,14 +204,14 @@
     process: UpstreamProcess,
     at: float,
 ) -> bool:
-    """Record that one crash does not count for a request.
+    """Record that one crash does not count for a request or a prompt part.
 
     Parameters
     ----------
     section : QuarantineSection
         Changed in place.
     fingerprint : bytes
-        Fingerprint of the request.
+        Fingerprint of the request, or digest of the part.
     process : tuple
         The upstream that crashed and its incarnation.
     at : float
@@ -195,13 +222,16 @@
     bool
         Whether this was not yet known.
     """
-    known = section.crashes.pop(fingerprint, ())
+    known = section.crashes.get(fingerprint, ())
     remaining = tuple(crash for crash in known if crash.process != process)
     if remaining:
         section.crashes[fingerprint] = remaining
+    else:
+        _remove_request(section, fingerprint)
     key = (fingerprint, process)
     if key in section.cleared:
         return False
+    section.part_refusals.clear()
     section.cleared[key] = at
     while len(section.cleared) > MAX_FINGERPRINTS:
         del section.cleared[next(iter(section.cleared))]
@@ -247,7 +277,7 @@
     """Remove requests whose last crash, or completion, is `RETENTION_S` old."""
     for fingerprint in list(section.crashes):
         if quarantine_ends_at(section, fingerprint) <= now:
-            del section.crashes[fingerprint]
+            _remove_request(section, fingerprint)
     for key, at in list(section.cleared.items()):
         if at + RETENTION_S <= now:
             del section.cleared[key]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempt_results.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempt_results.py
@@ -9,11 +9,13 @@
 
 __all__ = [
     "SERVER_ERRORS",
+    "SUCCESS_STATUSES",
     "RelayAttemptOutcome",
     "RelayAttemptResult",
     "StreamProgress",
 ]
 
+SUCCESS_STATUSES = range(200, 300)
 #: Statuses of upstream failures that may be temporary.
 SERVER_ERRORS = range(500, 600)
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -20,6 +20,7 @@
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.relay.attempt_results import (
     SERVER_ERRORS,
+    SUCCESS_STATUSES,
     RelayAttemptOutcome,
     RelayAttemptResult,
     StreamProgress,
@@ -51,7 +52,6 @@
 #: Fraction of the time left after which a reused connection that has returned no
 #: response head is considered dead. Applies if another attempt may follow.
 REUSED_CONNECTION_WAIT_FRACTION = 0.45
-SUCCESS_STATUSES = range(200, 300)
 #: Statuses from which a caller concludes that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -281,7 +281,7 @@
     request: RelayRequest,
     record: UpstreamRecord,
     progress: StreamProgress,
-    on_first_event: Callable[[], None],
+    on_events: Callable[[], None],
     has_alternative: bool,
 ) -> RelayAttemptResult:
     """Send a request and forward the events of its response as they arrive.
@@ -296,8 +296,8 @@
         Upstream to send it to.
     progress : StreamProgress
         Part of the response that was sent before; the attempt resumes after it.
-    on_first_event : callable
-        Called when the first event of the attempt arrives.
+    on_events : callable
+        Called each time that events of the attempt arrive.
     has_alternative : bool
         Whether another attempt may follow if this one gets no response.
 
@@ -328,7 +328,7 @@
                 request,
                 exchange,
                 progress,
-                on_first_event,
+                on_events,
                 transport.clock,
                 idle_scope,
             )
@@ -351,13 +351,12 @@
     request: RelayRequest,
     exchange: _PendingExchange,
     progress: StreamProgress,
-    on_first_event: Callable[[], None],
+    on_events: Callable[[], None],
     clock: Clock,
     idle_scope: anyio.CancelScope,
 ) -> None:
     """Forward events; `idle_scope` gets a deadline while a resumable stream is read."""
     buffer = EventBoundaryBuffer()
-    is_first = True
     stalled_at = clock() + STREAM_STALL_TIMEOUT_S
     while True:
         if request.route.resumable:
@@ -377,9 +376,7 @@
         if not events.count:
             continue
         stalled_at = clock() + STREAM_STALL_TIMEOUT_S
-        if is_first:
-            is_first = False
-            on_first_event()
+        on_events()
         if not progress.is_head_sent:
             progress.is_head_sent = True
             await progress.send_head(exchange.head)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/crash_detection.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/crash_detection.py
@@ -11,15 +11,21 @@
 from cranberryfield.core.http1 import ConnectionPool
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
-from cranberryfield.entry.quarantine import Crash, QuarantineSection, SuspectExchange
+from cranberryfield.entry.quarantine import (
+    RUN_SETTLED_S,
+    Crash,
+    QuarantineSection,
+    SuspectExchange,
+)
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.relay.attempt_results import (
     SERVER_ERRORS,
+    SUCCESS_STATUSES,
     RelayAttemptOutcome,
     RelayAttemptResult,
 )
 
-__all__ = ["CrashDetector"]
+__all__ = ["CrashDetector", "ObservedRun"]
 
 #: Time for a connection to a possibly crashed upstream to open, in seconds.
 CHECK_TIMEOUT_S = 0.2
@@ -37,6 +43,39 @@
 logger = structlog.get_logger(__name__)
 
 
+@dataclass(slots=True)
+class ObservedRun:
+    """A run of a request on an upstream, while its attempt is in progress.
+
+    Attributes
+    ----------
+    fingerprint : bytes
+        Fingerprint of the request.
+    prompt_parts : tuple of bytes
+        Digests of the parts of its prompt that others may share.
+    record : UpstreamRecord
+        Upstream of the attempt.
+    started_at : float
+        Monotonic time in seconds at which the attempt began.
+    answered_at : float or None
+        Monotonic time in seconds at which the first event arrived.
+    is_settled : bool
+        Whether it has got beyond its beginning.
+    """
+
+    fingerprint: bytes
+    prompt_parts: tuple[bytes, ...]
+    record: UpstreamRecord
+    started_at: float
+    answered_at: float | None = None
+    is_settled: bool = False
+
+    @property
+    def suspect_parts(self) -> tuple[bytes, ...]:
+        """Prompt parts that may have caused a crash now."""
+        return () if self.is_settled else self.prompt_parts
+
+
 @dataclass(frozen=True, slots=True)
 class _UnconfirmedCrash:
     """A possible crash of an upstream that still accepted connections.
@@ -95,66 +134,83 @@
         self._awaiting_replacement: list[_UnconfirmedCrash] = []
         self._has_unconfirmed = anyio.Event()
 
-    async def examine(
-        self,
-        fingerprint: bytes,
-        record: UpstreamRecord,
-        result: RelayAttemptResult,
-        started_at: float,
-    ) -> bool:
+    def observe_events(self, run: ObservedRun) -> None:
+        """Note that events of a run have arrived.
+
+        Parameters
+        ----------
+        run : ObservedRun
+            Changed in place.
+        """
+        if run.is_settled:
+            return
+        now = self._clock()
+        if run.answered_at is None:
+            run.answered_at = now
+        elif now - run.answered_at >= RUN_SETTLED_S:
+            self._settle(run, run.answered_at)
+
+    def _settle(self, run: ObservedRun, began_at: float) -> None:
+        run.is_settled = True
+        if run.prompt_parts:
+            self._exchange.report_settled_run(run.prompt_parts, began_at)
+
+    async def examine(self, run: ObservedRun, result: RelayAttemptResult) -> bool:
         """Examine the end of an attempt; return whether the upstream has crashed.
 
         Parameters
         ----------
-        fingerprint : bytes
-            Fingerprint of the request.
-        record : UpstreamRecord
-            Upstream of the attempt.
+        run : ObservedRun
+            The run of the attempt.
         result : RelayAttemptResult
             How the attempt ended.
-        started_at : float
-            Monotonic time in seconds at which the attempt began.
         """
+        record = run.record
         if _ran_to_its_end(result):
-            self._exchange.report_completion(fingerprint)
+            self._exchange.report_completion(run.fingerprint)
+            if not run.is_settled and _has_succeeded(result):
+                began_at = run.answered_at
+                self._settle(run, run.started_at if began_at is None else began_at)
         if result.outcome is RelayAttemptOutcome.MISDIRECTED:
             self._confirm_crashes(lambda former: _is_same_process(record, former))
         if not result.connection_lost or self._is_leaving(record):
             return False
-        crash = Crash(
-            record.upstream, record.incarnation, self._clock(), result.had_answered
-        )
+        crash = self._crash_of(run, result.had_answered)
         crashed_at = self._section.crashed_at.get(crash.process)
-        if crashed_at is not None and started_at >= crashed_at:
+        if crashed_at is not None and run.started_at >= crashed_at:
             # The attempt began after the crash and is not its cause.
             return await self._is_refused(record)
         if crashed_at is not None or await self._is_refused(record):
-            self._record_crash(fingerprint, crash)
+            self._record_crash(run.fingerprint, crash)
             return True
-        self._check_later(_UnconfirmedCrash(fingerprint, record, crash))
+        self._check_later(_UnconfirmedCrash(run.fingerprint, record, crash))
         return False
 
-    def abandon(
-        self, fingerprint: bytes, record: UpstreamRecord, had_answered: bool
-    ) -> None:
+    def _crash_of(self, run: ObservedRun, had_answered: bool) -> Crash:
+        record = run.record
+        return Crash(
+            record.upstream,
+            record.incarnation,
+            self._clock(),
+            had_answered,
+            run.suspect_parts,
+        )
+
+    def abandon(self, run: ObservedRun) -> None:
         """Count a crash that comes soon after this host has ended an attempt.
 
         Few upstreams end a run at once when its connection is closed.
 
         Parameters
         ----------
-        fingerprint : bytes
-            Fingerprint of the request.
-        record : UpstreamRecord
-            Upstream of the attempt.
-        had_answered : bool
-            Whether the upstream had begun its answer.
+        run : ObservedRun
+            The run of the attempt.
         """
-        if self._is_leaving(record):
+        if self._is_leaving(run.record):
             return
-        crash = Crash(record.upstream, record.incarnation, self._clock(), had_answered)
+        crash = self._crash_of(run, run.answered_at is not None)
         self._check_later(
-            _UnconfirmedCrash(fingerprint, record, crash, is_abandoned=True)
+            _UnconfirmedCrash(run.fingerprint, run.record, crash, is_abandoned=True)
         )
 
     def _check_later(self, unconfirmed: _UnconfirmedCrash) -> None:
@@ -267,6 +323,11 @@
     return record.address == former.address and is_newer
 
 
+def _has_succeeded(result: RelayAttemptResult) -> bool:
+    """Return whether the upstream has answered with success, not only refused."""
+    return result.response is None or result.response.status in SUCCESS_STATUSES
+
+
 def _ran_to_its_end(result: RelayAttemptResult) -> bool:
     if result.outcome is RelayAttemptOutcome.ANSWERED:
         return result.response.status not in SERVER_ERRORS
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -10,10 +10,14 @@
     QuarantineSection,
     UpstreamReserver,
     count_crashes,
+    crashing_part,
     is_quarantined,
     must_be_isolated,
+    part_crashes,
     quarantine_ends_at,
+    refused_until,
 )
+from cranberryfield.entry.relay.request_state import RelayRequestState
 
 __all__ = ["RelayQuarantine"]
 
@@ -45,27 +49,46 @@
         self._reserver = reserver
         self._clock = clock
 
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Return whether a request is refused because it crashes upstreams."""
-        return is_quarantined(self._section, fingerprint)
+    def is_quarantined(self, state: RelayRequestState) -> bool:
+        """Return whether a request is refused, as it or its prompt crashes upstreams.
 
-    def refusal(self, fingerprint: bytes, was_run: WasRun) -> UnavailableError:
+        Parameters
+        ----------
+        state : RelayRequestState
+            State of the request.
+        """
+        return is_quarantined(self._section, state.fingerprint) or (
+            crashing_part(self._section, state.prompt_parts, self._clock()) is not None
+        )
+
+    def refusal(self, state: RelayRequestState, was_run: WasRun) -> UnavailableError:
         """Return the error for a quarantined request.
 
         Parameters
         ----------
-        fingerprint : bytes
-            Fingerprint of the request.
+        state : RelayRequestState
+            State of the request.
         was_run : WasRun
             Whether this attempt of its caller was run.
         """
-        ends_at = quarantine_ends_at(self._section, fingerprint)
-        crash_count = count_crashes(self._section, fingerprint)
+        now = self._clock()
+        part = crashing_part(self._section, state.prompt_parts, now)
+        if is_quarantined(self._section, state.fingerprint) or part is None:
+            ends_at = quarantine_ends_at(self._section, state.fingerprint)
+            crash_count = count_crashes(self._section, state.fingerprint)
+            detail = f"{crash_count} upstreams crashed while they ran the request"
+        else:
+            ends_at = refused_until(self._section, part)
+            crash_count = len(part_crashes(self._section, part))
+            detail = (
+                f"{crash_count} upstreams crashed while they ran requests with the "
+                f"prompt part {part.hex()}"
+            )
         return UnavailableError(
             ErrorKind.REQUEST_CRASHES_UPSTREAMS,
-            f"{crash_count} upstreams crashed while they ran the request",
+            detail,
             was_run=was_run,
-            retry_after_s=max(0.0, ends_at - self._clock()),
+            retry_after_s=max(0.0, ends_at - now),
         )
 
     def crashed_among(self, candidates: list[UpstreamRecord]) -> frozenset[UpstreamId]:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -18,6 +18,7 @@
 from cranberryfield.core.ids import DataCentre, ServiceName
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
+from cranberryfield.entry.quarantine import digest_prompt_parts
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import RegistryTable, record_reply
 from cranberryfield.entry.relay.attempt_results import (
@@ -31,7 +32,7 @@
     call_upstream,
     stream_upstream,
 )
-from cranberryfield.entry.relay.crash_detection import CrashDetector
+from cranberryfield.entry.relay.crash_detection import CrashDetector, ObservedRun
 from cranberryfield.entry.relay.demand import (
     DemandSection,
     record_arrival,
@@ -191,7 +192,12 @@
             cancelled and with it the attempt on the upstream.
         """
         credit_request(self._budget, request.service, request.arrived_at)
-        state = RelayRequestState(request.fingerprint)
+        state = RelayRequestState(
+            request.fingerprint,
+            digest_prompt_parts(
+                request.service, (part.id for part in request.prompt_parts)
+            ),
+        )
         record_arrival(self._demand, request.service, request.arrived_at)
         outcome = "caller left"
         time_left_s = request.deadline - self._clock()
@@ -272,7 +278,7 @@
                 )
             return None
         # It may have been quarantined while it waited.
-        may_run = not self._quarantine.is_quarantined(state.fingerprint)
+        may_run = not self._quarantine.is_quarantined(state)
         if may_run and state.sent_attempts:
             may_run = spend_windowed_retry(self._budget, request.service, self._clock())
         if not may_run:
@@ -282,9 +288,9 @@
         return record
 
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
-        if self._quarantine.is_quarantined(state.fingerprint):
+        if self._quarantine.is_quarantined(state):
             was_run = WasRun.YES if state.may_have_run else WasRun.NO
-            raise self._quarantine.refusal(state.fingerprint, was_run)
+            raise self._quarantine.refusal(state, was_run)
 
     def _unavailable_error(
         self, service: ServiceName, state: RelayRequestState
@@ -344,11 +350,14 @@
         load.own_attempts[request.id] = attempt
         load.record_prompt_parts(tuple(part.id for part in request.prompt_parts))
 
-        has_answered = False
+        started_at = self._clock()
+        run = ObservedRun(state.fingerprint, state.prompt_parts, record, started_at)
 
-        def on_first_event() -> None:
-            nonlocal has_answered
-            has_answered = True
+        def on_events() -> None:
+            is_first = run.answered_at is None
+            self._detector.observe_events(run)
+            if not is_first:
+                return
             attempt.prefill_tokens = 0
             record_run_start(self._usage, request)
             if state.first_event_at is None:
@@ -356,7 +365,6 @@
                 waited_s = state.first_event_at - request.arrived_at
                 self._metrics.observe("first_event", waited_s, **metric_labels(request))
 
-        started_at = self._clock()
         candidates = self._table.active_upstreams(request.service)
         has_alternative = may_follow(
             request.route, record, candidates, state
@@ -372,18 +380,16 @@
                     request,
                     record,
                     progress,
-                    on_first_event,
+                    on_events,
                     has_alternative,
                 )
         except anyio.get_cancelled_exc_class():
-            self._detector.abandon(state.fingerprint, record, has_answered)
+            self._detector.abandon(run)
             raise
         finally:
             load.own_attempts.pop(request.id, None)
             self._quarantine.release(state.fingerprint, record.upstream)
-        has_crashed = await self._detector.examine(
-            state.fingerprint, record, result, started_at
-        )
+        has_crashed = await self._detector.examine(run, result)
         state.has_pending_attempt = False
         self._record_result(request, record, result, has_crashed, state)
         return result
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -30,6 +30,8 @@
     ----------
     fingerprint : bytes
         Fingerprint of the request.
+    prompt_parts : tuple of bytes
+        Digests of the parts of its prompt that others may share.
     tried_processes : set of UpstreamProcess
         Upstreams that were attempted, whether or not they could be reached.
     sent_attempts, refusals, possible_runs, lost_runs : int
@@ -53,6 +55,7 @@
     """
 
     fingerprint: bytes
+    prompt_parts: tuple[bytes, ...] = ()
     tried_processes: set[UpstreamProcess] = field(default_factory=set)
     sent_attempts: int = 0
     refusals: int = 0
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -187,7 +187,8 @@
 class RelayHarness:
     """Relay with raw upstreams, called over a raw connection."""
 
-    def __init__(self, scripts, kind=RouteKind.IDEMPOTENT, **route):
+    def __init__(self, scripts, kind=RouteKind.IDEMPOTENT, prompt_parts=(), **route):
+        self.prompt_parts = prompt_parts
         self.upstreams = [ScriptedUpstream(script) for script in scripts]
         fields = {"timeout_ms": 8_000.0, "target_ms": 500.0, "max_attempts": 2}
         self.route = Route(
@@ -276,6 +277,7 @@
             WorkspaceSpec("notary"),
             now,
             now + left_s,
+            self.prompt_parts,
         )
         await self.relay.handle(request, exchange)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -23,7 +23,8 @@
 MAX_LATE_RETRIES = 3
 #: Time after the third crash at which hosts must know of it, in seconds.
 NOTICE_S = 3.0
-#: Crashes under requests with one prompt part until the part is known.
+#: Requests with one prompt part, each of which crashes an upstream, until the part is
+#: known.
 MAX_PART_CRASHES = 5
 #: Requests of each kind that share a prompt part, and of sound ones beside them.
 PART_REQUESTS = 24
@@ -194,13 +195,13 @@
     shared, deadly = f"shared-{name}", f"dead-{name}"
 
     def send(number, kind):
-        """Send a request with parts of its own beside the shared ones."""
+        """Send a request with parts of its own to one relay after the other."""
         own = f"{kind}-{name}-{number}"
         parts = [shared, f"{own}-2", f"{own}-3"]
         if kind == "deadly":
             parts[position] = deadly
         return cluster.send_request(
-            RELAYS[number % len(RELAYS)],
+            RELAYS[number // 2 % len(RELAYS)],
             path=path,
             request=own,
             body=own.encode(),
@@ -212,7 +213,8 @@
         return sum(one.startswith(f"deadly-{name}") for one in fleet.crashing_ids())
 
     numbers = iter(range(1_000))
-    while crashes() < MAX_PART_CRASHES:
+    # Idempotent requests crash several upstreams each.
+    for _ in range(MAX_PART_CRASHES):
         wait_until_served(cluster, fleet)
         send(next(numbers), "deadly")
         send(next(numbers), "sound")
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -6,8 +6,15 @@
 
 from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.deployment import RouteKind
-from cranberryfield.entry.quarantine import Crash, count_crashes, record_crash
+from cranberryfield.entry.quarantine import (
+    RUN_SETTLED_S,
+    Crash,
+    count_crashes,
+    digest_prompt_parts,
+    record_crash,
+)
 from cranberryfield.entry.relay.crash_detection import CONFIRM_DELAY_S
+from cranberryfield.entry.relay.request import PromptPart
 from tests.relay_harness import (
     RESPONSE_HEAD,
     RelayHarness,
@@ -16,6 +23,7 @@
     in_sequence,
     never_respond,
     read_all,
+    refuse,
     reset_connection,
     respond,
     send_raw,
@@ -304,3 +312,106 @@
     assert len(harness.received_requests) == 3
     (fingerprint,) = harness.suspects.crashes
     assert count_crashes(harness.suspects, fingerprint) == 3
+
+
+async def crash_after_head(request, stream):
+    """Send the head of an answer and crash before its first event."""
+    await stream.send(RESPONSE_HEAD % (200, request.header("id").encode()))
+    await stream.send(b"Transfer-Encoding: chunked\r\n\r\n")
+    return await crash(request, stream)
+
+
+async def crash_long_after_the_first_event(request, stream):
+    """Send the first event, one more when the run has settled, and crash."""
+    id_header = request.header("id").encode()
+    await stream.send(RESPONSE_HEAD % (200, id_header))
+    await stream.send(b"Transfer-Encoding: chunked\r\n\r\n")
+    for number in range(2):
+        event = b"id: %d\ndata: e\n\n" % number
+        await stream.send(b"%x\r\n" % len(event) + event + b"\r\n")
+        await anyio.sleep(RUN_SETTLED_S + 0.1)
+    return await crash(request, stream)
+
+
+PROMPT = (PromptPart("shared", 100), PromptPart("own", 100))
+SHARED = digest_prompt_parts("drafts", ("shared", "own"))
+# Kind, script, and prompt parts that may have caused the crash.
+SUSPECT_PARTS = [
+    ("before the answer", ONCE, crash, SHARED),
+    ("before the first event", STREAM, crash_after_head, SHARED),
+    ("after the first event", STREAM, crash_in_mid_answer(1, 2), SHARED),
+    ("later", STREAM, crash_long_after_the_first_event, ()),
+]
+
+
+# Guards against innocent parts being suspected for crashes long after the run began,
+# which a part does not cause.
+@pytest.mark.parametrize(
+    ("kind", "script", "expected"),
+    [row[1:] for row in SUSPECT_PARTS],
+    ids=[row[0] for row in SUSPECT_PARTS],
+)
+def test_which_prompt_parts_are_suspected(kind, script, expected):
+    harness = RelayHarness([script], kind, prompt_parts=PROMPT)
+    send_raw(harness, get_request())
+    ((one,),) = harness.suspects.crashes.values()
+    assert one.prompt_parts == expected
+
+
+# Kind, script after which the part is no longer suspected, and whether it is so.
+SETTLED_RUNS = [
+    ("success", ONCE, respond(), True),
+    ("complete stream", STREAM, stream_events(1, 2), True),
+    ("failure", ONCE, respond(500), False),
+    ("refusal of the caller", ONCE, respond(404), False),
+    ("refusal", ONCE, refuse(), False),
+    ("stream in progress", STREAM, crash_long_after_the_first_event, True),
+]
+
+
+# Guards against a part that is refused for the crashes of others although runs with it
+# end well, and against one that is cleared by answers that no run has begun.
+@pytest.mark.parametrize(
+    ("kind", "script", "is_cleared"),
+    [row[1:] for row in SETTLED_RUNS],
+    ids=[row[0] for row in SETTLED_RUNS],
+)
+def test_which_runs_clear_their_prompt_parts(kind, script, is_cleared):
+    harness = RelayHarness([script], kind, prompt_parts=PROMPT)
+    before = monotonic_clock() - 10.0
+    record_crash(harness.suspects, b"other", Crash("x", 1, before, prompt_parts=SHARED))
+    send_raw(harness, get_request())
+    assert ((SHARED[0], ("x", 1)) in harness.suspects.cleared) is is_cleared
+
+
+# Guards against a request with a refused part that is sent to an upstream, or refused
+# with the claim that it has not run although this attempt of it has.
+@pytest.mark.parametrize(("known_crashes", "was_run"), [(3, "no"), (2, "yes")])
+def test_request_with_a_refused_prompt_part(known_crashes, was_run):
+    harness = RelayHarness([crash], ONCE, prompt_parts=PROMPT)
+    now = monotonic_clock()
+    for number in range(known_crashes):
+        at = now - 10.0 + number
+        one = Crash(f"x{number}", 1, at, prompt_parts=SHARED)
+        record_crash(harness.suspects, b"%d" % number, one)
+    response = send_raw(harness, get_request())
+    refusal = msgspec.json.decode(response.partition(b"\r\n\r\n")[2])
+    assert refusal == {"kind": "request_crashes_upstreams", "run": was_run}
+    assert len(harness.received_requests) == (known_crashes < 3)
+
+
+# Guards against a request whose part is refused while its first attempt runs, and which
+# then crashes another upstream.
+def test_no_further_attempt_follows_once_the_prompt_part_is_refused():
+    async def crash_with_others(request, stream):
+        for number in range(2):
+            at = monotonic_clock() - 10.0 + number
+            one = Crash(f"x{number}", 1, at, prompt_parts=SHARED)
+            record_crash(harness.suspects, b"%d" % number, one)
+        return await crash(request, stream)
+
+    harness = RelayHarness([crash_with_others] * 3, IDEMPOTENT, prompt_parts=PROMPT)
+    response = send_raw(harness, get_request())
+    refusal = msgspec.json.decode(response.partition(b"\r\n\r\n")[2])
+    assert (refusal["kind"], refusal["run"]) == ("request_crashes_upstreams", "yes")
+    assert len(harness.received_requests) == 1
