--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/prompt_parts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/prompt_parts.py
@@ -97,7 +97,7 @@
             if part in crash.prompt_parts
             and (part, crash.process) not in section.cleared
         }
-        if any(
+        if not own or any(
             _is_cause(_unexplained_crashes(section, later, known))
             for later in _parts_behind(part, own.values())
         ):
