--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
@@ -59,6 +59,8 @@
     leave_ms : int
         Time between the notice and the end of a leaving upstream, in
         milliseconds.
+    software_version : str
+        Version of the upstream's software, not of its weights; empty if not given.
     """
 
     upstream: UpstreamId
@@ -75,6 +77,7 @@
     load: LoadReport = LoadReport()
     home: NodeId = NodeId("")
     leave_ms: int = 0
+    software_version: str = ""
 
     @property
     def process(self) -> UpstreamProcess:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
@@ -70,6 +70,7 @@
                 upstream=record.upstream,
                 service=record.service,
                 incarnation=record.incarnation,
+                software_version=record.software_version,
                 sequence=record.sequence,
                 leaving=record.leaving,
             )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
@@ -159,6 +159,7 @@
                 upstream=record.upstream,
                 service=record.service,
                 incarnation=record.incarnation,
+                software_version=record.software_version,
                 leaving=record.leaving,
                 told_by=sender,
                 age_ms=age_ms,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
@@ -53,6 +53,8 @@
         Tokens of the prompt, and maximum number of tokens to generate.
     last_event_id : str or None
         Id of the last event that the caller received from an earlier request.
+    resumes : str or None
+        Id of the earlier request whose response had the first event of the stream.
     """
 
     id: str
@@ -67,6 +69,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: str | None = None
+    resumes: str | None = None
 
     @property
     def rank(self) -> int:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -97,12 +97,13 @@
             return None
         return round((moment - request.arrived_at) * MS_PER_S, 1)
 
-    # Only where they may be the cause, as most lines need none.
-    prompt = (
-        {"prompt_parts": [part.id for part in request.prompt_parts]}
-        if state.lost_runs
-        else {}
-    )
+    # Fields that most lines do not need.
+    further = {}
+    if state.lost_runs:
+        further["prompt_parts"] = [part.id for part in request.prompt_parts]
+    if request.last_event_id is not None:
+        further["resumes"] = request.resumes
+        further["last_event_id"] = request.last_event_id
     logger.info(
         "request ended",
         request=request.id,
@@ -118,5 +119,5 @@
         waited_ms=round(state.waited_s * MS_PER_S),
         took_ms=elapsed_ms(now),
         left_ms=round((request.deadline - now) * MS_PER_S),
-        **prompt,
+        **further,
     )
