--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -13,6 +13,7 @@
     LEAVING_SUFFIX,
     LIMIT_SUFFIX,
     PAUSE_SUFFIX,
+    STREAM_PATH,
 )
 from standins.processes import Process, free_port, wait_until
 
@@ -47,13 +48,23 @@
 }
 
 
+#: A route of streams that may be resumed.
+STREAM_ROUTE = {
+    **ROUTE,
+    "name": "r3",
+    "path_prefix": STREAM_PATH,
+    "route_type": "streaming",
+    "resumable": True,
+}
+
+
 def deployment_document(
     version: int, keys: tuple[str, ...] = ("k1",), **changes
 ) -> dict:
     """Return a deployment document; `changes` replace fields of its first route."""
     return {
         "version": version,
-        "routes": [{**ROUTE, **changes}, ONCE_ROUTE],
+        "routes": [{**ROUTE, **changes}, ONCE_ROUTE, STREAM_ROUTE],
         "services": [{"name": "s1"}],
         "limits": {},
         "tenants": [{"name": "t1", "api_keys": list(keys)}],
@@ -149,6 +160,7 @@
         sequence: int,
         runner: str = "i-1",
         started_at: float = 0.001,
+        version: str = "v1",
     ) -> bool:
         """Send a runner's heartbeat to a control host; return whether it worked.
 
@@ -158,6 +170,7 @@
             "service": "s1",
             "address": f"127.0.0.1:{port}",
             "zone": "fann",
+            "version": version,
             "slots": 8,
             "state": "ready",
             "seq": sequence,
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -17,6 +17,8 @@
     "LIMIT_SUFFIX",
     "PAUSE_SUFFIX",
     "REFUSED_WORD",
+    "STREAM_EVENTS",
+    "STREAM_PATH",
     "EchoRunner",
 ]
 
@@ -42,6 +44,11 @@
 #: while it exists, all requests are refused, and recorded with `REFUSED_WORD`.
 PAUSE_SUFFIX = ".pause"
 REFUSED_WORD = "refused"
+#: Beginning of the paths whose requests get a stream of events, the number of these,
+#: and the time between two in seconds. The data of an event is the id of its runner.
+STREAM_PATH = "/stream/"
+STREAM_EVENTS = 20
+EVENT_INTERVAL_S = 0.05
 MISDIRECTED = 421
 REFUSED = 503
 
@@ -79,6 +86,9 @@
             time.sleep(float(duration_ms) / 1000 if duration_ms else RUN_DURATION_S)
         if crashes:
             os._exit(CRASH_EXIT_CODE)
+        if self.path.startswith(STREAM_PATH):
+            self._stream(int(headers.get("last-event-id") or 0))
+            return
         body = json.dumps({"headers": headers, "path": self.path}).encode()
         self.send_response(200)
         self.send_header("Content-Type", "application/json")
@@ -95,6 +105,19 @@
 
     do_POST = do_GET  # noqa: N815 - the name that the library calls
 
+    def _stream(self, last_event: int) -> None:
+        self.send_response(200)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.send_header("Attempt-Id", self.headers["Attempt-Id"])
+        self.send_header("Server-Signature", "signed")
+        self.end_headers()
+        for number in range(last_event + 1, STREAM_EVENTS + 1):
+            event = f"id: {number}\ndata: {self.runner_id}\n\n".encode()
+            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            time.sleep(EVENT_INTERVAL_S)
+        self.wfile.write(b"0\r\n\r\n")
+
     def _record(self, headers: dict[str, str], *words: str) -> None:
         request = [headers["attempt-id"], str(headers.get("tenant"))]
         line = [*request, f"{time.monotonic():.3f}", *words]
--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -46,6 +46,8 @@
         Time between the end of a runner and its next start, in seconds.
     keeps_ids : bool
         Whether a runner keeps its id when it starts again.
+    versions : sequence of str
+        Versions of the runners' software, which take turns.
     holds_listeners : bool
         Whether the fleet has the listening sockets, as a supervisor with socket
         activation, so that an address accepts connections while its runner is down.
@@ -58,11 +60,13 @@
         restart_s: float = 0.5,
         keeps_ids: bool = False,
         holds_listeners: bool = False,
+        versions: Sequence[str] = ("v1",),
     ):
         self._cluster = cluster
         self._restart_s = restart_s
         self._keeps_ids = keeps_ids
         self._holds_listeners = holds_listeners
+        self._versions = versions
         self._ended = threading.Event()
         self._rng = Random(count)
         self._slots = [self._create_slot(number) for number in range(count)]
@@ -92,6 +96,11 @@
         """
         return [line.split() for line in self._journal_path.read_text().splitlines()]
 
+    def version_of(self, runner: str) -> str:
+        """Return the version of the software of a runner."""
+        number = int(runner.removeprefix("f").partition("-")[0])
+        return self._versions[number % len(self._versions)]
+
     def crash_times(self, request_ids: set[str]) -> list[float]:
         """Return the times of the runs of some requests that ended their runner."""
         return [
@@ -178,7 +187,12 @@
         number = slot.sequence + 1
         if self._call_any(
             lambda control: self._cluster.announce(
-                control, slot.port, number, slot.runner, slot.started_at
+                control,
+                slot.port,
+                number,
+                slot.runner,
+                slot.started_at,
+                self.version_of(slot.runner),
             )
         ):
             slot.sequence = number
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -187,7 +187,14 @@
 class RelayHarness:
     """Relay with raw upstreams, called over a raw connection."""
 
-    def __init__(self, scripts, kind=RouteKind.IDEMPOTENT, prompt_parts=(), **route):
+    def __init__(
+        self,
+        scripts,
+        kind=RouteKind.IDEMPOTENT,
+        prompt_parts=(),
+        versions=None,
+        **route,
+    ):
         self.prompt_parts = prompt_parts
         self.upstreams = [ScriptedUpstream(script) for script in scripts]
         fields = {"timeout_ms": 8_000.0, "target_ms": 500.0, "max_attempts": 2}
@@ -204,7 +211,17 @@
         self.table = RegistryTable()
         for number, one in enumerate(self.upstreams):
             record = UpstreamRecord(
-                f"u{number}", 1, 1, "drafts", "fann", one.address, "", (), 8, 0
+                f"u{number}",
+                1,
+                1,
+                "drafts",
+                "fann",
+                one.address,
+                "",
+                (),
+                8,
+                0,
+                software_version=versions[number] if versions else "",
             )
             accept_record(self.table, record, 0.0)
         clock = monotonic_clock
@@ -295,6 +312,12 @@
                     await conversation(stream)
                 tasks.cancel_scope.cancel()
 
+    def prefer(self, number):
+        """Make the relay choose an upstream before the others."""
+        for other in range(len(self.upstreams)):
+            if other != number:
+                self.loads.load_of(f"u{other}").remote_in_flight = 4
+
     def mark_leaving(self, number):
         """Mark an upstream as leaving, after the relay has chosen it."""
         entry = self.table.entries[f"u{number}"]
