--- a/tests/test_relay_versions.py
+++ b/tests/test_relay_versions.py
@@ -22,8 +22,8 @@
     return await crash(request, stream)
 
 
-# Versions of the upstreams, script of the first one, whether the stream goes on, and the
-# upstreams that get nothing. Those after the first have the whole stream.
+# Versions of the upstreams, script of the first one, whether the stream goes on, and
+# the upstreams that get nothing. Those after the first have the whole stream.
 RESUMPTIONS = {
     "another of its version": (["v1", "v2", "v1"], BREAKS, True, [1]),
     "another version only": (["v1", "v2", "v2"], BREAKS, False, [1, 2]),
