Resume streams only at the software version that began them

Cause: a relay resumed a stream at any upstream of its service; nothing in the choice knew versions, and runners do not check them.

Change: a stream that has begun goes on only at upstreams of the service and software version that began it, and not at a process that has crashed, as its id or address may be back as another version. If there is none, it ends visibly broken. Before the first event any version may be tried.

Ruled out: to resume at another version when there is no other, which is the fault itself; to compare versions of weights, which is another field.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -59,6 +59,7 @@
     may_rerun,
     may_try_another,
 )
+from cranberryfield.entry.relay.stream_origins import StreamOrigin, may_go_on
 from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
 from cranberryfield.entry.relay.upstream_pauses import (
@@ -359,13 +360,17 @@
             if not is_first:
                 return
             attempt.prefill_tokens = 0
+            if state.origin is None:
+                state.origin = StreamOrigin(record.service, record.software_version)
             record_run_start(self._usage, request)
             if state.first_event_at is None:
                 state.first_event_at = self._clock()
                 waited_s = state.first_event_at - request.arrived_at
                 self._metrics.observe("first_event", waited_s, **metric_labels(request))
 
-        candidates = self._table.active_upstreams(request.service)
+        candidates = may_go_on(
+            state.origin, self._table.active_upstreams(request.service)
+        )
         has_alternative = may_follow(
             request.route, record, candidates, state
         ) and has_windowed_retry(self._budget, request.service, started_at)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -9,6 +9,7 @@
 from cranberryfield.core.ids import UpstreamProcess
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.relay.request import RelayRequest
+from cranberryfield.entry.relay.stream_origins import StreamOrigin
 
 __all__ = [
     "RelayRequestState",
@@ -43,6 +44,8 @@
         attempt is in progress.
     charged_workspace : WorkspaceSpec or None
         Workspace whose quota was charged.
+    origin : StreamOrigin or None
+        What began the stream, once it has begun.
     admitted_at, first_event_at : float or None
         Monotonic time in seconds at which the quota was granted and at which
         the first event arrived.
@@ -64,6 +67,7 @@
     may_have_run: bool = False
     has_pending_attempt: bool = False
     charged_workspace: WorkspaceSpec | None = None
+    origin: StreamOrigin | None = None
     admitted_at: float | None = None
     first_event_at: float | None = None
     waited_s: float = 0.0
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -10,6 +10,7 @@
 from cranberryfield.entry.relay.quarantine import RelayQuarantine
 from cranberryfield.entry.relay.request import RelayRequest
 from cranberryfield.entry.relay.request_state import RelayRequestState
+from cranberryfield.entry.relay.stream_origins import may_go_on
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
 from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses, paused_among
 from cranberryfield.entry.relay.upstream_selection import (
@@ -93,7 +94,9 @@
             state.fingerprint, request.deadline
         )
         while True:
-            candidates = self._table.active_upstreams(request.service)
+            candidates = may_go_on(
+                state.origin, self._table.active_upstreams(request.service)
+            )
             crashed = self._quarantine.crashed_among(candidates)
             unavailable = reserved_for_others.union(
                 self._limiter.exhausted_among(candidates),
@@ -151,6 +154,9 @@
             for record in candidates
             if record.process in state.tried_processes
         )
+        if state.origin is not None:
+            # What has taken the place of a crashed upstream may be another version.
+            excluded |= crashed
         record = choose(excluded | doubtful)
         is_usable = (
             record is not None
