Let callers take streams up only at the software version that began them

Cause: nothing that one relay knew of a stream was known to another one, and the id of the attempt that began it was not read. Class of fault: a state that callers carry from host to host, kept nowhere.

Change: before a resumable stream runs, its relay records the service and the software version, and tells two control hosts if the service has several versions; when a second one appears, it tells them of its streams in progress. A stream that is taken up at a relay that does not know it is asked for at the control hosts. It goes on at its version only; if nobody knows, only where the service has a single version; else the caller is refused at once, as not run.

Ruled out: to record at the first event, since a relay that is killed then has told nobody; to tell all relays, which costs the square of their number; to tell control hosts of each stream while there is one version, which is the usual state; the id of an event or a header as carrier, as answers are passed on unchanged; the leader's log, as a sync for each stream is not worth it.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -22,6 +22,7 @@
     reports,
     requests,
     settings,
+    streams,
 )
 from cranberryfield.core.messages.base import Message
 
@@ -53,6 +54,7 @@
     reports,
     requests,
     settings,
+    streams,
 )
 _MESSAGE_TYPES = tuple(
     value
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -42,6 +42,7 @@
 from cranberryfield.entry.quota import QuotaLeeway, QuotaServer
 from cranberryfield.entry.registry import RegistryPublisher, RegistryTable
 from cranberryfield.entry.reports import ReportCollector
+from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 
 __all__ = ["ControlHost"]
 
@@ -71,6 +72,8 @@
         Publishes the registry of upstreams.
     exchange : SuspectExchange
         Exchanges requests that are suspected of crashing upstreams.
+    streams : StreamDirectory
+        Knows what began the streams that callers may take up again.
     proposer : Proposer
         Sends commands and queries to the leader.
     leader_tasks : tuple
@@ -84,6 +87,7 @@
         runtime: ControlRuntime,
         publisher: RegistryPublisher,
         exchange: SuspectExchange,
+        streams: StreamDirectory,
         proposer: Proposer,
         leader_tasks: tuple[UsageReporter | UpstreamAutoscaler, ...],
     ):
@@ -92,6 +96,7 @@
         self._runtime = runtime
         self._publisher = publisher
         self._exchange = exchange
+        self._streams = streams
         self._proposer = proposer
         self._leader_tasks = leader_tasks
         self._server_state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
@@ -121,6 +126,9 @@
         suspects = board.add(QuarantineSection())
         exchange = SuspectExchange(suspects, mesh, names, clock, rng)
         make_cluster_reserver(board, mesh, names, clock)
+        streams = StreamDirectory(
+            board.add(StreamOriginSection()), table, mesh, names, clock
+        )
         proposer = Proposer(mesh, names.known, clock)
         section = board.read(ControlSection)
         deployment = _applied_deployment(section)
@@ -162,6 +170,7 @@
             runtime,
             publisher,
             exchange,
+            streams,
             proposer,
             leader_tasks,
         )
@@ -172,6 +181,7 @@
             tasks.start_soon(self._runtime.run)
             tasks.start_soon(self._publisher.run)
             tasks.start_soon(self._exchange.run)
+            tasks.start_soon(self._streams.run)
             for task in self._leader_tasks:
                 tasks.start_soon(task.run)
             address = split_address(self._address)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -57,6 +57,7 @@
 from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports import HostReporter
+from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 
 __all__ = ["RelayHost", "not_ready_retry_s"]
 
@@ -229,6 +230,10 @@
         detector = CrashDetector(suspects, exchange, table, pool, metrics, clock)
         replica = RegistryReplica(table, mesh, names, clock, rng)
         replica.watch(detector.on_announcement)
+        streams = StreamDirectory(
+            board.add(StreamOriginSection()), table, mesh, names, clock
+        )
+        replica.watch(streams.on_announcement)
         leaser = make_upstream_leaser(leader, hosts, mesh, clock)
         limiter = UpstreamLimiter(limits, table, leaser, hosts, clock)
         statements = UpstreamStatements(
@@ -249,6 +254,7 @@
             detector,
             limiter,
             statements,
+            streams,
             UpstreamTransport(
                 pool, adapter.upstream_codec, clock, statements.on_answer
             ),
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -59,7 +59,7 @@
     may_rerun,
     may_try_another,
 )
-from cranberryfield.entry.relay.stream_origins import StreamOrigin, may_go_on
+from cranberryfield.entry.relay.stream_origins import find_resumed_origin, may_go_on
 from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
 from cranberryfield.entry.relay.upstream_pauses import (
@@ -74,6 +74,7 @@
     has_windowed_retry,
     spend_windowed_retry,
 )
+from cranberryfield.entry.streams import StreamDirectory, StreamOrigin
 
 __all__ = ["Relay"]
 
@@ -116,6 +117,8 @@
         Keeps attempts within the limits that upstreams state.
     statements : UpstreamStatements
         Applies what upstreams say of themselves.
+    streams : StreamDirectory
+        Knows what began the streams that callers take up again.
     transport : UpstreamTransport
         Transport to the upstreams.
     send_error : callable
@@ -142,6 +145,7 @@
         detector: CrashDetector,
         limiter: UpstreamLimiter,
         statements: UpstreamStatements,
+        streams: StreamDirectory,
         transport: UpstreamTransport,
         send_error: SendError,
         metrics: Metrics,
@@ -159,6 +163,7 @@
         self._detector = detector
         self._limiter = limiter
         self._statements = statements
+        self._streams = streams
         self._transport = transport
         self._send_error = send_error
         self._metrics = metrics
@@ -180,6 +185,7 @@
             tasks.start_soon(self._detector.run)
             tasks.start_soon(self._limiter.run)
             tasks.start_soon(self._statements.run)
+            tasks.start_soon(self._streams.run)
 
     async def handle(self, request: RelayRequest, exchange: Exchange) -> None:
         """Relay a request and send its response, or an error.
@@ -223,13 +229,17 @@
         self, request: RelayRequest, exchange: Exchange, state: RelayRequestState
     ) -> str:
         self._refuse_if_quarantined(state)
+        is_stream = request.route.kind is RouteKind.STREAM
+        if is_stream and request.last_event_id is not None:
+            state.origin = await find_resumed_origin(
+                self._streams, self._table, request
+            )
         if request.workspace is not None:
             await self._quota.admit(
                 request.workspace, request.quota_cost, request.route.rank
             )
             state.charged_workspace = request.workspace
         state.admitted_at = self._clock()
-        is_stream = request.route.kind is RouteKind.STREAM
         progress = _stream_progress(exchange)
         for _ in range(MAX_TOTAL_ATTEMPTS):
             record = await self._select_upstream(request, state)
@@ -306,11 +316,15 @@
                 was_run=WasRun.UNKNOWN,
                 retry_after_s=retry_after_s,
             )
+        detail = "no upstream of the service is accepting the request"
+        if unavailable_s:
+            detail = "all upstreams of the service want no requests at present"
+        elif state.origin is not None:
+            version = state.origin.software_version
+            detail = f"no upstream of version {version!r}, which began the stream"
         return UnavailableError(
             ErrorKind.NO_UPSTREAM,
-            "all upstreams of the service want no requests at present"
-            if unavailable_s
-            else "no upstream of the service is accepting the request",
+            detail,
             was_run=WasRun.NO,
             retry_after_s=retry_after_s,
         )
@@ -351,6 +365,10 @@
         load.own_attempts[request.id] = attempt
         load.record_prompt_parts(tuple(part.id for part in request.prompt_parts))
 
+        if request.route.resumable and state.origin is None:
+            # Before the run, so that it is known when the caller has the first event.
+            origin = StreamOrigin(record.service, record.software_version)
+            self._streams.record(request.id, origin, request.deadline)
         started_at = self._clock()
         run = ObservedRun(state.fingerprint, state.prompt_parts, record, started_at)
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -9,7 +9,7 @@
 from cranberryfield.core.ids import UpstreamProcess
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.relay.request import RelayRequest
-from cranberryfield.entry.relay.stream_origins import StreamOrigin
+from cranberryfield.entry.streams import StreamOrigin
 
 __all__ = [
     "RelayRequestState",
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -1,20 +1,63 @@
-"""The service and software version that began a stream, and who may go on with it."""
+"""Which upstreams may go on with a stream, by what began it."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
-from cranberryfield.core.ids import ServiceName
+from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.entry.registry import RegistryTable
+from cranberryfield.entry.relay.request import RelayRequest
+from cranberryfield.entry.streams import (
+    StreamDirectory,
+    StreamOrigin,
+    known_versions,
+    resumed_origin,
+)
 
-__all__ = ["StreamOrigin", "may_go_on"]
+__all__ = ["find_resumed_origin", "may_go_on"]
 
+#: Time after which control hosts that have not answered may be asked again, in seconds.
+UNANSWERED_RETRY_S = 0.5
 
-@dataclass(frozen=True, slots=True)
-class StreamOrigin:
-    """What began a stream; the events of another version do not fit to its own."""
 
-    service: ServiceName
-    software_version: str
+async def find_resumed_origin(
+    directory: StreamDirectory, table: RegistryTable, request: RelayRequest
+) -> StreamOrigin:
+    """Return what began the stream that a caller takes up again.
+
+    Parameters
+    ----------
+    directory : StreamDirectory
+        Knows, or asks others, what began it.
+    table : RegistryTable
+        Announced upstreams.
+    request : RelayRequest
+        The request, with the id of the last event that its caller received.
+
+    Raises
+    ------
+    UnavailableError
+        Of kind ``no_upstream`` if the stream must not go on, since it is not known
+        what began it, or since the route leads to another service now.
+    """
+    found, was_answered = None, True
+    if request.resumes:
+        answer = await directory.find(request.resumes)
+        found, was_answered = answer.origin, answer.was_answered
+    versions = known_versions(table, request.service)
+    origin = resumed_origin(found, request.service, versions)
+    if origin is not None:
+        return origin
+    if found is not None:
+        detail = f"the stream was begun by {found.service}, which the route has left"
+    else:
+        detail = "the software version that began the stream is not known"
+    # Control hosts that have not answered may do so soon; else coming back is no use.
+    raise UnavailableError(
+        ErrorKind.NO_UPSTREAM,
+        detail,
+        was_run=WasRun.NO,
+        retry_after_s=None if was_answered else UNANSWERED_RETRY_S,
+    )
 
 
 def may_go_on(
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -56,6 +56,7 @@
 from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
 from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
+from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 from standins.processes import free_port
 from standins.scripted_upstream import ScriptedUpstream, UpstreamCrash
 
@@ -250,6 +251,9 @@
             self.suspects, exchange, self.table, pool, metrics, clock
         )
         self.loads = LoadSection()
+        self.streams = StreamDirectory(
+            StreamOriginSection(), self.table, mesh, names, clock
+        )
         self.relay = Relay(
             self.table,
             self.loads,
@@ -261,6 +265,7 @@
             self.detector,
             self.limiter,
             statements,
+            self.streams,
             UpstreamTransport(
                 pool,
                 UpstreamCodec(_encode_request_headers, _read_response_metadata),
@@ -295,6 +300,8 @@
             now,
             now + left_s,
             self.prompt_parts,
+            last_event_id=find_header(headers, b"last"),
+            resumes=find_header(headers, b"resumes"),
         )
         await self.relay.handle(request, exchange)
 
--- a/tests/test_relay_versions.py
+++ b/tests/test_relay_versions.py
@@ -1,8 +1,12 @@
-"""At which software version a relay lets a stream go on within one answer."""
+"""At which software version a relay lets a stream go on."""
 
+import anyio
+import msgspec
 import pytest
 
+from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.deployment import RouteKind
+from cranberryfield.entry.streams import FoundOrigin, StreamOrigin
 from tests.relay_harness import (
     RelayHarness,
     crash,
@@ -67,3 +71,62 @@
     # The last chunk, without which the answer is visibly broken off.
     assert response.endswith(b"0\r\n\r\n") is goes_on
     assert not any(harness.upstreams[number].requests for number in untouched)
+
+
+# Versions of the upstreams, what is known of the stream as service and version, the id
+# that the caller names, and the upstream at which it goes on.
+TAKEN_UP = {
+    "its version": (["v1", "v2"], ("drafts", "v2"), "first", 1),
+    "its version is gone": (["v1", "v1"], ("drafts", "v2"), "first", None),
+    "unknown, one version": (["v1", "v1"], None, "first", 0),
+    "unknown, several versions": (["v1", "v2"], None, "first", None),
+    "no id, one version": (["v1", "v1"], None, "", 0),
+    "no id, several versions": (["v1", "v2"], ("drafts", "v2"), "", None),
+    "another stream": (["v1", "v2"], ("drafts", "v2"), "other", None),
+    "another service": (["v1", "v1"], ("other", "v1"), "first", None),
+}
+
+
+# Guards against a caller's stream that goes on at another version, and against one that
+# is refused although its version serves.
+@pytest.mark.parametrize(
+    ("versions", "origin", "resumes", "expected"),
+    TAKEN_UP.values(),
+    ids=TAKEN_UP.keys(),
+)
+def test_at_which_upstream_a_stream_is_taken_up(versions, origin, resumes, expected):
+    harness = RelayHarness(
+        [ENDS] * len(versions), RouteKind.STREAM, versions=versions, resumable=True
+    )
+    harness.prefer(0)
+    if origin is not None:
+        deadline = monotonic_clock() + 10.0
+        harness.streams.record("first", StreamOrigin(*origin), deadline)
+    named = [b"Resumes: " + resumes.encode()] if resumes else []
+    response = send_raw(harness, get_request(b"Last: 2", *named))
+    counts = [len(one.requests) for one in harness.upstreams]
+    assert counts == [int(number == expected) for number in range(len(versions))]
+    if expected is None:
+        refusal = msgspec.json.decode(response.partition(b"\r\n\r\n")[2])
+        assert refusal == {"kind": "no_upstream", "run": "no"}
+    else:
+        assert response.count(b"data: ") == TOTAL - 2
+
+
+def test_a_stream_that_was_taken_up_keeps_its_origin():
+    harness = RelayHarness([ENDS], RouteKind.STREAM, versions=["v1"], resumable=True)
+    send_raw(harness, get_request(b"Last: 2", b"Resumes: first"))
+    # Callers name the request that had the first event, not the one that went on.
+    assert anyio.run(harness.streams.find, "r1") == FoundOrigin(None, False)
+
+
+def test_the_origin_of_a_stream_is_known_before_its_run():
+    known = []
+
+    async def look_up(request, stream):
+        known.append(await harness.streams.find("r1"))
+        return await ENDS(request, stream)
+
+    harness = RelayHarness([look_up], RouteKind.STREAM, versions=["v1"], resumable=True)
+    send_raw(harness, get_request())
+    assert known == [FoundOrigin(StreamOrigin("drafts", "v1"), True)]
