--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/section.py
@@ -20,7 +20,7 @@
 ]
 
 #: Maximum number of streams whose origin is kept; the oldest make room.
-MAX_ORIGINS = 100_000
+MAX_ORIGINS = 50_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,9 +86,14 @@
 
 
 def forget_ended(section: StreamOriginSection, now: float) -> None:
-    """Remove streams that may not be taken up any more."""
-    ended = [one for one, known in section.origins.items() if known.until <= now]
-    for request in ended:
+    """Remove streams that may not be taken up any more.
+
+    One that is recorded later and ends sooner stays until those before it have ended.
+    """
+    while section.origins:
+        request, known = next(iter(section.origins.items()))
+        if known.until > now:
+            return
         del section.origins[request]
 
 
