Add prompts, crashing prompt parts and streams of two versions to the soak

Callers share a first prompt part, some have a part that ends its runner, and two callers read streams, leave them and take them up at any relay while runners of two versions serve. Checked: at most three runs with the part later than 3 s after its fifth crash, no sound request refused as crashing, events of a stream in order and of one version.

--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -13,15 +13,25 @@
     LEAVING_SUFFIX,
     LIMIT_SUFFIX,
     PAUSE_SUFFIX,
+    STREAM_EVENTS,
     STREAM_PATH,
 )
 from standins.processes import Process, free_port, wait_until
 
-__all__ = ["CONTROL", "RELAYS", "Cluster", "deployment_document", "running_cluster"]
+__all__ = [
+    "CONTROL",
+    "RELAYS",
+    "Cluster",
+    "deployment_document",
+    "read_stream",
+    "running_cluster",
+]
 
 CONTROL = ["control-1", "control-2", "control-3", "control-4"]
 RELAYS = ["relay-1", "relay-2"]
 MS_PER_S = 1000
+#: Time without data after which a caller gives a stream up, in seconds.
+STREAM_TIMEOUT_S = 8.0
 #: Tokens of each prompt part, and maximum number of output tokens.
 PART_TOKENS = 100
 #: Time after its deadline that a caller waits for a response, in seconds.
@@ -278,6 +288,44 @@
         return response.status_code if response is not None else 0
 
 
+def read_stream(
+    cluster: Cluster,
+    relay: str,
+    request: str,
+    limit: int = STREAM_EVENTS,
+    **headers: str,
+) -> tuple[int, list[tuple[int, str]]]:
+    """Read events of a stream, and leave after `limit` of them.
+
+    Returns the status, and the id and the runner of each event. A stream that breaks
+    off gives the events before.
+    """
+    url = f"http://{cluster.ip_addresses[relay]}:{cluster.relay_port}{STREAM_PATH}1"
+    fields = {
+        "Host": "a.example",
+        "Attempt-Id": request,
+        "Authorization": "Token k1",
+        "Deadline-Ms": "4000",
+        **headers,
+    }
+    events, number = [], None
+    with (
+        httpx.Client(trust_env=False, timeout=STREAM_TIMEOUT_S) as client,
+        client.stream("POST", url, headers=fields) as response,
+    ):
+        try:
+            for line in response.iter_lines():
+                if line.startswith("id: "):
+                    number = int(line.removeprefix("id: "))
+                elif line.startswith("data: "):
+                    events.append((number, line.removeprefix("data: ")))
+                if len(events) == limit:
+                    break
+        except httpx.HTTPError:
+            pass
+        return response.status_code, events
+
+
 @contextmanager
 def running_cluster(folder: Path) -> Iterator[Cluster]:
     """Run a cluster whose relays serve requests and stop it on exit.
--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -97,7 +97,9 @@
         return [line.split() for line in self._journal_path.read_text().splitlines()]
 
     def version_of(self, runner: str) -> str:
-        """Return the version of the software of a runner."""
+        """Return the version of the software of a runner, the first for any other."""
+        if not runner.startswith("f"):
+            return self._versions[0]
         number = int(runner.removeprefix("f").partition("-")[0])
         return self._versions[number % len(self._versions)]
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -9,7 +9,7 @@
 
 from standins.windows import most_in_window
 
-__all__ = ["Observations", "SentRequest", "broken_promises"]
+__all__ = ["Observations", "ReceivedStream", "SentRequest", "broken_promises"]
 
 #: Statuses which tell a caller that its request was not run.
 NOT_RUN = frozenset({429, 503})
@@ -19,6 +19,8 @@
 #: Crashes after which a request is refused, the time in seconds in which relays
 #: without a fault hear of them, and the runs that are tolerated after that.
 CRASHES_UNTIL_KNOWN = 3
+#: The same for requests that share a prompt part.
+PART_CRASHES_UNTIL_KNOWN = 5
 CONTACT_S = 3.0
 MAX_LATE_RUNS = 3
 #: In each such span, in seconds, a runner may get so many times the limit that it
@@ -61,6 +63,22 @@
     was_quarantined: bool = False
 
 
+@dataclass(slots=True)
+class ReceivedStream:
+    """What a caller has received of a stream, over all its attempts.
+
+    Attributes
+    ----------
+    id : str
+        Id of its first request.
+    events : list of (int, str)
+        Id of each event, and the software version of the runner that wrote it.
+    """
+
+    id: str
+    events: list[tuple[int, str]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Observations:
     """Observations of one run.
@@ -79,6 +97,10 @@
         Time at which the withdrawal of the key ``k2`` was acknowledged.
     crash_times : dict of str to list of float
         By crashing request, the monotonic times of the runs that ended their runner.
+    part_crash_times : list of float
+        The same for the requests with a prompt part that crashes runners.
+    streams : list of ReceivedStream
+        Streams of all callers.
     disturbances : list of (float, float)
         Beginnings and ends of the faults of relays.
     limits : list of (float, float, float)
@@ -101,6 +123,8 @@
     reads: list[tuple[float, int]] = field(default_factory=list)
     withdrawn_at: float | None = None
     crash_times: dict[str, list[float]] = field(default_factory=dict)
+    part_crash_times: list[float] = field(default_factory=list)
+    streams: list[ReceivedStream] = field(default_factory=list)
     disturbances: list[tuple[float, float]] = field(default_factory=list)
     limits: list[tuple[float, float, float]] = field(default_factory=list)
     run_times: list[float] = field(default_factory=list)
@@ -129,8 +153,17 @@
         broken += _broken_by_request(
             request, runs[request.id], observations.withdrawn_at
         )
+    for stream in observations.streams:
+        broken += _broken_by_stream(stream)
+    late = _late_runs(
+        sorted(observations.part_crash_times),
+        observations.disturbances,
+        PART_CRASHES_UNTIL_KNOWN,
+    )
+    if late > MAX_LATE_RUNS:
+        broken.append(f"a prompt part ran {late} times after its fifth crash")
     for name, times in observations.crash_times.items():
-        late = _late_runs(sorted(times), observations.disturbances)
+        late = _late_runs(sorted(times), observations.disturbances, CRASHES_UNTIL_KNOWN)
         if late > MAX_LATE_RUNS:
             broken.append(f"{name} ran {late} times after its third crash")
     for begin, end, rate in observations.limits:
@@ -151,15 +184,30 @@
     return broken
 
 
-def _late_runs(times: list[float], disturbances: list[tuple[float, float]]) -> int:
-    """Count the runs of a crashing request that all relays should have refused.
+def _broken_by_stream(stream: ReceivedStream) -> list[str]:
+    broken = []
+    numbers = [number for number, _ in stream.events]
+    if numbers != list(range(1, len(numbers) + 1)):
+        broken.append(f"stream {stream.id} has the events {numbers}")
+    versions = {version for _, version in stream.events}
+    if len(versions) > 1:
+        broken.append(f"stream {stream.id} has events of {sorted(versions)}")
+    return broken
+
+
+def _late_runs(
+    times: list[float],
+    disturbances: list[tuple[float, float]],
+    crashes_until_known: int,
+) -> int:
+    """Count the runs of crashing requests that all relays should have refused.
 
-    Those are the runs later than `CONTACT_S` after the third crash, while no relay
+    Those are the runs later than `CONTACT_S` after so many crashes, while no relay
     had a fault within `CONTACT_S`.
     """
-    if len(times) < CRASHES_UNTIL_KNOWN:
+    if len(times) < crashes_until_known:
         return 0
-    known_at = times[CRASHES_UNTIL_KNOWN - 1] + CONTACT_S
+    known_at = times[crashes_until_known - 1] + CONTACT_S
     return sum(
         at > known_at
         and not any(begin <= at <= end + CONTACT_S for begin, end in disturbances)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,14 +15,25 @@
     CONTROL,
     RELAYS,
     deployment_document,
+    read_stream,
     running_cluster,
 )
-from standins.platform_runner import REFUSED_WORD
+from standins.platform_runner import (
+    CRASH_BODY,
+    CRASH_PART,
+    REFUSED_WORD,
+    STREAM_EVENTS,
+)
 from standins.processes import free_port, wait_until
 from standins.proxy import FaultProxy
 from standins.runner_fleet import RunnerFleet
 from tests.soak.faults import Fault, draw_fault
-from tests.soak.promises import Observations, SentRequest, broken_promises
+from tests.soak.promises import (
+    Observations,
+    ReceivedStream,
+    SentRequest,
+    broken_promises,
+)
 
 __all__ = ["Outcome", "run_seed"]
 
@@ -35,6 +46,16 @@
 #: Bodies of requests that crash their runners, and the share of requests with one.
 CRASHING_BODIES = [b"crash-1", b"crash-2"]
 CRASHING_SHARE = 0.05
+#: Share of requests with a prompt, of which some have a part that crashes runners; all
+#: share their first part.
+PROMPT_SHARE = 0.3
+CRASHING_PROMPT_SHARE = 0.1
+FIRST_PART = "shared"
+#: Software versions of the runners, which take turns.
+VERSIONS = ("v1", "v2")
+STREAM_CALLERS = 2
+#: Times that a caller takes a stream up before it gives up.
+MAX_STREAM_ATTEMPTS = 6
 #: Requests that a caller sends over one set of connections.
 REQUESTS_PER_CONNECTION = 40
 FAULT_STEP_S = 0.1
@@ -76,6 +97,8 @@
         self.cluster = cluster
         self.fleet = fleet
         self.ids_of_crashing: defaultdict[str, set[str]] = defaultdict(set)
+        self.ids_with_crashing_part: set[str] = set()
+        self.stream_ids: set[str] = set()
         self.observations = Observations()
         self.lock = threading.Lock()
         self.ended = threading.Event()
@@ -108,16 +131,33 @@
         if rng.random() < CRASHING_SHARE:
             body = rng.choice(CRASHING_BODIES)
             self.ids_of_crashing[f"{path} {body.decode()}"].add(request)
+        parts = ()
+        if rng.random() < PROMPT_SHARE:
+            second = f"second-{rng.randint(1, 5)}"
+            if rng.random() < CRASHING_PROMPT_SHARE:
+                second = f"{CRASH_PART}-1"
+                self.ids_with_crashing_part.add(request)
+            parts = (FIRST_PART, second, request)
+            body = body or request.encode()
+        is_sound = not (
+            body.startswith(CRASH_BODY) or request in self.ids_with_crashing_part
+        )
         at = time.monotonic()
         response = self.cluster.send_request(
-            rng.choice(RELAYS), key, path, request, body, client=client
+            rng.choice(RELAYS),
+            key,
+            path,
+            request,
+            body,
+            client=client,
+            prompt_parts=parts,
         )
         status = response.status_code if response is not None else 0
         answered_id = (
             response.headers.get("Attempt-Id") if response is not None else None
         )
         was_quarantined = (
-            response is not None and not body and QUARANTINED in response.text
+            response is not None and is_sound and QUARANTINED in response.text
         )
         with self.lock:
             self.observations.sent.append(
@@ -126,6 +166,39 @@
                 )
             )
 
+    def read_streams(self, number: int) -> None:
+        """Read streams, leave some of them, and take all up again until they end."""
+        rng = Random(f"{self.seed}-streams-{number}")
+        count = 0
+        while not self.ended.is_set():
+            count += 1
+            request = first = f"s{number}-{count}"
+            stream = ReceivedStream(first)
+            for attempt in range(MAX_STREAM_ATTEMPTS):
+                resumed = {}
+                if stream.events:
+                    resumed["Resumes"] = first
+                    resumed["Last-Event-Id"] = str(stream.events[-1][0])
+                limit = rng.randint(1, STREAM_EVENTS)
+                try:
+                    _, events = read_stream(
+                        self.cluster, rng.choice(RELAYS), request, limit, **resumed
+                    )
+                except httpx.HTTPError:
+                    events = []
+                if events and not stream.events:
+                    first = request
+                stream.events += [
+                    (event, self.fleet.version_of(runner)) for event, runner in events
+                ]
+                with self.lock:
+                    self.stream_ids.add(request)
+                if len(stream.events) >= STREAM_EVENTS or self.ended.is_set():
+                    break
+                request = f"s{number}-{count}-{attempt}"
+            with self.lock:
+                self.observations.streams.append(stream)
+
     def state_limits(self) -> None:
         """Have the runner behind the link state limits until the run ends."""
         rng = Random(f"{self.seed}-limits")
@@ -204,7 +277,9 @@
     rng = Random(seed)
     with (
         running_cluster(folder) as cluster,
-        RunnerFleet(cluster, runners, keeps_ids=seed % 2 == 0) as fleet,
+        RunnerFleet(
+            cluster, runners, keeps_ids=seed % 2 == 0, versions=VERSIONS
+        ) as fleet,
         start_blocking_portal() as portal,
     ):
         link = FaultProxy(free_port(), cluster.runner_port)
@@ -219,6 +294,10 @@
             threading.Thread(target=soak.send_requests, args=(number,))
             for number in range(CALLERS)
         ]
+        threads += [
+            threading.Thread(target=soak.read_streams, args=(number,))
+            for number in range(STREAM_CALLERS)
+        ]
         threads.append(
             threading.Thread(
                 target=soak.declare_and_read,
@@ -284,10 +363,13 @@
     observations.crash_times = {
         name: soak.fleet.crash_times(ids) for name, ids in soak.ids_of_crashing.items()
     }
+    observations.part_crash_times = soak.fleet.crash_times(soak.ids_with_crashing_part)
     sent_ids = {request.id for request in observations.sent}
     # Excludes requests of the cluster setup and of the final readiness checks.
     observations.runs = [
-        line.split()[0] for line in lines if not line.startswith("id-")
+        request
+        for request in (line.split()[0] for line in lines)
+        if not (request.startswith("id-") or request in soak.stream_ids)
     ]
     served = sum(request.status == OK for request in observations.sent)
     return Outcome(broken_promises(observations), faults, served, len(sent_ids))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from tests.soak.promises import Observations, SentRequest, broken_promises
+from tests.soak.promises import (
+    Observations,
+    ReceivedStream,
+    SentRequest,
+    broken_promises,
+)
 from tests.soak.run import run_seed
 
 SECONDS = 8.0
@@ -69,6 +74,37 @@
     assert bool(broken_promises(observations)) is is_broken
 
 
+# Times of the runs with a prompt part that ended their runner, and whether a promise is
+# broken.
+PART_CRASH_CASES = [
+    ([1.0, 2.0, 3.0, 4.0, 5.0, 8.0, 8.1, 8.2], False),
+    ([1.0, 2.0, 3.0, 4.0, 5.0, 8.1, 8.2, 8.3, 8.4], True),
+]
+
+
+@pytest.mark.parametrize(("times", "is_broken"), PART_CRASH_CASES)
+def test_late_runs_with_a_crashing_prompt_part_are_reported(times, is_broken):
+    observations = Observations(part_crash_times=times)
+    assert bool(broken_promises(observations)) is is_broken
+
+
+# Events of a stream, and the message on it.
+STREAM_CASES = [
+    ([], None),
+    ([(1, "v1"), (2, "v1")], None),
+    ([(1, "v1"), (2, "v2")], "has events of"),
+    ([(1, "v1"), (3, "v1")], "has the events"),
+    ([(1, "v1"), (1, "v1")], "has the events"),
+]
+
+
+@pytest.mark.parametrize(("events", "message"), STREAM_CASES)
+def test_streams_that_do_not_fit_together_are_reported(events, message):
+    broken = broken_promises(Observations(streams=[ReceivedStream("s1", events)]))
+    assert bool(broken) is (message is not None)
+    assert message is None or message in broken[0]
+
+
 # Times of the runs on a runner that states a limit of 1 a second from 0 to 20 s, of
 # which 11 are allowed in 4 s, and whether a promise is broken.
 LIMIT_CASES = [
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -9,9 +9,10 @@
     CONTROL,
     RELAYS,
     deployment_document,
+    read_stream,
     running_cluster,
 )
-from standins.platform_runner import STREAM_EVENTS, STREAM_PATH
+from standins.platform_runner import STREAM_EVENTS
 from standins.processes import wait_until
 from standins.runner_fleet import RunnerFleet
 
@@ -19,7 +20,6 @@
 VERSIONS = ("v1", "v1.1", "v2")
 RUNNERS = 6
 STREAMS = 18
-TIMEOUT_S = 8.0
 
 
 @pytest.fixture(scope="module")
@@ -53,38 +53,6 @@
     return status == OK and events[0][1] in fleet.runner_ids
 
 
-def read_stream(cluster, relay, request, limit=STREAM_EVENTS, **headers):
-    """Read events of a stream, and leave after `limit` of them.
-
-    Returns the status, and the id and the runner of each event. A stream that breaks
-    off gives the events before.
-    """
-    url = f"http://{cluster.ip_addresses[relay]}:{cluster.relay_port}{STREAM_PATH}1"
-    fields = {
-        "Host": "a.example",
-        "Attempt-Id": request,
-        "Authorization": "Token k1",
-        "Deadline-Ms": "4000",
-        **headers,
-    }
-    events, number = [], None
-    with (
-        httpx.Client(trust_env=False, timeout=TIMEOUT_S) as client,
-        client.stream("POST", url, headers=fields) as response,
-    ):
-        try:
-            for line in response.iter_lines():
-                if line.startswith("id: "):
-                    number = int(line.removeprefix("id: "))
-                elif line.startswith("data: "):
-                    events.append((number, line.removeprefix("data: ")))
-                if len(events) == limit:
-                    break
-        except httpx.HTTPError:
-            pass
-        return response.status_code, events
-
-
 def take_up(cluster, relay, request, events):
     """Take a stream up again after the events that were received."""
     return read_stream(
