Bound the crashes that are considered for a prompt part

Cause: found by reading and measured: with 10,000 requests in flight in crashes and a part in common, each change made the next request compute for 466 ms on the only loop; and a relay that heard of 930 upstreams at once looked through its whole registry for each. Class of fault: cost that grows with what a storm of crashes leaves behind.

Change: crashes that do not count for a part are dropped at once, and the latest 16 with 8 requests each are kept: 8 ms. Versions of a service are collected as they are announced, and looked up again every 5 s. Ruled out: a cache alone, since each crash changes what it holds.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/prompt_parts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/prompt_parts.py
@@ -89,34 +89,30 @@
         return known[part]
     known[part] = {}
     crashes: dict[UpstreamProcess, Crash] = {}
-    suspects = []
-    for fingerprint in section.requests_by_part.get(part, ()):
-        own = {
-            crash.process: crash
-            for crash in section.crashes.get(fingerprint, ())
-            if part in crash.prompt_parts
-            and (part, crash.process) not in section.cleared
-        }
-        if not own or any(
-            _is_cause(_unexplained_crashes(section, later, known))
-            for later in _parts_behind(part, own.values())
-        ):
-            continue
-        suspects.append(own)
-        for process, crash in own.items():
+    suspects: dict[bytes, set[UpstreamProcess]] = {}
+    for process, fingerprints in section.part_crashes.get(part, {}).items():
+        for fingerprint in fingerprints:
+            crash = _crash_of(section, fingerprint, process)
+            later = crash.prompt_parts[crash.prompt_parts.index(part) + 1 :]
+            if any(
+                _is_cause(_unexplained_crashes(section, one, known)) for one in later
+            ):
+                continue
+            suspects.setdefault(fingerprint, set()).add(process)
             if process not in crashes or crash.at < crashes[process].at:
                 crashes[process] = crash
-    if any(own.keys() >= crashes.keys() for own in suspects):
+    if any(len(processes) == len(crashes) for processes in suspects.values()):
         crashes = {}
     known[part] = crashes
     return crashes
 
 
-def _parts_behind(part: bytes, crashes: Collection[Crash]) -> tuple[bytes, ...]:
-    """Return the parts that follow one in the prompt of a request."""
-    for crash in crashes:
-        return crash.prompt_parts[crash.prompt_parts.index(part) + 1 :]
-    return ()
+def _crash_of(
+    section: QuarantineSection, fingerprint: bytes, process: UpstreamProcess
+) -> Crash:
+    return next(
+        crash for crash in section.crashes[fingerprint] if crash.process == process
+    )
 
 
 def _is_cause(crashes: dict[UpstreamProcess, Crash]) -> bool:
@@ -160,7 +156,7 @@
     >>> refused_until(section, b"p")
     63.0
     """
-    if part not in section.requests_by_part:
+    if part not in section.part_crashes:
         return -inf
     until = section.part_refusals.get(part)
     if until is None:
@@ -220,14 +216,16 @@
     """
     cleared = []
     for part in parts:
-        processes = {
-            crash.process
-            for fingerprint in section.requests_by_part.get(part, ())
-            for crash in section.crashes.get(fingerprint, ())
-            if part in crash.prompt_parts and crash.at < began_at
-        }
-        # Each process is recorded, also if an earlier one was new.
-        are_new = [clear_crash(section, part, process, now) for process in processes]
-        if any(are_new):
+        processes = [
+            process
+            for process, fingerprints in section.part_crashes.get(part, {}).items()
+            if any(
+                _crash_of(section, fingerprint, process).at < began_at
+                for fingerprint in fingerprints
+            )
+        ]
+        for process in processes:
+            clear_crash(section, part, process, now)
+        if processes:
             cleared.append(part)
     return cleared
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/section.py
@@ -29,6 +29,9 @@
 #: Maximum numbers of fingerprints and of crashes that are remembered.
 MAX_FINGERPRINTS = 10_000
 MAX_KNOWN_CRASHES = 1_000
+#: Latest crashes that are considered for a prompt part, and requests in each of them.
+MAX_CRASHES_OF_PART = 16
+MAX_REQUESTS_OF_PART = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,9 +82,10 @@
         digest and process, the monotonic time in seconds of that.
     crashed_at : dict
         Earliest time at which each crash was noticed, by process.
-    requests_by_part : dict
-        By digest of a prompt part, the fingerprints of the requests in `crashes`
-        that have it.
+    part_crashes : dict
+        By digest of a prompt part and by process, the fingerprints of the requests in
+        `crashes` with which the part may have caused the crash. Crashes that do not
+        count for the part are not in it, nor more than are needed to decide.
     part_refusals : dict
         By digest of a prompt part, until when requests with it are refused, as
         monotonic time in seconds; computed when asked for, until the next change.
@@ -91,7 +95,9 @@
     completed_at: dict[bytes, float] = field(default_factory=dict)
     cleared: dict[tuple[bytes, UpstreamProcess], float] = field(default_factory=dict)
     crashed_at: dict[UpstreamProcess, float] = field(default_factory=dict)
-    requests_by_part: dict[bytes, set[bytes]] = field(default_factory=dict)
+    part_crashes: dict[bytes, dict[UpstreamProcess, set[bytes]]] = field(
+        default_factory=dict
+    )
     part_refusals: dict[bytes, float] = field(default_factory=dict)
 
 
@@ -124,21 +130,49 @@
     section.crashes[fingerprint] = (*known, crash)
     section.part_refusals.clear()
     for part in crash.prompt_parts:
-        section.requests_by_part.setdefault(part, set()).add(fingerprint)
+        if (part, crash.process) not in section.cleared:
+            _add_part_crash(section, part, fingerprint, crash)
     if len(section.crashes) > MAX_FINGERPRINTS:
         _remove_request(section, _least_suspected(section))
     return True
 
 
+def _add_part_crash(
+    section: QuarantineSection, part: bytes, fingerprint: bytes, crash: Crash
+) -> None:
+    processes = section.part_crashes.setdefault(part, {})
+    requests = processes.setdefault(crash.process, set())
+    if len(requests) < MAX_REQUESTS_OF_PART:
+        requests.add(fingerprint)
+    while len(processes) > MAX_CRASHES_OF_PART:
+        del processes[next(iter(processes))]
+
+
 def _remove_request(section: QuarantineSection, fingerprint: bytes) -> None:
     """Forget the crashes of a request."""
     section.part_refusals.clear()
     for crash in section.crashes.pop(fingerprint, ()):
-        for part in crash.prompt_parts:
-            requests = section.requests_by_part.get(part, set())
-            requests.discard(fingerprint)
-            if not requests:
-                section.requests_by_part.pop(part, None)
+        _remove_from_parts(section, fingerprint, crash)
+
+
+def _remove_from_parts(
+    section: QuarantineSection, fingerprint: bytes, crash: Crash
+) -> None:
+    """Remove a crash of a request from those of its prompt parts."""
+    for part in crash.prompt_parts:
+        requests = section.part_crashes.get(part, {}).get(crash.process, set())
+        requests.discard(fingerprint)
+        if not requests:
+            _remove_part_crash(section, part, crash.process)
+
+
+def _remove_part_crash(
+    section: QuarantineSection, part: bytes, process: UpstreamProcess
+) -> None:
+    processes = section.part_crashes.get(part, {})
+    processes.pop(process, None)
+    if not processes:
+        section.part_crashes.pop(part, None)
 
 
 def _least_suspected(section: QuarantineSection) -> bytes:
@@ -222,7 +256,11 @@
     bool
         Whether this was not yet known.
     """
+    _remove_part_crash(section, fingerprint, process)
     known = section.crashes.get(fingerprint, ())
+    for crash in known:
+        if crash.process == process:
+            _remove_from_parts(section, fingerprint, crash)
     remaining = tuple(crash for crash in known if crash.process != process)
     if remaining:
         section.crashes[fingerprint] = remaining
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_prompt_parts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/quarantine/tests/test_prompt_parts.py
@@ -13,6 +13,7 @@
 )
 from cranberryfield.entry.quarantine.reports import make_full_report, merge_report
 from cranberryfield.entry.quarantine.section import (
+    MAX_CRASHES_OF_PART,
     MAX_FINGERPRINTS,
     RETENTION_S,
     Crash,
@@ -200,12 +201,16 @@
 def test_parts_are_forgotten_with_their_requests():
     section = repeated_crashes((1.0, 2.0, 3.0))
     forget_expired(section, 3.0 + RETENTION_S)
-    assert not section.requests_by_part
+    assert not section.part_crashes
     for number in range(MAX_FINGERPRINTS + 5):
         crash = Crash(str(number), 1, 1.0, prompt_parts=(b"p", b"%d" % number))
         record_crash(section, b"%d" % number, crash)
-    assert len(section.requests_by_part) == MAX_FINGERPRINTS + 1
-    assert len(section.requests_by_part[b"p"]) == MAX_FINGERPRINTS
+    assert len(section.part_crashes) == MAX_FINGERPRINTS + 1
+    assert len(section.part_crashes[b"p"]) == MAX_CRASHES_OF_PART
+    record_settled_run(section, [b"p"], 2.0, 2.5)
+    assert b"p" not in section.part_crashes
+    record_crash(section, b"late", Crash(str(number), 1, 1.0, prompt_parts=(b"p",)))
+    assert b"p" not in section.part_crashes
 
 
 # Ids of parts, and how many of them are considered.
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
@@ -94,7 +94,7 @@
         self._mesh = mesh
         self._names = names
         self._clock = clock
-        self._told_services: set[ServiceName] = set()
+        self._versions: dict[ServiceName, frozenset[str]] = {}
         mesh.handle(StreamOrigins, self._on_origins)
         mesh.handle(AskStreamOrigin, self._on_ask)
 
@@ -103,6 +103,8 @@
         while True:
             await anyio.sleep(FORGET_INTERVAL_S)
             forget_ended(self._section, self._clock())
+            for service in self._versions:
+                self._versions[service] = known_versions(self._table, service)
 
     def record(self, request_id: str, origin: StreamOrigin, deadline: float) -> None:
         """Record what a stream is sent to, and tell control hosts if it matters.
@@ -118,7 +120,7 @@
         """
         request, until = _digest(request_id), deadline + KEEP_MARGIN_S
         record_origin(self._section, request, origin, until)
-        if origin.service in self._told_services:
+        if len(self._versions.get(origin.service, ())) > 1:
             self._tell({request: KnownOrigin(origin, until)})
 
     def on_announcement(self, record: UpstreamRecord) -> None:
@@ -130,15 +132,13 @@
             Changed record of an upstream.
         """
         service = record.service
-        if not self._has_versions(service):
-            self._told_services.discard(service)
-        elif service not in self._told_services:
-            self._told_services.add(service)
+        versions = self._versions.get(service, frozenset())
+        if record.software_version in versions:
+            return
+        self._versions[service] = versions | {record.software_version}
+        if len(versions) == 1:
             self._tell(origins_of_service(self._section, service, self._clock()))
 
-    def _has_versions(self, service: ServiceName) -> bool:
-        return len(known_versions(self._table, service)) > 1
-
     def _tell(self, origins: dict[bytes, KnownOrigin]) -> None:
         now = self._clock()
         marks_for: dict[NodeId, list[StreamOriginMark]] = {}
