Tell control hosts that have restarted of the streams in progress

What callers would see: a stream that they take up is refused while several versions serve, if the control hosts that were told of it have restarted since, one after the other as in a planned roll or all at once, although the relay that began it still knows it.

Change: when a link to a control host opens, a relay tells it of those streams in progress that it is to keep. Ruled out: copies at all control hosts, which a restart of all would lose as well.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
@@ -11,6 +11,7 @@
 from cranberryfield.core.errors import CranberryfieldError
 from cranberryfield.core.ids import NodeId, ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
+from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.messages.streams import (
     AskStreamOrigin,
@@ -41,6 +42,7 @@
 #: Time after the end of a request for which its stream may still be asked for, as
 #: clocks of hosts differ, in seconds.
 KEEP_MARGIN_S = 1.0
+CONTROL_ROLE = "control"
 
 logger = structlog.get_logger(__name__)
 
@@ -97,6 +99,7 @@
         self._versions: dict[ServiceName, frozenset[str]] = {}
         mesh.handle(StreamOrigins, self._on_origins)
         mesh.handle(AskStreamOrigin, self._on_ask)
+        mesh.watch_links(self._on_link)
 
     async def run(self) -> None:
         """Forget streams that may not be taken up any more, until cancelled."""
@@ -120,7 +123,7 @@
         """
         request, until = _digest(request_id), deadline + KEEP_MARGIN_S
         record_origin(self._section, request, origin, until)
-        if len(self._versions.get(origin.service, ())) > 1:
+        if self._has_versions(origin.service):
             self._tell({request: KnownOrigin(origin, until)})
 
     def on_announcement(self, record: UpstreamRecord) -> None:
@@ -139,7 +142,22 @@
         if len(versions) == 1:
             self._tell(origins_of_service(self._section, service, self._clock()))
 
-    def _tell(self, origins: dict[bytes, KnownOrigin]) -> None:
+    def _has_versions(self, service: ServiceName) -> bool:
+        return len(self._versions.get(service, ())) > 1
+
+    def _on_link(self, peer: Hello, is_open: bool) -> None:
+        """Tell a control host, which may have restarted, of the streams in progress."""
+        if not is_open or CONTROL_ROLE not in peer.roles:
+            return
+        for service in self._versions:
+            if self._has_versions(service):
+                now = self._clock()
+                self._tell(origins_of_service(self._section, service, now), peer.node)
+
+    def _tell(
+        self, origins: dict[bytes, KnownOrigin], only: NodeId | None = None
+    ) -> None:
+        """Tell the control hosts of each stream, or only one of them."""
         now = self._clock()
         marks_for: dict[NodeId, list[StreamOriginMark]] = {}
         for request, known in origins.items():
@@ -150,6 +168,8 @@
                 int((known.until - now) * MS_PER_S),
             )
             for node in self._control_hosts(request)[:COPIES]:
+                if only not in (None, node):
+                    continue
                 marks_for.setdefault(node, []).append(mark)
         for node, marks in marks_for.items():
             self._mesh.send(node, StreamOrigins(tuple(marks)))
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/tests/test_directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/tests/test_directory.py
@@ -34,6 +34,7 @@
 
     def __init__(self):
         self.silent = set()
+        self.watchers = {}
         self.handlers = {}
         self.sent = []
         self.hosts = {node: self._host(node) for node in (*CONTROL, *RELAYS)}
@@ -41,6 +42,7 @@
     def _host(self, node):
         mesh = SimpleNamespace(
             handle=lambda kind, handler: self.handlers.update({(node, kind): handler}),
+            watch_links=lambda watcher: self.watchers.update({node: watcher}),
             is_linked=lambda one: True,
             request=lambda to, message, timeout: self.request(node, to, message),
             send=lambda to, message: self.send(node, to, message),
@@ -79,6 +81,12 @@
             accept_record(host._table, record, NOW)
             host.on_announcement(record)
 
+    def restart(self, node):
+        """Restart a control host, which forgets all; its links open again."""
+        self.hosts[node] = self._host(node)
+        for relay in RELAYS:
+            self.watchers[relay](SimpleNamespace(node=node, roles=("control",)), True)
+
     def find(self, request, node="r2"):
         return anyio.run(self.hosts[node].find, request)
 
@@ -123,6 +131,22 @@
     assert network.find("other") == FoundOrigin(None, True)
 
 
+# Guards against streams that cannot go on since the control hosts that were told of
+# them have restarted, one after the other or all at once.
+def test_control_hosts_that_restart_are_told_again():
+    network = Network()
+    network.announce("v1", "v2")
+    for number in range(20):
+        network.hosts["r1"].record(str(number), V2, DEADLINE)
+    sent = len(network.sent)
+    for node in CONTROL:
+        network.restart(node)
+    for number in range(20):
+        assert network.find(str(number)) == FoundOrigin(V2, True)
+    told = [one for _, message in network.sent[sent:] for one in message.origins]
+    assert len(told) == 2 * 20
+
+
 def test_nobody_answers():
     network = Network()
     network.silent.update(CONTROL)
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -64,6 +64,7 @@
     "name": "r3",
     "path_prefix": STREAM_PATH,
     "route_type": "streaming",
+    "timeout_ms": 60_000,
     "resumable": True,
 }
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -20,6 +20,7 @@
 VERSIONS = ("v1", "v1.1", "v2")
 RUNNERS = 6
 STREAMS = 18
+LONG_DEADLINE_MS = 60_000
 
 
 @pytest.fixture(scope="module")
@@ -127,6 +128,24 @@
     assert take_up(cluster, RELAYS[1], "forgotten", events) == (REFUSED, [])
 
 
+# Guards against a stream that is refused since all control hosts have restarted,
+# although its relay knows it.
+def test_a_stream_goes_on_although_control_hosts_have_restarted(cluster, fleet):
+    deadline = {"Deadline-Ms": str(LONG_DEADLINE_MS)}
+    status, events = read_stream(cluster, RELAYS[0], "remembered", 2, **deadline)
+    assert status == OK
+    for name in CONTROL:
+        cluster.processes[name].kill()
+    for name in CONTROL:
+        cluster.processes[name].start()
+    for relay in RELAYS:
+        wait_until(lambda one=relay: is_served(cluster, fleet, one), relay)
+    wait_until(
+        lambda: take_up(cluster, RELAYS[1], "remembered", events)[0] == OK,
+        "a control host knows the stream",
+    )
+
+
 # Guards against a stream that cannot go on where only one version has ever served.
 def test_a_stream_goes_on_if_there_is_one_version(cluster):
     with RunnerFleet(cluster, RUNNERS) as fleet:
