Split the refusal of unanswered requests off the relay

One change of behaviour: a stream whose version no announced upstream has is refused without a time to come back, as a version that has been replaced does not come back; before, callers were told 0.1 to 0.4 s.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -15,7 +15,7 @@
 )
 from cranberryfield.core.http1 import Exchange, Response, ResponseHead
 from cranberryfield.core.http1.message import remove_hop_by_hop
-from cranberryfield.core.ids import DataCentre, ServiceName
+from cranberryfield.core.ids import DataCentre
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.quarantine import digest_prompt_parts
@@ -60,12 +60,9 @@
     may_try_another,
 )
 from cranberryfield.entry.relay.stream_origins import find_resumed_origin, may_go_on
+from cranberryfield.entry.relay.unavailability import unavailable_error
 from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
 from cranberryfield.entry.relay.upstream_limits import UpstreamLimiter
-from cranberryfield.entry.relay.upstream_pauses import (
-    paused_among,
-    time_to_first_end_s,
-)
 from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection, record_run_start
 from cranberryfield.entry.relay.windowed_retry_budget import (
@@ -81,12 +78,6 @@
 MS_PER_S = 1000
 #: Attempts per request, including those that reach no upstream.
 MAX_TOTAL_ATTEMPTS = 6
-#: Bounds of the retry delay that is sent to refused callers, in seconds.
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 0.4
-#: Fraction of the time until an upstream takes requests again over which the refused
-#: callers are spread.
-RETRY_SPREAD_FRACTION = 0.25
 
 #: Sends an error response to the caller.
 SendError = Callable[[Exchange, CranberryfieldError], Awaitable[None]]
@@ -268,7 +259,15 @@
             await _send_response(exchange, state.fallback_response)
             return f"answered {state.fallback_response.status}"
         self._refuse_if_quarantined(state)
-        raise self._unavailable_error(request.service, state)
+        raise unavailable_error(
+            request.service,
+            may_go_on(state.origin, self._table.active_upstreams(request.service)),
+            state,
+            self._limiter,
+            self._statements.pauses,
+            self._clock(),
+            self._rng,
+        )
 
     def _record_pauses(self, request: RelayRequest, progress: StreamProgress) -> None:
         target_ms = request.route.pause_target_ms
@@ -303,51 +302,6 @@
             was_run = WasRun.YES if state.may_have_run else WasRun.NO
             raise self._quarantine.refusal(state, was_run)
 
-    def _unavailable_error(
-        self, service: ServiceName, state: RelayRequestState
-    ) -> CranberryfieldError:
-        unavailable_s = self._time_to_first_available_s(service)
-        longest_s = max(MAX_RETRY_AFTER_S, RETRY_SPREAD_FRACTION * unavailable_s)
-        retry_after_s = unavailable_s + self._rng.uniform(MIN_RETRY_AFTER_S, longest_s)
-        if state.may_have_run:
-            return UnavailableError(
-                ErrorKind.UPSTREAM_FAILED,
-                "no attempt succeeded, but one may have run the request",
-                was_run=WasRun.UNKNOWN,
-                retry_after_s=retry_after_s,
-            )
-        detail = "no upstream of the service is accepting the request"
-        if unavailable_s:
-            detail = "all upstreams of the service want no requests at present"
-        elif state.origin is not None:
-            version = state.origin.software_version
-            detail = f"no upstream of version {version!r}, which began the stream"
-        return UnavailableError(
-            ErrorKind.NO_UPSTREAM,
-            detail,
-            was_run=WasRun.NO,
-            retry_after_s=retry_after_s,
-        )
-
-    def _time_to_first_available_s(self, service: ServiceName) -> float:
-        """Return the time until the first upstream takes requests again, in seconds.
-
-        That is 0 if one of them neither wants a pause nor is at its limit.
-        """
-        candidates = self._table.active_upstreams(service)
-        pauses, now = self._statements.pauses, self._clock()
-        paused = paused_among(pauses, candidates, now)
-        limited = [one for one in candidates if one.upstream not in paused]
-        pause_s = time_to_first_end_s(
-            pauses, (one for one in candidates if one.upstream in paused), now
-        )
-        if not limited:
-            return pause_s or 0.0
-        limited_s = self._limiter.retry_after_s(service, limited)
-        if limited_s is None:
-            return 0.0
-        return limited_s if pause_s is None else min(limited_s, pause_s)
-
     async def _run_attempt(
         self,
         request: RelayRequest,
