Show the crashes of a refused prompt part in the timeline of a request

On call, cranberryfield explain showed a request that was refused for its prompt without any of the crashes, as those have the fingerprints of other requests. It shows now the crashes with the part that the refusal names, each from the host that noticed it, and the moment of the refusal; before, only the end of the request.

--- a/packages/cranberryfield-client/src/cranberryfield/client/logs.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/logs.py
@@ -35,6 +35,9 @@
     upstream, told_by, age_ms
         Id of an upstream, the node that reported it, and the age of the report in
         milliseconds.
+    prompt_part, prompt_parts
+        Digest of a prompt part that is refused, or no more, and digests of the parts
+        that may have caused a crash.
     fields : dict
         All fields of the line.
     """
@@ -51,6 +54,8 @@
     upstream: str | None = None
     told_by: str | None = None
     age_ms: float | None = None
+    prompt_part: str | None = None
+    prompt_parts: tuple[str, ...] = ()
     fields: dict = {}
 
     @property
--- a/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/tests/test_explain.py
@@ -116,10 +116,36 @@
     ]
 
 
+def test_crashes_of_requests_with_the_refused_prompt_part_are_included():
+    def suspected(node, at_s, **fields):
+        return log_line(
+            node, "request suspected", at_s, **{"fingerprint": "other", **fields}
+        )
+
+    part = {"prompt_part": "ab12"}
+    (timeline,) = timelines(
+        suspected("relay-2", -50.0, told_by="relay-2", prompt_parts=["ab12", "cd34"]),
+        suspected("relay-1", -49.9, told_by="relay-2", prompt_parts=["ab12", "cd34"]),
+        suspected("relay-2", -40.0, told_by="relay-2", prompt_parts=["cd34"]),
+        log_line("relay-1", "prompt part refused", -30.0, **part),
+        log_line("relay-1", "prompt part refused", -30.0, prompt_part="cd34"),
+        end_line(
+            outcome="refused: request_crashes_upstreams: 3 upstreams crashed while "
+            "they ran requests with the prompt part ab12"
+        ),
+    )
+    assert [(row.node, row.event) for row in timeline.rows] == [
+        ("relay-2", "request suspected"),
+        ("relay-1", "prompt part refused"),
+        ("relay-1", "request ended"),
+    ]
+
+
 @pytest.mark.parametrize(
     "fields",
     [
         {"took_ms": "long"},
+        {"prompt_parts": "ab12"},
         {"took_ms": None},
         {"attempts": None},
         {"attempts": [1]},
--- a/packages/cranberryfield-client/src/cranberryfield/client/timeline.py
+++ b/packages/cranberryfield-client/src/cranberryfield/client/timeline.py
@@ -40,6 +40,10 @@
         "request no longer suspected",
     }
 )
+#: Events of all hosts that name a part of the request's prompt.
+PART_EVENTS = frozenset(
+    {"request suspected", "prompt part refused", "prompt part no longer refused"}
+)
 #: Printed causes by prefix of the outcome; the first matching prefix applies.
 CAUSES_BY_OUTCOME_PREFIX = {
     "refused: over_limit": "its workspace's quota was used up",
@@ -123,7 +127,10 @@
         if not _is_relevant(line, end_line, upstreams):
             continue
         event_s = line.unix_s - offsets.get(line.node, 0.0)
-        is_recent = event_s >= arrival_s - LOOKBACK_S or line.event in SUSPECT_EVENTS
+        is_recent = (
+            event_s >= arrival_s - LOOKBACK_S
+            or line.event in SUSPECT_EVENTS | PART_EVENTS
+        )
         if is_recent and event_s <= end_line.unix_s:
             rows.append(_event(line, event_s, arrival_s))
             if line.node not in offsets:
@@ -133,6 +140,8 @@
 
 
 def _is_relevant(line: LogLine, end_line: LogLine, upstreams: set[str]) -> bool:
+    if line.event in PART_EVENTS and _names_refused_part(line, end_line):
+        return True
     if line.event in SUSPECT_EVENTS:
         return line.fingerprint == end_line.fingerprint
     if line.event in UPSTREAM_EVENTS:
@@ -140,6 +149,17 @@
     return line.event in HOST_EVENTS and line.node == end_line.node
 
 
+def _names_refused_part(line: LogLine, end_line: LogLine) -> bool:
+    """Return whether a line is of the prompt part for which a request was refused.
+
+    Of crashes, only the line of the host that noticed it is.
+    """
+    if line.told_by not in (None, line.node):
+        return False
+    parts = (line.prompt_part, *line.prompt_parts)
+    return any(part and part in end_line.outcome for part in parts)
+
+
 def _event(line: LogLine, event_s: float, arrival_s: float) -> TimelineEvent:
     omitted_fields = ("node", "event", "level", "timestamp", "request")
     details = [
