Tell callers of a relay that knows no upstream yet when to take their stream up

A relay that has just started may know no upstream. It refused to let a stream go on, truly as not run, but as if coming back were no use. Case added to the table.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -15,7 +15,7 @@
 
 __all__ = ["find_resumed_origin", "may_go_on"]
 
-#: Time after which control hosts that have not answered may be asked again, in seconds.
+#: Time after which control hosts may be asked again, in seconds.
 UNANSWERED_RETRY_S = 0.5
 
 
@@ -51,12 +51,14 @@
         detail = f"the stream was begun by {found.service}, which the route has left"
     else:
         detail = "the software version that began the stream is not known"
-    # Control hosts that have not answered may do so soon; else coming back is no use.
+    # Control hosts that have not answered, or told of no upstream yet, may do so soon;
+    # else coming back is no use.
+    is_final = was_answered and bool(versions)
     raise UnavailableError(
         ErrorKind.NO_UPSTREAM,
         detail,
         was_run=WasRun.NO,
-        retry_after_s=None if was_answered else UNANSWERED_RETRY_S,
+        retry_after_s=None if is_final else UNANSWERED_RETRY_S,
     )
 
 
--- a/tests/test_relay_versions.py
+++ b/tests/test_relay_versions.py
@@ -84,6 +84,7 @@
     "no id, one version": (["v1", "v1"], None, "", 0, []),
     "no id, several versions": (["v1", "v2"], ("drafts", "v2"), "", None, [None]),
     "another stream": (["v1", "v2"], ("drafts", "v2"), "other", None, [0.5]),
+    "no upstream known yet": ([], None, "", None, [0.5]),
     "another service": (["v1", "v1"], ("other", "v1"), "first", None, [None]),
 }
 
