--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -223,7 +223,7 @@
         is_stream = request.route.kind is RouteKind.STREAM
         if is_stream and request.last_event_id is not None:
             state.origin = await find_resumed_origin(
-                self._streams, self._table, request
+                self._streams, self._table, request, self._rng
             )
         if request.workspace is not None:
             await self._quota.admit(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -1,6 +1,7 @@
 """Which upstreams may go on with a stream, by what began it."""
 
 from collections.abc import Iterable
+from random import Random
 
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.messages.membership import UpstreamRecord
@@ -15,12 +16,15 @@
 
 __all__ = ["find_resumed_origin", "may_go_on"]
 
-#: Time after which control hosts may be asked again, in seconds.
-UNANSWERED_RETRY_S = 0.5
+#: Bounds of the time after which control hosts may be asked again, in seconds.
+UNANSWERED_RETRY_S = (0.3, 0.7)
 
 
 async def find_resumed_origin(
-    directory: StreamDirectory, table: RegistryTable, request: RelayRequest
+    directory: StreamDirectory,
+    table: RegistryTable,
+    request: RelayRequest,
+    rng: Random,
 ) -> StreamOrigin:
     """Return what began the stream that a caller takes up again.
 
@@ -32,6 +36,8 @@
         Announced upstreams.
     request : RelayRequest
         The request, with the id of the last event that its caller received.
+    rng : random.Random
+        Spreads the refused callers.
 
     Raises
     ------
@@ -58,7 +64,7 @@
         ErrorKind.NO_UPSTREAM,
         detail,
         was_run=WasRun.NO,
-        retry_after_s=None if is_final else UNANSWERED_RETRY_S,
+        retry_after_s=None if is_final else rng.uniform(*UNANSWERED_RETRY_S),
     )
 
 
