Decide once whether a request is quarantined, and why

Found by reading: whether a request is refused and why were decided one after the other. If the time of a refused prompt part ended in between, the second found no reason and raised KeyError, and the caller lost its connection.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/quarantine.py
@@ -57,12 +57,12 @@
         state : RelayRequestState
             State of the request.
         """
-        return is_quarantined(self._section, state.fingerprint) or (
-            crashing_part(self._section, state.prompt_parts, self._clock()) is not None
-        )
+        return self.refusal(state, WasRun.NO) is not None
 
-    def refusal(self, state: RelayRequestState, was_run: WasRun) -> UnavailableError:
-        """Return the error for a quarantined request.
+    def refusal(
+        self, state: RelayRequestState, was_run: WasRun
+    ) -> UnavailableError | None:
+        """Return the error for a quarantined request; None for any other.
 
         Parameters
         ----------
@@ -71,22 +71,21 @@
         was_run : WasRun
             Whether this attempt of its caller was run.
         """
-        now = self._clock()
-        part = crashing_part(self._section, state.prompt_parts, now)
-        if is_quarantined(self._section, state.fingerprint) or part is None:
-            ends_at = quarantine_ends_at(self._section, state.fingerprint)
-            crash_count = count_crashes(self._section, state.fingerprint)
-            detail = f"{crash_count} upstreams crashed while they ran the request"
+        section, now = self._section, self._clock()
+        if is_quarantined(section, state.fingerprint):
+            ends_at = quarantine_ends_at(section, state.fingerprint)
+            crash_count = count_crashes(section, state.fingerprint)
+            cause = "the request"
         else:
-            ends_at = refused_until(self._section, part)
-            crash_count = len(part_crashes(self._section, part))
-            detail = (
-                f"{crash_count} upstreams crashed while they ran requests with the "
-                f"prompt part {part.hex()}"
-            )
+            part = crashing_part(section, state.prompt_parts, now)
+            if part is None:
+                return None
+            ends_at = refused_until(section, part)
+            crash_count = len(part_crashes(section, part))
+            cause = f"requests with the prompt part {part.hex()}"
         return UnavailableError(
             ErrorKind.REQUEST_CRASHES_UPSTREAMS,
-            detail,
+            f"{crash_count} upstreams crashed while they ran {cause}",
             was_run=was_run,
             retry_after_s=max(0.0, ends_at - now),
         )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -298,9 +298,10 @@
         return record
 
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
-        if self._quarantine.is_quarantined(state):
-            was_run = WasRun.YES if state.may_have_run else WasRun.NO
-            raise self._quarantine.refusal(state, was_run)
+        was_run = WasRun.YES if state.may_have_run else WasRun.NO
+        error = self._quarantine.refusal(state, was_run)
+        if error is not None:
+            raise error
 
     async def _run_attempt(
         self,
