--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -153,6 +153,7 @@
         32,
     )
     assert (parsed.leaving, parsed.machine_class) == (False, "on-demand")
+    assert parsed.software_version == "v1"
 
 
 @pytest.mark.parametrize(
@@ -190,6 +191,7 @@
         {"born": "now"},
         {"born": 1.5},
         {"zone": 3},
+        {"version": 3},
     ],
 )
 def test_a_heartbeat_with_an_invalid_field_is_rejected(fields):
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -64,6 +64,7 @@
         Token_Usage="1460,80",
         Prefix_Hash="5c1e:800,91bd:410",
         Last_Event_Id="12",
+        Resumes="7d3e",
     )
     assert (parsed.id, parsed.route.name, parsed.workspace.name) == ("9c41", "r1", "t1")
     assert parsed.deadline == NOW + 4.0
@@ -72,7 +73,8 @@
         ("5c1e", 800),
         ("91bd", 410),
     ]
-    assert (parsed.last_event_id, parsed.rank) == ("12", 3)
+    assert (parsed.last_event_id, parsed.resumes) == ("12", "7d3e")
+    assert parsed.rank == 3
 
 
 @pytest.mark.parametrize(
