Name the request that began a stream in the project's own words

Cause: a log field and an attribute outside platform/ had the platform's name of a header; they are first_request now. Ruled out: a translation of the log alone, as the attribute would keep the name. Conclusion: names only, no change of what is decided.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
@@ -53,7 +53,7 @@
         Tokens of the prompt, and maximum number of tokens to generate.
     last_event_id : str or None
         Id of the last event that the caller received from an earlier request.
-    resumes : str or None
+    first_request : str or None
         Id of the earlier request whose response had the first event of the stream.
     """
 
@@ -69,7 +69,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: str | None = None
-    resumes: str | None = None
+    first_request: str | None = None
 
     @property
     def rank(self) -> int:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request_state.py
@@ -106,7 +106,7 @@
     if state.lost_runs:
         further["prompt_parts"] = [part.id for part in request.prompt_parts]
     if request.last_event_id is not None:
-        further["resumes"] = request.resumes
+        further["first_request"] = request.first_request
         further["last_event_id"] = request.last_event_id
     logger.info(
         "request ended",
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -46,8 +46,8 @@
         what began it, or since the route leads to another service now.
     """
     found, was_answered = None, True
-    if request.resumes:
-        answer = await directory.find(request.resumes)
+    if request.first_request:
+        answer = await directory.find(request.first_request)
         found, was_answered = answer.origin, answer.was_answered
     versions = known_versions(table, request.service)
     origin = resumed_origin(found, request.service, versions)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/tests/test_directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/tests/test_directory.py
@@ -101,8 +101,8 @@
 ]
 
 
-# Guards against a stream that began before the second version was known, and of which
-# nobody was told.
+# Guards against a stream that began before the second version was known, and that no
+# control host has heard of since.
 @pytest.mark.parametrize(("before", "after", "is_found"), TOLD)
 def test_control_hosts_are_told_once_there_are_several_versions(
     before, after, is_found
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -73,7 +73,7 @@
         ("5c1e", 800),
         ("91bd", 410),
     ]
-    assert (parsed.last_event_id, parsed.resumes) == ("12", "7d3e")
+    assert (parsed.last_event_id, parsed.first_request) == ("12", "7d3e")
     assert parsed.rank == 3
 
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -301,7 +301,7 @@
             now + left_s,
             self.prompt_parts,
             last_event_id=find_header(headers, b"last"),
-            resumes=find_header(headers, b"resumes"),
+            first_request=find_header(headers, b"resumes"),
         )
         await self.relay.handle(request, exchange)
 
