--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -51,6 +51,8 @@
         The declared deployment, if any.
     usage : UsageState
         Usage counts per window.
+    feature_level : int
+        Highest `FeatureLevel` that all control hosts understand; never lowered.
     """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
@@ -59,6 +61,7 @@
     orders: OrdersState = msgspec.field(default_factory=OrdersState)
     deployment: DeploymentState = msgspec.field(default_factory=DeploymentState)
     usage: UsageState = msgspec.field(default_factory=UsageState)
+    feature_level: int = 0
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
--- a/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
@@ -112,6 +112,19 @@
     duty_handover_ms : float
         Time after an election in which the previous leader may still act, in
         milliseconds.
+    rollout_exposure_ratio : float, optional
+        Fraction of a service's requests that the new version may get until a rollout
+        is found good; not set if the deployment has no rollouts.
+    rollout_exposure_allowance : float
+        Number of requests that it may get beyond that.
+    rollback_ms : float
+        Time after a rollout has failed within which the new version must get no more
+        requests, in milliseconds.
+    shared_slots : bool
+        Whether relays share the slots of services that have fewer slots than there
+        are relays.
+    least_cost : bool
+        Whether relays choose what to delay or refuse by what it costs callers.
     announce_interval_ms : float
         Time between two announcements of an upstream, in milliseconds.
     group : str
@@ -144,6 +157,11 @@
     duty_handover_ms: PositiveFloat = 3_000.0
     quota_overage: NonNegativeFloat = 0.0
     quota_tolerance: NonNegativeFloat = 0.0
+    rollout_exposure_ratio: PositiveFloat | None = None
+    rollout_exposure_allowance: NonNegativeFloat = 0.0
+    rollback_ms: PositiveFloat = 5_000.0
+    shared_slots: bool = False
+    least_cost: bool = False
     announce_interval_ms: PositiveFloat = 1_200.0
     group: Name = "cranberryfield"
     log_level: LogLevel = LogLevel.INFO
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
@@ -3,6 +3,9 @@
 from itertools import count
 
 import anyio
+import structlog
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import ConnectionClosed
 
 from cranberryfield.core.errors import (
@@ -20,16 +23,36 @@
 )
 from cranberryfield.core.messages.links import Failure, Hello
 
-__all__ = ["Link"]
+__all__ = ["Link", "MeteredClientConnection", "MeteredServerConnection"]
 
 MAX_QUEUED_ENVELOPES = 10_000
 MAX_BATCH_ENVELOPES = 500
 CLOSE_TIMEOUT_S = 1.0
 #: Number of requests without a reply, and without any bytes received meanwhile,
 #: after which the link is aborted before its pings time out. Bytes received
-#: during an unanswered request reset the number.
+#: during an unanswered request, also of an unfinished frame, reset the number.
 MAX_UNANSWERED_REQUESTS = 2
 
+logger = structlog.get_logger(__name__)
+
+
+class _ReceiveMeter:
+    """Counts the bytes that arrive, also those of frames that are not complete."""
+
+    raw_bytes_received = 0
+
+    def data_received(self, data: bytes) -> None:
+        self.raw_bytes_received += len(data)
+        super().data_received(data)
+
+
+class MeteredClientConnection(_ReceiveMeter, ClientConnection):
+    """Dialled WebSocket connection that counts received bytes."""
+
+
+class MeteredServerConnection(_ReceiveMeter, ServerConnection):
+    """Accepted WebSocket connection that counts received bytes."""
+
 
 class _PendingRequest:
     """A request whose reply is pending."""
@@ -44,7 +67,7 @@
 
     Parameters
     ----------
-    connection : websockets connection
+    connection : MeteredClientConnection or MeteredServerConnection
         Open connection.
     peer : Hello
         Greeting of the other process.
@@ -114,7 +137,7 @@
         """
         number = next(self._request_numbers)
         pending = self._pending_requests[number] = _PendingRequest()
-        received = self.bytes_received
+        received = self._connection.raw_bytes_received
         try:
             if not self.send(Envelope(EnvelopeKind.REQUEST, number, message)):
                 raise UnavailableError(
@@ -135,12 +158,18 @@
 
     def _count_unanswered_request(self, received_before: int) -> None:
         """Count a request without a reply; abort the link if it no longer responds."""
-        if self.bytes_received > received_before:
+        if self._connection.raw_bytes_received > received_before:
             self._unanswered_requests = 0
             return
         self._unanswered_requests += 1
         if self._unanswered_requests >= MAX_UNANSWERED_REQUESTS and self._open:
             self._open = False
+            logger.warning(
+                "link aborted",
+                peer=self._peer.node,
+                reason="no bytes received during unanswered requests",
+                unanswered=self._unanswered_requests,
+            )
             self._connection.transport.abort()
 
     async def run(self, on_envelope) -> None:
@@ -177,8 +206,8 @@
                         self._deliver_reply(envelope)
                     else:
                         on_envelope(self, envelope)
-        except (ConnectionClosed, CranberryfieldError):
-            return
+        except (ConnectionClosed, CranberryfieldError) as error:
+            logger.info("link ends", peer=self._peer.node, reason=str(error))
 
     def _deliver_reply(self, envelope: Envelope) -> None:
         pending = self._pending_requests.get(envelope.call)
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -18,7 +18,11 @@
     UnavailableError,
 )
 from cranberryfield.core.ids import NodeId
-from cranberryfield.core.mesh.link import Link
+from cranberryfield.core.mesh.link import (
+    Link,
+    MeteredClientConnection,
+    MeteredServerConnection,
+)
 from cranberryfield.core.mesh.tls import client_tls, server_tls
 from cranberryfield.core.mesh.tunnels import (
     TUNNEL_PATH,
@@ -301,6 +305,7 @@
                 ping_interval=ACCEPTED_PING_INTERVAL_S,
                 ping_timeout=ACCEPTED_PING_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
+                create_connection=MeteredServerConnection,
                 ssl=server_tls(self._tls),
             ),
         ):
@@ -336,6 +341,7 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
             close_timeout=CLOSE_TIMEOUT_S,
+            create_connection=MeteredClientConnection,
             ssl=client_tls(self._tls),
             proxy=None,
         ) as connection:
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/deployment.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/deployment.py
@@ -5,10 +5,13 @@
 
 __all__ = [
     "AskControlHosts",
+    "AskDeploymentPart",
     "ControlHost",
     "ControlHosts",
     "DeclareDeployment",
     "DeploymentDeclared",
+    "DeploymentPart",
+    "DeploymentTransfer",
     "DeploymentView",
     "FollowDeployment",
     "ReadDeployment",
@@ -46,9 +49,59 @@
 
 
 class FollowDeployment(Message):
-    """Requests the deployment from the leader if newer than `version`."""
+    """Requests the deployment from the leader if newer than `version`.
+
+    Attributes
+    ----------
+    version : int
+        Version that the sender has; -1 if none.
+    takes_parts : bool
+        Whether the sender reads a `DeploymentTransfer` and asks for its parts.
+    """
 
     version: int
+    takes_parts: bool = False
+
+
+class DeploymentTransfer(NestedRecord):
+    """Encoded difference to a newer version, which is fetched in parts.
+
+    Parts are small, so that they do not delay other messages on the link, and those
+    that have arrived are kept when a link fails or the leader changes.
+
+    Attributes
+    ----------
+    version, base : int
+        Version that results, and version to which the difference applies; -1 if it
+        contains the whole deployment.
+    size : int
+        Size of the encoded difference, in bytes.
+    digest : bytes
+        Digest of all of it.
+    first : bytes
+        Its first part.
+    """
+
+    version: int
+    base: int
+    size: int
+    digest: bytes
+    first: bytes
+
+
+class AskDeploymentPart(Message):
+    """Requests a part of a `DeploymentTransfer`, from `offset` on."""
+
+    version: int
+    base: int
+    digest: bytes
+    offset: int
+
+
+class DeploymentPart(Message):
+    """A part of a `DeploymentTransfer`; empty if the sender no longer has it."""
+
+    data: bytes
 
 
 class ReadDeployment(Message):
@@ -69,12 +122,15 @@
         arrived.
     leader : NodeId or None
         The leader of the control group, if known.
+    transfer : DeploymentTransfer or None
+        Difference to this version, in place of `content`, for hosts that take parts.
     """
 
     version: int
     content: bytes
     is_current: bool
     leader: NodeId | None = None
+    transfer: DeploymentTransfer | None = None
 
 
 class ControlHost(NestedRecord):
