Send hosts what changed in a deployment, in parts that are kept

On a link of 5 Mbit/s that takes 1.8 s; the request timed out after 0.5 s, two such requests aborted the link, since bytes of an unfinished frame did not count as received, and the next link began anew. With each link, gossip, loads, leases and quota went too; after 4 s the lease of the old version ended and every request was refused.

Ruled out: a longer timeout, which leaves urgent messages behind the frame.

--- a/packages/cranberryfield-control/src/cranberryfield/control/deployment/history.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/deployment/history.py
@@ -33,6 +33,12 @@
     routes: dict[RouteKey, Route]
 
 
+@dataclass(frozen=True, slots=True)
+class _Encoded:
+    data: bytes
+    digest: bytes
+
+
 @dataclass(slots=True)
 class DeploymentHistory:
     """Versions that this control host has applied, and encoded differences.
@@ -46,7 +52,7 @@
     """
 
     versions: OrderedDict[int, _Version] = field(default_factory=OrderedDict)
-    encoded: OrderedDict[tuple[int, int], bytes] = field(default_factory=OrderedDict)
+    encoded: OrderedDict[tuple[int, int], _Encoded] = field(default_factory=OrderedDict)
 
 
 def record_version(history: DeploymentHistory, state: DeploymentState) -> None:
@@ -77,18 +83,20 @@
     """
     version, latest = next(reversed(history.versions.items()))
     base = known_version if known_version in history.versions else NO_BASE
-    data = history.encoded.get((version, base))
-    if data is None:
+    encoded = history.encoded.get((version, base))
+    if encoded is None:
         before = history.versions.get(base)
         base_routes = before.routes if before is not None else {}
         with timed_step("encoding of a deployment"):
             data = encode_delta(latest.deployment, latest.routes, base, base_routes)
-        history.encoded[version, base] = data
+        digest = blake2b(data, digest_size=DIGEST_BYTES).digest()
+        encoded = history.encoded[version, base] = _Encoded(data, digest)
         while len(history.encoded) > MAX_ENCODED:
             history.encoded.popitem(last=False)
     history.encoded.move_to_end((version, base))
-    digest = blake2b(data, digest_size=DIGEST_BYTES).digest()
-    return DeploymentTransfer(version, base, len(data), digest, data[:PART_BYTES])
+    size = len(encoded.data)
+    content = encoded.data if size <= PART_BYTES else b""
+    return DeploymentTransfer(version, base, size, encoded.digest, content)
 
 
 def read_part(
@@ -99,7 +107,7 @@
     Another control host may have encoded the same difference to other bytes, which
     the digest tells apart.
     """
-    data = history.encoded.get((version, base))
-    if data is None or blake2b(data, digest_size=DIGEST_BYTES).digest() != digest:
+    encoded = history.encoded.get((version, base))
+    if encoded is None or encoded.digest != digest:
         return b""
-    return data[max(0, offset) : max(0, offset) + PART_BYTES]
+    return encoded.data[max(0, offset) : max(0, offset) + PART_BYTES]
--- a/packages/cranberryfield-control/src/cranberryfield/control/deployment/publisher.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/deployment/publisher.py
@@ -1,15 +1,25 @@
 """Publication of the deployment to the hosts that follow it."""
 
+from dataclasses import dataclass
+
 import structlog
 
 from cranberryfield.control.consensus import Replica, ReplicaRole
 from cranberryfield.control.consensus.leader_replication import leader_lease_expiry
+from cranberryfield.control.deployment.history import (
+    DeploymentHistory,
+    read_part,
+    record_version,
+    transfer_to,
+)
 from cranberryfield.control.deployment.machine import DeploymentState
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.mesh import Mesh
 from cranberryfield.core.messages.commands import ProposalRedirected
 from cranberryfield.core.messages.deployment import (
+    AskDeploymentPart,
+    DeploymentPart,
     DeploymentView,
     FollowDeployment,
     ReadDeployment,
@@ -23,6 +33,14 @@
 logger = structlog.get_logger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _Follower:
+    """A host's latest request for the deployment, and its time."""
+
+    request: FollowDeployment
+    requested_at: float
+
+
 class DeploymentPublisher:
     """Serves reads of the deployment, and sends new versions to following hosts.
 
@@ -43,9 +61,12 @@
         self._mesh = mesh
         self._wait_until_current = wait_until_current
         self._clock = clock
-        self._requested_at: dict[NodeId, float] = {}
+        self._followers: dict[NodeId, _Follower] = {}
+        self._history = DeploymentHistory()
+        self._hosts_take_parts = False
         self._published_version = self._state.version
         mesh.handle(FollowDeployment, self._on_follow)
+        mesh.handle(AskDeploymentPart, self._on_ask_part)
         mesh.handle(ReadDeployment, self._on_read)
 
     @property
@@ -61,8 +82,8 @@
         now = self._clock()
         return [
             node
-            for node, at in self._requested_at.items()
-            if now - at < SILENCE_TIMEOUT_S
+            for node, follower in self._followers.items()
+            if now - follower.requested_at < SILENCE_TIMEOUT_S
         ]
 
     def publish(self) -> None:
@@ -70,21 +91,31 @@
         if self._state.version <= self._published_version:
             return
         self._published_version = self._state.version
+        if self._hosts_take_parts:
+            # Also on followers, so that the next leader has the versions of hosts.
+            record_version(self._history, self._state)
         hosts = self.following_hosts()
         logger.info(
             "deployment applied", version=self._published_version, followers=len(hosts)
         )
         if self._replica.role is not ReplicaRole.LEADER:
             return
-        view = self._view(self._state.version - 1)
         for node in hosts:
-            self._mesh.send(node, view)
+            self._mesh.send(node, self._view(self._followers[node].request))
 
-    def _view(self, known_version: int) -> DeploymentView:
+    def _view(self, request: FollowDeployment) -> DeploymentView:
+        """Return what a host needs to have the applied version."""
         state = self._state
-        content = state.content if state.version > known_version else b""
+        content, transfer = b"", None
+        if state.version > request.version:
+            if request.takes_parts:
+                record_version(self._history, state)
+                transfer = transfer_to(self._history, request.version)
+            else:
+                content = state.content
         leader = self._replica.leader_node
-        return DeploymentView(state.version, content, self._is_current(), leader)
+        is_current = self._is_current()
+        return DeploymentView(state.version, content, is_current, leader, transfer)
 
     def _is_current(self) -> bool:
         """Return whether this replica has every acknowledged version.
@@ -101,8 +132,14 @@
 
     def _on_follow(self, sender: NodeId, message: FollowDeployment) -> DeploymentView:
         if self._replica.role is ReplicaRole.LEADER:
-            self._requested_at[sender] = self._clock()
-        return self._view(message.version)
+            self._followers[sender] = _Follower(message, self._clock())
+        self._hosts_take_parts |= message.takes_parts
+        return self._view(message)
+
+    def _on_ask_part(self, sender: NodeId, ask: AskDeploymentPart) -> DeploymentPart:
+        return DeploymentPart(
+            read_part(self._history, ask.version, ask.base, ask.digest, ask.offset)
+        )
 
     async def _on_read(
         self, sender: NodeId, message: ReadDeployment
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/deployment.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/deployment.py
@@ -78,15 +78,15 @@
         Size of the encoded difference, in bytes.
     digest : bytes
         Digest of all of it.
-    first : bytes
-        Its first part.
+    content : bytes
+        All of it if it fits into one part; else empty.
     """
 
     version: int
     base: int
     size: int
     digest: bytes
-    first: bytes
+    content: bytes
 
 
 class AskDeploymentPart(Message):
