Send a silent control host a large log entry once a second, not with each heartbeat

Change: entries of 128 KiB and more go again after 1 s; a member whose link was lost lacks them, says so in its reply to the next heartbeat and gets them at once. Small entries go with each heartbeat as before.

--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/leader_replication.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/leader_replication.py
@@ -36,6 +36,11 @@
 MAX_ENTRIES_PER_MESSAGE = 512
 MAX_BYTES_PER_MESSAGE = 1 << 20
 MAX_TRACKED_ROUNDS = 256
+#: Size of entries that are not sent again with each heartbeat, in bytes, and time after
+#: which they are, in seconds. A member whose link was lost lacks them, and says so in
+#: its reply to the next heartbeat.
+LARGE_ENTRIES_BYTES = 128 << 10
+RESEND_LARGE_AFTER_S = 1.0
 NO_ROUND = -1
 
 
@@ -115,7 +120,8 @@
     replica.round_start_times.pop(replica.round_number - MAX_TRACKED_ROUNDS, None)
     replica.deadline = now + replica.timing.heartbeat_s
     for progress in replica.progress.values():
-        if progress.match_index:
+        is_large_sent = now - progress.large_sent_at < RESEND_LARGE_AFTER_S
+        if progress.match_index and not is_large_sent:
             progress.next_index = LogIndex(progress.match_index + 1)
     return [_next_request_to(replica, one) for one in replica.peers]
 
@@ -139,6 +145,10 @@
     )
     if entries:
         progress.next_index = LogIndex(entries[-1].index + 1)
+    if sum(len(entry.command) for entry in entries) >= LARGE_ENTRIES_BYTES:
+        progress.large_sent_at = replica.round_start_times.get(
+            replica.round_number, replica.leader_since
+        )
     return SendMessage(
         receiver,
         AppendRequest(
@@ -197,6 +207,8 @@
         return [_next_request_to(replica, sender)]
     progress.match_index = max(progress.match_index, reply.match_index)
     progress.next_index = max(progress.next_index, LogIndex(progress.match_index + 1))
+    if progress.match_index >= progress.next_index - 1:
+        progress.large_sent_at = float("-inf")
     actions = _advance_commit(replica)
     if sender in replica.progress and progress.next_index <= replica.log.last_index:
         actions.append(_next_request_to(replica, sender))
--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/replica.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/replica.py
@@ -63,6 +63,8 @@
     snapshot_index, snapshot_offset
         Last index of the snapshot being sent, and the number of bytes that the
         member has received.
+    large_sent_at : float
+        Time at which entries of many bytes were last sent, in seconds.
     """
 
     next_index: LogIndex
@@ -70,6 +72,7 @@
     acknowledged_round: int = -1
     snapshot_index: LogIndex = LogIndex(0)
     snapshot_offset: int = 0
+    large_sent_at: float = float("-inf")
 
 
 @dataclass(slots=True)
