--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -397,7 +397,9 @@
             )
         table = self._deployment.table
         self._apply_limits()
-        return self._adapter.read_request(exchange, table, self._clock)
+        request = self._adapter.read_request(exchange, table, self._clock)
+        request.is_ordered_by_cost = self._config.least_cost
+        return request
 
     def _apply_limits(self) -> None:
         limits = self._deployment.table.deployment.limits
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/request.py
@@ -17,6 +17,8 @@
     "uncached_prompt_tokens",
 ]
 
+MS_PER_S = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -55,6 +57,8 @@
         Id of the last event that the caller received from an earlier request.
     first_request : str or None
         Id of the earlier request whose response had the first event of the stream.
+    is_ordered_by_cost : bool
+        Whether it yields to others of its rank once its target has passed.
     """
 
     id: str
@@ -70,6 +74,12 @@
     output_tokens: int = 0
     last_event_id: str | None = None
     first_request: str | None = None
+    is_ordered_by_cost: bool = False
+
+    @property
+    def target_at(self) -> float:
+        """Monotonic time in seconds by which its caller wants the answer."""
+        return self.arrived_at + self.route.target_ms / MS_PER_S
 
     @property
     def rank(self) -> int:
