Raise a feature level of the control group once all of it understands it

Cause: a log record of a new kind stops every host of an earlier build, whose decoder raised an error out of the loop of the replica.

Change: the leader proposes RaiseFeatureLevel when all voters, learners and known control hosts are linked and their greetings state the level; the state takes the highest one. A host that does not understand the level of the group, or a command in its log, stops with one line (kind foreign_data), also when it asks to join: GroupView carries the level. Builds without levels are kept out by the others: they neither exchange messages of the log with them nor admit them.

--- a/packages/cranberryfield-control/src/cranberryfield/control/bootstrap.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/bootstrap.py
@@ -1,10 +1,13 @@
 """Bootstrap: forms a control group, or joins one with a new data folder."""
 
+from collections.abc import Callable
+
 import anyio
 import structlog
 
 from cranberryfield.control.consensus import GroupFormed, Replica
 from cranberryfield.control.consensus.membership import JoinRequest
+from cranberryfield.control.features import check_level_supported
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import CranberryfieldError, ErrorKind, StorageError
 from cranberryfield.core.ids import NodeId, ReplicaId
@@ -87,6 +90,8 @@
         Queues an event for the replica.
     clock : Clock
         Monotonic time.
+    feature_level : callable
+        Returns the feature level of the group as far as this replica knows it.
     """
 
     def __init__(
@@ -96,12 +101,14 @@
         mesh: Mesh,
         submit,
         clock: Clock,
+        feature_level: Callable[[], int],
     ):
         self._replica = replica
         self._names = names
         self._mesh = mesh
         self._submit = submit
         self._clock = clock
+        self._feature_level = feature_level
         self._join_requests: dict[NodeId, JoinRequest] = {}
         self._departures: dict[ReplicaId, float] = {}
         mesh.handle(JoinGroup, self._on_join)
@@ -137,7 +144,7 @@
         ------
         StorageError
             Of kind ``foreign_data`` if the group was replaced without this
-            replica.
+            replica, or this build does not understand its feature level.
         """
         while True:
             is_leaving = self._replica.id in self._departures
@@ -152,6 +159,8 @@
             for node in self._names.known():
                 if self._mesh.is_linked(node):
                     tasks.start_soon(self._query_host, node, views)
+        for view in views.values():
+            check_level_supported(view.feature_level, self._mesh.hello.feature_level)
         if self._has_group():
             self._check_generation(views)
             return
@@ -188,7 +197,9 @@
         self._departures.pop(message.replica, None)
         self._join_requests[sender] = JoinRequest(message.replica, self._clock())
         generation = self._replica.members.generation
-        return GroupView(self._replica.id, self._has_group(), generation)
+        return GroupView(
+            self._replica.id, self._has_group(), generation, self._feature_level()
+        )
 
     def _on_leave(self, sender: NodeId, message: LeaveGroup) -> None:
         if node_of(message.replica) == sender:
--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -22,6 +22,7 @@
     AdoptSettings,
     ChangeSettings,
     Noop,
+    RaiseFeatureLevel,
     RecordHosts,
     Refused,
 )
@@ -95,6 +96,9 @@
             return apply_usage_command(state.usage, command)
         case PlaceOrder() | ConfirmOrder():
             return apply_order_command(state.orders, command)
+        case RaiseFeatureLevel(level):
+            state.feature_level = max(state.feature_level, level)
+            return command
         case Noop():
             return command
     if isinstance(command, ClaimCommand):
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -37,6 +37,12 @@
 )
 from cranberryfield.control.consensus.membership import next_members
 from cranberryfield.control.deployment import DeploymentPublisher
+from cranberryfield.control.features import (
+    FeatureLevelRaiser,
+    HostFilter,
+    check_level_supported,
+    decode_log_command,
+)
 from cranberryfield.control.leadership_log import LeadershipLog
 from cranberryfield.control.machine import ControlState, apply_command
 from cranberryfield.control.operator_requests import OperatorRequestHandler
@@ -53,6 +59,7 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import DaemonConfig
+from cranberryfield.core.errors import StorageError
 from cranberryfield.core.ids import LogIndex, NodeId, Term
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.base import Message
@@ -127,8 +134,15 @@
         self._work_available = anyio.Event()
         self._grows = names.grows
         self._bootstrap = GroupBootstrap(
-            section.replica, names, mesh, self.submit, clock
+            section.replica,
+            names,
+            mesh,
+            self.submit,
+            clock,
+            lambda: section.state.feature_level,
         )
+        self._host_filter = HostFilter(section, mesh)
+        self._level_raiser = FeatureLevelRaiser(section, mesh, names, self.propose)
         self._compactor = Compactor(section, stored, self.submit)
         self._settings_publisher = SettingsPublisher(
             section, board.read(SettingsSection), mesh, self.propose, clock
@@ -185,7 +199,8 @@
         Raises
         ------
         StorageError
-            If the folder cannot be opened, or its contents are invalid.
+            If the folder cannot be opened, its contents are invalid, or this build
+            does not understand the group's feature level.
         """
         path = Path(config.data_folder)
         now = clock()
@@ -193,6 +208,11 @@
         stored = recover_replica(
             path, config.group, config.node_id, rng, now, started_at
         )
+        try:
+            check_level_supported(stored.state.feature_level, mesh.hello.feature_level)
+        except StorageError:
+            stored.close()
+            raise
         applied = stored.snapshots.header.last_index
         section = board.add(ControlSection(stored.replica, stored.state, applied))
         return cls(section, stored, names, mesh, board, clock)
@@ -202,6 +222,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._bootstrap.run)
+                tasks.start_soon(self._level_raiser.run)
                 tasks.start_soon(self._compactor.run)
                 tasks.start_soon(self._settings_publisher.run)
                 tasks.start_soon(self._order_sender.run)
@@ -330,7 +351,7 @@
             return []
         members = next_members(
             replica,
-            self._bootstrap.join_requests,
+            self._host_filter.admissible(self._bootstrap.join_requests),
             now,
             self._grows,
             self._bootstrap.departures,
@@ -390,11 +411,18 @@
                 case ApplyEntries(entries):
                     self._apply(entries)
                 case InstallSnapshot(last_index, _, _, state):
-                    self._section.state = decode_state(state)
+                    self._section.state = self._checked_state(state)
                     self._section.applied_index = last_index
                     self._publish()
 
+    def _checked_state(self, data: bytes) -> ControlState:
+        state = decode_state(data)
+        check_level_supported(state.feature_level, self._mesh.hello.feature_level)
+        return state
+
     def _send(self, receiver, message) -> None:
+        if not self._host_filter.may_take_part(node_of(receiver)):
+            return
         envelope = ReplicaEnvelope(self._section.replica.id, receiver, message)
         self._mesh.send(node_of(receiver), envelope)
 
@@ -418,7 +446,8 @@
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         section = self._section
         for entry in entries:
-            result = apply_command(section.state, decode_message(entry.command))
+            command = decode_log_command(entry, self._mesh.hello.feature_level)
+            result = apply_command(section.state, command)
             section.applied_index = entry.index
             self._proposals.complete(entry.index, entry.term, result)
         self._publish()
@@ -433,6 +462,8 @@
             return
         if node_of(envelope.sender) != sender:
             return
+        if not self._host_filter.may_take_part(sender):
+            return
         self.submit(MessageReceived(envelope.sender, envelope.message))
 
     async def _on_propose(self, sender: NodeId, message: Propose) -> Message:
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/commands.py
@@ -12,6 +12,7 @@
     "Noop",
     "ProposalRedirected",
     "Propose",
+    "RaiseFeatureLevel",
     "RecordHosts",
     "Refused",
     "SettingsAccepted",
@@ -97,6 +98,18 @@
     removed: tuple[NodeId, ...] = ()
 
 
+class RaiseFeatureLevel(Message):
+    """Raises the feature level of the group; a level that is not higher has no effect.
+
+    Attributes
+    ----------
+    level : int
+        `FeatureLevel` that all control hosts have said they understand.
+    """
+
+    level: int
+
+
 class Refused(Message):
     """Result of a command that was refused and changed nothing.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/consensus.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/consensus.py
@@ -215,8 +215,11 @@
         Whether it already belongs to a group.
     generation : int
         The generation of its group.
+    feature_level : int
+        The feature level of its group, as far as it has applied the log.
     """
 
     replica: ReplicaId
     formed: bool
     generation: int = 0
+    feature_level: int = 0
