--- /dev/null
+++ b/tests/test_mixed_builds.py
@@ -0,0 +1,156 @@
+"""Hosts of an earlier build from the repository's history beside the current one."""
+
+import subprocess
+import sys
+import time
+import warnings
+
+import pytest
+
+from cranberryfield.core.messages.codec import encode_message
+from standins.mixed_cluster import MixedCluster, Traffic, unpack_build
+from standins.platform_cluster import CONTROL, RELAYS
+from standins.processes import ROOT, wait_until
+from standins.recorded_messages import message_kinds, sample_message
+
+#: The last build without feature levels.
+EARLIER = "70892fe"
+#: Time from the return of the last host to the new feature level, in seconds.
+RAISE_LIMIT_S = 2.0
+
+_READ_MESSAGES = """
+import sys
+sys.path[:0] = sys.argv[1:]
+from cranberryfield.core.messages.codec import decode_message
+for line in sys.stdin:
+    name, data = line.split()
+    assert type(decode_message(bytes.fromhex(data))).__name__ == name
+    print(name)
+"""
+
+
+@pytest.fixture(scope="module")
+def earlier(tmp_path_factory):
+    """Sources of the earlier build; those of the current one without its history."""
+    folder = tmp_path_factory.mktemp("earlier")
+    build = unpack_build(EARLIER, folder)
+    if build is None:
+        warnings.warn(
+            f"the history lacks {EARLIER}: hosts of the current build only are "
+            "replaced, and nothing is tested beside the earlier one",
+            stacklevel=2,
+        )
+    return build
+
+
+# Guards against a change by which hosts that run the earlier build lose messages that
+# they know, as they close the link at such a message.
+def test_the_earlier_build_reads_what_this_one_writes(earlier):
+    if earlier is None:
+        return
+    names = (ROOT / "tests" / "recorded" / f"messages-{EARLIER}.txt").read_text()
+    known = [line.split()[0] for line in names.splitlines()]
+    kinds = message_kinds()
+    lines = [
+        f"{name} {encode_message(sample_message(kinds[name])).hex()}\n"
+        for name in known
+    ]
+    paths = [str(path) for path in earlier.glob("packages/*/src")]
+    read = subprocess.run(
+        [sys.executable, "-c", _READ_MESSAGES, *paths],
+        input="".join(lines),
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert read.stdout.split() == known
+
+
+def roll(cluster, names, build):
+    """Restart hosts one by one, with a change of the deployment after each."""
+    for name in names:
+        cluster.restart(name, build)
+        cluster.declare_next(next(one for one in CONTROL if one != name))
+
+
+def raised_at(cluster):
+    """Return the hosts that have logged that the feature level was raised."""
+    return {
+        name
+        for name in CONTROL
+        for line in cluster.log_lines(name)
+        if line["event"] == "feature level raised"
+    }
+
+
+def refused_hosts(cluster):
+    return {
+        line["host"]
+        for name in CONTROL
+        for line in cluster.log_lines(name)
+        if line["event"].startswith("control host refused")
+    }
+
+
+def roll_leaders(cluster, build, left):
+    """Restart control hosts, the leader first, until `left` still have another build.
+
+    A host of `build` leads then.
+    """
+    while others := [one for one, its in cluster.builds().items() if its != build]:
+        leader = cluster.leader()
+        if len(others) > left:
+            roll(cluster, [leader if leader in others else others[0]], build)
+        elif leader in others:
+            roll(cluster, [leader], cluster.builds()[leader])
+        else:
+            return
+
+
+# Guards against links that close at messages of the other build, requests and
+# acknowledged deployments that an upgrade or its reversal costs, a log record that the
+# earlier build cannot read, and an earlier host that disturbs a group above its level.
+def test_hosts_are_replaced_one_by_one_in_both_directions(tmp_path, earlier):
+    current = ROOT
+    cluster = MixedCluster(tmp_path, earlier or current)
+    try:
+        cluster.start()
+        with Traffic(cluster) as traffic:
+            roll(cluster, ["relay-1"], current)
+            if earlier is not None:
+                roll_leaders(cluster, current, left=1)
+                roll(cluster, ["relay-1"], earlier)
+                roll_leaders(cluster, earlier, left=1)
+                assert not raised_at(cluster)
+            others = [one for one, its in cluster.builds().items() if its != current]
+            roll(cluster, [*others, *RELAYS], current)
+            wait_until(
+                lambda: raised_at(cluster) == set(CONTROL),
+                "the feature level is raised",
+                RAISE_LIMIT_S,
+            )
+            if earlier is not None:
+                check_refused(cluster, earlier)
+                cluster.declare_next("control-1")
+                cluster.restart("control-4", current)
+            time.sleep(1.0)
+        assert traffic.failures == []
+        assert traffic.statuses[200] > 100
+        assert cluster.fallen_links() == []
+        for name in CONTROL:
+            assert cluster.read_version(name) == cluster.acknowledged_version
+    finally:
+        cluster.stop()
+
+
+def check_refused(cluster, earlier):
+    """Start a host with the earlier build in a group above its level."""
+    process = cluster.processes["control-4"]
+    began = time.time()
+    process.terminate()
+    process.wait()
+    process.build = earlier
+    process.start()
+    wait_until(lambda: "control-4" in refused_hosts(cluster), "control-4 is refused")
+    cluster.declare_next("control-1")
+    cluster.restarts.append(("control-4", began, time.time() + 60.0))
