Restrict and count a relay's attempts while a service is rolled out

Cause: the state of rollouts on a relay had no effect.

Change: the chooser of upstreams asks which versions an attempt may use and takes its credit last, after all waits. The transport asks again once the connection is open. The relay counts arrivals and how attempts end. The relay role builds this only if rollout_exposure_ratio is set, and is then ready only with its first grants. Without the setting the chooser's candidates are those of before.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -15,6 +15,7 @@
     UnavailableError,
     WasRun,
 )
+from cranberryfield.core.features import FeatureLevel
 from cranberryfield.core.http1 import (
     ConnectionPool,
     Exchange,
@@ -64,6 +65,11 @@
 from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports import HostReporter
+from cranberryfield.entry.rollouts import (
+    RolloutReporter,
+    RolloutSection,
+    RolloutTraffic,
+)
 from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 
 __all__ = ["RelayHost", "not_ready_retry_s"]
@@ -141,6 +147,8 @@
         Monotonic time that counts suspensions.
     rng : random.Random
         Source of the jitter in retry delays.
+    rollout_reporter : RolloutReporter, optional
+        Reports to the leader about rollouts; not given if the deployment has none.
     """
 
     def __init__(
@@ -159,6 +167,7 @@
         tunnels: TunnelExit,
         clock: Clock,
         rng: Random,
+        rollout_reporter: RolloutReporter | None = None,
     ):
         self._config = config
         self._adapter = adapter
@@ -174,6 +183,7 @@
         self._tunnels = tunnels
         self._clock = clock
         self._rng = rng
+        self._rollout_reporter = rollout_reporter
         self._started_at = clock()
         self._stopping = False
         self._server_state = ServerState()
@@ -281,6 +291,20 @@
             connector.on_answer(record.process, metadata.pause_s, via)
             statements.on_answer(record, metadata, sent_at)
 
+        rollouts = rollout_reporter = None
+        if config.rollout_exposure_ratio is not None:
+            section = board.add(RolloutSection())
+            rollouts = RolloutTraffic(section, table, metrics, clock, rng)
+            rollout_reporter = RolloutReporter(
+                mesh,
+                leader,
+                lambda node: _supports_rollouts(mesh, node),
+                section,
+                table,
+                clock,
+            )
+            replica.watch(rollout_reporter.on_announcement)
+
         relay = Relay(
             table,
             loads,
@@ -294,7 +318,12 @@
             statements,
             streams,
             UpstreamTransport(
-                pool, adapter.upstream_codec, clock, on_answer, connector.suspect
+                pool,
+                adapter.upstream_codec,
+                clock,
+                on_answer,
+                connector.suspect,
+                rollouts.may_send if rollouts is not None else None,
             ),
             adapter.answer_error,
             metrics,
@@ -303,6 +332,7 @@
             hosts,
             clock,
             rng,
+            rollouts,
         )
         return cls(
             config,
@@ -319,14 +349,20 @@
             TunnelExit(table, paths, pauses, mesh, clock),
             clock,
             rng,
+            rollout_reporter,
         )
 
     def is_ready(self) -> bool:
         """Return whether the host accepts new requests."""
-        return not self._stopping and is_deployment_current(
-            self._deployment, self._clock()
+        return (
+            not self._stopping
+            and is_deployment_current(self._deployment, self._clock())
+            and self._knows_rollouts()
         )
 
+    def _knows_rollouts(self) -> bool:
+        return self._rollout_reporter is None or self._rollout_reporter.is_ready
+
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -337,6 +373,8 @@
             tasks.start_soon(self._reporter.run)
             tasks.start_soon(self._connector.run)
             tasks.start_soon(self._finder.run)
+            if self._rollout_reporter is not None:
+                tasks.start_soon(self._rollout_reporter.run)
             tasks.start_soon(self._close_idle_connections)
             readiness = split_address(self._config.relay.readiness)
             tasks.start_soon(
@@ -395,6 +433,13 @@
                 was_run=WasRun.NO,
                 retry_after_s=not_ready_retry_s(now - self._started_at, self._rng),
             )
+        if not self._knows_rollouts():
+            raise UnavailableError(
+                ErrorKind.NOT_READY,
+                "the leader has not said yet which versions may be used",
+                was_run=WasRun.NO,
+                retry_after_s=not_ready_retry_s(now - self._started_at, self._rng),
+            )
         table = self._deployment.table
         self._apply_limits()
         return self._adapter.read_request(exchange, table, self._clock)
@@ -407,3 +452,9 @@
             limits.header_timeout_ms / MS_PER_S,
             limits.idle_timeout_ms / MS_PER_S,
         )
+
+
+def _supports_rollouts(mesh: Mesh, node: NodeId) -> bool:
+    """Return whether a process understands the messages of rollouts."""
+    supports = getattr(mesh, "supports", None)
+    return supports is None or supports(node, FeatureLevel.ROLLOUTS)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -75,6 +75,9 @@
         connection leads, if any.
     on_silence : callable
         Called with the address of an upstream that has not responded in time.
+    may_send : callable, optional
+        Returns whether a request may still be sent to an upstream; asked once the
+        connection is open.
     """
 
     pool: ConnectionPool
@@ -82,6 +85,7 @@
     clock: Clock
     on_answer: Callable[[UpstreamRecord, ResponseMetadata, float, NodeId | None], None]
     on_silence: Callable[[str], None]
+    may_send: Callable[[UpstreamRecord], bool] | None = None
 
 
 @dataclass(slots=True)
@@ -103,6 +107,8 @@
 ) -> _PendingExchange:
     connection = await transport.pool.acquire(record.address)
     try:
+        if transport.may_send is not None and not transport.may_send(record):
+            raise NotSentError("the version may not be used any more")
         sent_at = transport.clock()
         time_left_ms = int((request.deadline - sent_at) * MS_PER_S)
         headers = transport.codec.encode(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -21,6 +21,10 @@
 from cranberryfield.entry.quarantine import digest_prompt_parts
 from cranberryfield.entry.quota import QuotaClient
 from cranberryfield.entry.registry import RegistryTable, record_reply
+from cranberryfield.entry.relay.attempt_judgements import (
+    judge_cancelled,
+    judge_result,
+)
 from cranberryfield.entry.relay.attempt_results import (
     SERVER_ERRORS,
     RelayAttemptOutcome,
@@ -71,6 +75,7 @@
     has_windowed_retry,
     spend_windowed_retry,
 )
+from cranberryfield.entry.rollouts import Judgement, RolloutSection, RolloutTraffic
 from cranberryfield.entry.streams import StreamDirectory, StreamOrigin
 
 __all__ = ["Relay"]
@@ -126,6 +131,9 @@
         Monotonic time.
     rng : random.Random
         Adds jitter to the retry delays of refused callers.
+    rollouts : RolloutTraffic, optional
+        Restricts attempts to the versions that they may use, and counts them; not
+        given if the deployment has no rollouts.
     """
 
     def __init__(
@@ -149,6 +157,7 @@
         host_count: Callable[[], int],
         clock: Clock,
         rng: Random,
+        rollouts: RolloutTraffic | None = None,
     ):
         self._table = table
         self._loads = loads
@@ -167,6 +176,9 @@
         self._clock = clock
         self._rng = rng
         self._host_count = host_count
+        self._rollouts = rollouts or RolloutTraffic(
+            RolloutSection(), table, metrics, clock, rng
+        )
         self._chooser = RelayUpstreamChooser(
             table,
             loads,
@@ -178,6 +190,7 @@
             host_count,
             data_centre,
             clock,
+            self._rollouts,
         )
 
     async def run(self) -> None:
@@ -207,6 +220,7 @@
             ),
         )
         record_arrival(self._demand, request.service, request.arrived_at)
+        self._rollouts.record_arrival(request.service)
         outcome = "caller left"
         time_left_s = request.deadline - self._clock()
         try:
@@ -271,7 +285,7 @@
         self._refuse_if_quarantined(state)
         raise unavailable_error(
             request.service,
-            may_go_on(state.origin, self._table.active_upstreams(request.service)),
+            self._upstreams_for(request, state),
             state,
             self._limiter,
             self._statements.pauses,
@@ -279,6 +293,15 @@
             self._rng,
         )
 
+    def _upstreams_for(
+        self, request: RelayRequest, state: RelayRequestState
+    ) -> list[UpstreamRecord]:
+        """Return the upstreams that may run a request now or later."""
+        return self._rollouts.without_rolled_back(
+            request.service,
+            may_go_on(state.origin, self._table.active_upstreams(request.service)),
+        )
+
     def _record_pauses(self, request: RelayRequest, progress: StreamProgress) -> None:
         target_ms = request.route.pause_target_ms
         pause_ms = progress.longest_pause_s * MS_PER_S
@@ -336,6 +359,8 @@
             self._streams.record(request.id, origin, request.deadline)
         started_at = self._clock()
         run = ObservedRun(state.fingerprint, state.prompt_parts, record, started_at)
+        rollout_run = self._rollouts.begin(record, request.route.name)
+        judgement = Judgement.UNJUDGED
 
         def on_events() -> None:
             is_first = run.answered_at is None
@@ -343,6 +368,7 @@
             if not is_first:
                 return
             attempt.prefill_tokens = 0
+            self._rollouts.record_answer(rollout_run)
             if state.origin is None:
                 state.origin = StreamOrigin(record.service, record.software_version)
             record_run_start(self._usage, request)
@@ -351,9 +377,7 @@
                 waited_s = state.first_event_at - request.arrived_at
                 self._metrics.observe("first_event", waited_s, **metric_labels(request))
 
-        candidates = may_go_on(
-            state.origin, self._table.active_upstreams(request.service)
-        )
+        candidates = self._upstreams_for(request, state)
         has_alternative = may_follow(
             request.route, record, candidates, state
         ) and has_windowed_retry(self._budget, request.service, started_at)
@@ -371,10 +395,19 @@
                     on_events,
                     has_alternative,
                 )
+            judgement = judge_result(result)
         except anyio.get_cancelled_exc_class():
             self._detector.abandon(run)
+            judgement = judge_cancelled(
+                request.route,
+                request.arrived_at,
+                started_at,
+                request.deadline,
+                self._clock(),
+            )
             raise
         finally:
+            self._rollouts.end(rollout_run, judgement)
             load.own_attempts.pop(request.id, None)
             self._quarantine.release(state.fingerprint, record.upstream)
         has_crashed = await self._detector.examine(run, result)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_upstream_chooser.py
@@ -9,6 +9,7 @@
 from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.http1 import RequestHead
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.registry import RegistryTable, accept_record
 from cranberryfield.entry.relay import LoadSection, RelayRequest
 from cranberryfield.entry.relay.brittle_upstreams import BrittleUpstreams
@@ -18,6 +19,7 @@
     RelayUpstreamChooser,
 )
 from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
+from cranberryfield.entry.rollouts import RolloutSection, RolloutTraffic
 
 REFUSALS = 3
 
@@ -82,6 +84,7 @@
         lambda: 1,
         "d",
         monotonic_clock,
+        RolloutTraffic(RolloutSection(), table, Metrics(), monotonic_clock, Random(1)),
     )
     head = RequestHead(b"GET", b"/", [])
     route = SimpleNamespace(rank=0)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -23,6 +23,7 @@
     RelayCostModel,
     choose_relay_upstream,
 )
+from cranberryfield.entry.rollouts import RolloutTraffic
 
 __all__ = ["ROOM_POLL_S", "RelayUpstreamChooser"]
 
@@ -62,6 +63,8 @@
         Data centre of this host.
     clock : Clock
         Monotonic time.
+    rollouts : RolloutTraffic
+        Restricts attempts to the versions that they may use.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         host_count: Callable[[], int],
         data_centre: DataCentre,
         clock: Clock,
+        rollouts: RolloutTraffic,
     ):
         self._table = table
         self._loads = loads
@@ -87,6 +91,7 @@
         self._host_count = host_count
         self._data_centre = data_centre
         self._clock = clock
+        self._rollouts = rollouts
         self._model = RelayCostModel()
 
     async def choose(
@@ -118,9 +123,13 @@
             state.fingerprint, request.deadline
         )
         while True:
-            candidates = may_go_on(
-                state.origin, self._table.active_upstreams(request.service)
+            has_begun = state.origin is not None
+            exposure = self._rollouts.expose(
+                request.service,
+                may_go_on(state.origin, self._table.active_upstreams(request.service)),
+                has_begun,
             )
+            candidates = exposure.candidates
             crashed = self._quarantine.crashed_among(candidates)
             now = self._clock()
             without_room = without_room_among(
@@ -136,9 +145,12 @@
                 paused_among(self._pauses, candidates, now),
                 without_room,
             )
-            record = self._choose_now(request, state, candidates, crashed, unavailable)
+            record = self._choose_preferred(
+                request, state, exposure.preferred, crashed, unavailable
+            ) or self._choose_now(request, state, candidates, crashed, unavailable)
             is_down = record is None or record.upstream in crashed
-            lacks_room = record is None and bool(without_room) and now < room_until
+            may_get_room = bool(without_room) or exposure.is_pending
+            lacks_room = record is None and may_get_room and now < room_until
             if lacks_room or (is_down and (reserved_for_others or now < wait_until)):
                 reserved_for_others.clear()
                 poll_s = ROOM_POLL_S if lacks_room else UPSTREAM_POLL_S
@@ -159,8 +171,32 @@
                 # Also if the caller leaves while the owner of the limit is asked.
                 if not may_run:
                     self._quarantine.release(state.fingerprint, record.upstream)
-            if may_run:
+            if not may_run:
+                continue
+            if self._rollouts.take(record, has_begun):
                 return record
+            self._quarantine.release(state.fingerprint, record.upstream)
+            self._limiter.put_back(record)
+
+    def _choose_preferred(
+        self,
+        request: RelayRequest,
+        state: RelayRequestState,
+        preferred: list[UpstreamRecord],
+        crashed: frozenset[UpstreamId],
+        unavailable: set[UpstreamId],
+    ) -> UpstreamRecord | None:
+        """Choose one of the preferred upstreams, unless all have failed."""
+        if not preferred:
+            return None
+        failed = crashed | doubtful_among(self._table, preferred)
+        record = self._choose_now(
+            request, state, preferred, crashed, unavailable | failed
+        )
+        if record is None:
+            return None
+        is_usable = self._loads.load_of(record.upstream).backoff_until <= self._clock()
+        return record if is_usable else None
 
     def _choose_now(
         self,
