Test a relay of two versions with a stand-in for the leader

Cause: the hooks in the relay had no test with real connections.

Change: the harness takes a section of rollouts.

--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -60,6 +60,7 @@
 from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses
 from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
+from cranberryfield.entry.rollouts import RolloutTraffic
 from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 from standins.processes import free_port
 from standins.scripted_upstream import ScriptedUpstream, UpstreamCrash
@@ -190,7 +191,10 @@
 
 
 class RelayHarness:
-    """Relay with raw upstreams, called over a raw connection."""
+    """Relay with raw upstreams, called over a raw connection.
+
+    With `rollouts`, a `RolloutSection`, it restricts attempts by the grants in it.
+    """
 
     def __init__(
         self,
@@ -198,6 +202,7 @@
         kind=RouteKind.IDEMPOTENT,
         prompt_parts=(),
         versions=None,
+        rollouts=None,
         **route,
     ):
         self.prompt_parts = prompt_parts
@@ -265,6 +270,11 @@
             metrics,
             clock,
         )
+        self.metrics = metrics
+        self.background = []
+        traffic = None
+        if rollouts is not None:
+            traffic = RolloutTraffic(rollouts, self.table, metrics, clock, Random(1))
         self.loads = LoadSection()
         self.streams = StreamDirectory(
             StreamOriginSection(), self.table, mesh, names, clock
@@ -289,6 +299,7 @@
                     record, metadata, sent_at
                 ),
                 connector.suspect,
+                traffic.may_send if traffic is not None else None,
             ),
             self._refuse,
             metrics,
@@ -297,6 +308,7 @@
             lambda: 1,
             clock,
             Random(1),
+            traffic,
         )
 
     async def _refuse(self, exchange, error):
@@ -335,6 +347,8 @@
                 address = ("127.0.0.1", self.port)
                 await tasks.start(serve_http, address, self._handle, state)
                 tasks.start_soon(self.relay.run)
+                for one in self.background:
+                    tasks.start_soon(one)
                 async with await anyio.connect_tcp(*address) as stream:
                     await conversation(stream)
                 tasks.cancel_scope.cancel()
