Bound the report of rollouts, and warn of a relay without grants

Cause: with 256 rows for each rollout, the report of 8 rollouts has 172 kB and takes 22 ms to encode, beyond the 20 ms of a step and the links of relays.

Change: 64 rows for each rollout. A relay that has waited 5 s for its first grants says so once and reports less often.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/outcomes.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/outcomes.py
@@ -23,7 +23,9 @@
 #: Number of buckets of durations; the last one begins at 46 s.
 DURATION_BUCKETS = 32
 #: Rows kept for a rollout. Attempts on further routes or data centres share two rows.
-MAX_ROWS = 256
+#: With 256 rows the report of 8 rollouts has 172 kB and takes 22 ms to encode, which is
+#: longer than one step may hold the event loop.
+MAX_ROWS = 64
 
 _RowKey = tuple[str, DataCentre, bool]
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/reporter.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/reporter.py
@@ -91,13 +91,18 @@
 
         A host that has just started does not know which versions are restricted.
         """
-        if self._section.has_grants or self._leader() is None:
-            return True
+        is_waiting = self._leader() is not None and not self._section.has_grants
+        return not is_waiting or self._has_waited
+
+    @property
+    def _has_waited(self) -> bool:
+        """Whether the first grants have not come in time."""
         since = self._leader_known_at
         return since is not None and self._clock() - since > FIRST_GRANTS_WAIT_S
 
     async def run(self) -> None:
         """Report until cancelled."""
+        is_warned = False
         while True:
             with anyio.move_on_after(self._interval_s()):
                 await self._wake.wait()
@@ -106,6 +111,9 @@
             leader = self._leader()
             if leader is not None:
                 await self.report(leader)
+            if self._has_waited and not (self._section.has_grants or is_warned):
+                is_warned = True
+                logger.warning("serving without rollout grants", leader=leader)
             self._log_leases()
 
     def on_announcement(self, record: UpstreamRecord) -> None:
@@ -121,7 +129,7 @@
             self._wake.set()
 
     def _interval_s(self) -> float:
-        if not self._section.has_grants:
+        if not (self._section.has_grants or self._has_waited):
             return FIRST_INTERVAL_S
         return REPORT_INTERVAL_S if self._section.has_unended else REST_INTERVAL_S
 
