Pass over a target version whose upstreams are full

Cause: a credit preferred the target whatever its load, so that a share beyond the room of its upstreams made a good version slow.

Change: preferred upstreams are those with a free slot; without one the request is chosen among all that it may use.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -186,12 +186,20 @@
         crashed: frozenset[UpstreamId],
         unavailable: set[UpstreamId],
     ) -> UpstreamRecord | None:
-        """Choose one of the preferred upstreams, unless all have failed."""
+        """Choose one of the preferred upstreams, unless all have failed or are full.
+
+        A version that is to get more than its upstreams take would look slow.
+        """
         if not preferred:
             return None
         failed = crashed | doubtful_among(self._table, preferred)
+        full = {
+            one.upstream
+            for one in preferred
+            if self._loads.load_of(one.upstream).in_flight >= one.capacity
+        }
         record = self._choose_now(
-            request, state, preferred, crashed, unavailable | failed
+            request, state, preferred, crashed, unavailable | failed | full
         )
         if record is None:
             return None
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -149,6 +149,24 @@
     relay.run(conversation)
 
 
+# Guards against a good version that looks slow, since its share is more than its
+# upstreams take.
+def test_full_target_is_passed_over():
+    relay = Relay([respond(), respond()], ["v1", "v2"])
+    relay.leader.grant(ADVANCING, 1.0)
+    load = relay.harness.loads.load_of("u1")
+
+    async def conversation():
+        load.remote_in_flight = relay.harness.table.entries["u1"].record.capacity
+        await relay.ask(6)
+        assert relay.received == [6, 0]
+        load.remote_in_flight = 0
+        await relay.ask(6)
+        assert relay.received[1] >= 3
+
+    relay.run(conversation)
+
+
 # Guards against a lease that outlives the leader.
 def test_share_ends_with_the_lease():
     relay = Relay([respond(), respond()], ["v1", "v2"])
