Test that nothing is sent to a target rolled back while connecting

Cause: the check before a request is written had no test of its wiring, and the table of decisions was long.

Change: a rollback while the connection is opened; one line for each decision.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/tests/test_exposure.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/tests/test_exposure.py
@@ -55,146 +55,54 @@
 
 
 BOTH = ["v1", "v2"]
-# Stage, credit, seconds left of the lease, announced versions, version at which a
+# Name; stage, credit, seconds left of the lease, announced versions, version at which a
 # stream has begun, draw; then the versions that may be used, those preferred, and
-# whether the request waits.
-DECISIONS = {
-    "no credit": (OBSERVING, 0.9, 3, BOTH, None, 0.0, ["v1"], [], False),
-    "a credit, drawn": (OBSERVING, 1.0, 3, BOTH, None, 0.4, BOTH, ["v2"], False),
-    "a credit, not drawn": (OBSERVING, 1.0, 3, BOTH, None, 0.6, BOTH, ["v1"], False),
-    "two credits": (ADVANCING, 2.0, 3, BOTH, None, 0.9, BOTH, ["v2"], False),
-    "lease expired": (OBSERVING, 3.0, 0, BOTH, None, 0.0, ["v1"], [], False),
-    "lease expired, advancing": (
-        ADVANCING,
-        3.0,
-        -9,
-        BOTH,
-        None,
-        0.0,
-        ["v1"],
-        [],
-        False,
-    ),
-    "only the target is left": (OBSERVING, 0.9, 3, ["v2"], None, 0.0, [], [], False),
-    "only the target, a credit": (
-        OBSERVING,
-        1.0,
-        3,
-        ["v2"],
-        None,
-        0.0,
-        ["v2"],
-        ["v2"],
-        False,
-    ),
-    "begun at the target, a credit": (
-        OBSERVING,
-        1.0,
-        3,
-        BOTH,
-        "v2",
-        0.9,
-        ["v2"],
-        [],
-        False,
-    ),
-    "begun at the target, no credit": (
-        OBSERVING,
-        0.5,
-        3,
-        BOTH,
-        "v2",
-        0.0,
-        [],
-        [],
-        True,
-    ),
-    "begun at the target, no lease": (
-        OBSERVING,
-        3.0,
-        0,
-        BOTH,
-        "v2",
-        0.0,
-        [],
-        [],
-        False,
-    ),
-    "begun at the old one": (OBSERVING, 3.0, 3, BOTH, "v1", 0.0, ["v1"], [], False),
-    "switching": (SWITCHING, 0.0, 3, BOTH, None, 0.0, ["v2"], [], False),
-    "switching without a lease": (
-        SWITCHING,
-        0.0,
-        -99,
-        BOTH,
-        None,
-        0.0,
-        ["v2"],
-        [],
-        False,
-    ),
-    "switching, begun at the old one": (
-        SWITCHING,
-        0.0,
-        3,
-        BOTH,
-        "v1",
-        0.0,
-        ["v1"],
-        [],
-        False,
-    ),
-    "switching, no target": (SWITCHING, 0.0, 3, ["v1"], None, 0.0, ["v1"], [], False),
-    "completed": (COMPLETED, 0.0, -99, BOTH, None, 0.0, BOTH, [], False),
-    "rolled back": (ROLLED_BACK, 3.0, 3, BOTH, None, 0.0, ["v1"], [], False),
-    "rolled back, only the target": (
-        ROLLED_BACK,
-        3.0,
-        3,
-        ["v2"],
-        None,
-        0.0,
-        [],
-        [],
-        False,
-    ),
-    "rolled back, begun at the target": (
-        ROLLED_BACK,
-        3.0,
-        3,
-        BOTH,
-        "v2",
-        0.0,
-        [],
-        [],
-        False,
-    ),
-    "no rollout": (None, 0.0, 0, BOTH, None, 0.0, BOTH, [], False),
-}
+# whether the request waits. A dash is none.
+DECISIONS = """
+no credit                   | observing   0.9   3 v1,v2  - 0.0 | v1    -  go
+a credit, drawn             | observing   1.0   3 v1,v2  - 0.4 | v1,v2 v2 go
+a credit, not drawn         | observing   1.0   3 v1,v2  - 0.6 | v1,v2 v1 go
+two credits                 | advancing   2.0   3 v1,v2  - 0.9 | v1,v2 v2 go
+no lease                    | observing   3.0   0 v1,v2  - 0.0 | v1    -  go
+no lease, advancing         | advancing   3.0  -9 v1,v2  - 0.0 | v1    -  go
+only the target             | observing   0.9   3 v2     - 0.0 | -     -  go
+only the target, a credit   | observing   1.0   3 v2     - 0.0 | v2    v2 go
+begun there, a credit       | observing   1.0   3 v1,v2 v2 0.9 | v2    -  go
+begun there, no credit      | observing   0.5   3 v1,v2 v2 0.0 | -     -  wait
+begun there, no lease       | observing   3.0   0 v1,v2 v2 0.0 | -     -  go
+begun at the old one        | observing   3.0   3 v1,v2 v1 0.0 | v1    -  go
+switching                   | switching   0.0   3 v1,v2  - 0.0 | v2    -  go
+switching, no lease         | switching   0.0 -99 v1,v2  - 0.0 | v2    -  go
+switching, begun at the old | switching   0.0   3 v1,v2 v1 0.0 | v1    -  go
+switching, no target        | switching   0.0   3 v1     - 0.0 | v1    -  go
+completed                   | completed   0.0 -99 v1,v2  - 0.0 | v1,v2 -  go
+rolled back                 | rolled_back 3.0   3 v1,v2  - 0.0 | v1    -  go
+rolled back, only target    | rolled_back 3.0   3 v2     - 0.0 | -     -  go
+rolled back, begun there    | rolled_back 3.0   3 v1,v2 v2 0.0 | -     -  go
+no rollout                  | -           0.0   0 v1,v2  - 0.0 | v1,v2 -  go
+"""
+ROWS = [line.split("|") for line in DECISIONS.strip().splitlines()]
+
+
+def listed(text):
+    return [] if text == "-" else text.split(",")
 
 
 # Guards against a target that gets more than its credits, a stream that goes on at
 # another version, and a version that is used after its rollback.
 @pytest.mark.parametrize(
-    (
-        "stage",
-        "credit",
-        "lease_s",
-        "announced",
-        "begun",
-        "draw",
-        "use",
-        "first",
-        "wait",
-    ),
-    DECISIONS.values(),
-    ids=DECISIONS.keys(),
+    ("state", "expected"),
+    [row[1:] for row in ROWS],
+    ids=[row[0].strip() for row in ROWS],
 )
-def test_versions_that_a_request_may_use(
-    stage, credit, lease_s, announced, begun, draw, use, first, wait
-):
-    section = section_with(stage, credit, lease_s)
-    assert exposed(section, announced, begun, draw) == (use, first, wait)
+def test_versions_that_a_request_may_use(state, expected):
+    stage, credit, lease_s, announced, begun, draw = state.split()
+    stage = None if stage == "-" else RolloutStage[stage.upper()]
+    section = section_with(stage, float(credit), float(lease_s))
+    begun = None if begun == "-" else begun
+    found = exposed(section, listed(announced), begun, float(draw))
+    use, preferred, end = expected.split()
+    assert found == (listed(use), listed(preferred), end == "wait")
 
 
 # Confirmed versions, those announced, those known (also of upstreams that leave); then
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -236,7 +236,7 @@
             accept_record(self.table, record, 0.0)
         clock = monotonic_clock
         self.quota = CountingQuota()
-        pool = ConnectionPool(clock)
+        pool = self.pool = ConnectionPool(clock)
         metrics = Metrics()
         mesh = Mesh(Hello("relay-1", "g", 1, "fann", ("relay",), "", ""), "key")
         connector = PathConnector(
--- a/tests/test_relay_rollouts.py
+++ b/tests/test_relay_rollouts.py
@@ -149,6 +149,30 @@
     relay.run(conversation)
 
 
+# Guards against a request that is sent late, as a rollback or the end of a lease comes
+# while its connection is opened.
+def test_request_is_not_sent_after_a_rollback():
+    relay = Relay([respond(), respond()], ["v1", "v2"])
+    relay.leader.grant(OBSERVING, 0.1)
+    dial, target = relay.harness.pool.dial, relay.harness.upstreams[1].address
+
+    async def roll_back_and_dial(address):
+        connection = await dial(address)
+        if address == target:
+            relay.leader.grant(ROLLED_BACK)
+            relay.leader.push()
+        return connection
+
+    async def conversation():
+        relay.harness.pool.dial = roll_back_and_dial
+        relay.section.rollouts["drafts"].credit = 3.0
+        assert (await relay.ask()).startswith(b"HTTP/1.1 200")
+        assert relay.section.rollouts["drafts"].has_ended
+        assert relay.received == [1, 0]
+
+    relay.run(conversation)
+
+
 # Guards against a good version that looks slow, since its share is more than its
 # upstreams take.
 def test_full_target_is_passed_over():
