Keep rollouts in the log, take their orders, and decide on them at the leader

Cause: operators' orders to move a service to another software version were unknown calls.

Change: state machine of rollouts at the end of the control state; calls of operators in the platform's adapter; a coordinator at the leader that collects reports, compares versions, plans shares and proposes stages. Without rollout_exposure_ratio all is as before. The error kind "conflict" (409) is new, for a different order beside one in progress.

Measured: the tests of the control, core and daemon packages and of the adapter pass; the verdict and the plan have no tests of their own yet.

--- a/packages/cranberryfield-control/src/cranberryfield/control/machine.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/machine.py
@@ -9,6 +9,10 @@
     apply_declaration,
 )
 from cranberryfield.control.orders import OrdersState, apply_order_command
+from cranberryfield.control.rollouts.machine import (
+    RolloutsState,
+    apply_rollout_command,
+)
 from cranberryfield.control.settings import (
     SettingsState,
     adopt_tree,
@@ -28,6 +32,7 @@
 from cranberryfield.core.messages.deployment import DeclareDeployment
 from cranberryfield.core.messages.orders import ConfirmOrder, PlaceOrder
 from cranberryfield.core.messages.reports import SettleUsage, UsageReported
+from cranberryfield.core.messages.rollouts import AdvanceRollout, BeginRollout
 from cranberryfield.core.settings import effective_settings
 
 __all__ = ["ControlState", "apply_command"]
@@ -53,6 +58,8 @@
         Usage counts per window.
     feature_level : int
         Highest `FeatureLevel` that all control hosts understand; never lowered.
+    rollouts : RolloutsState
+        Latest rollout of each service.
     """
 
     settings: SettingsState = msgspec.field(default_factory=SettingsState)
@@ -62,6 +69,7 @@
     deployment: DeploymentState = msgspec.field(default_factory=DeploymentState)
     usage: UsageState = msgspec.field(default_factory=UsageState)
     feature_level: int = 0
+    rollouts: RolloutsState = msgspec.field(default_factory=RolloutsState)
 
 
 def apply_command(state: ControlState, command: Message) -> Message:
@@ -95,6 +103,8 @@
             return apply_usage_command(state.usage, command)
         case PlaceOrder() | ConfirmOrder():
             return apply_order_command(state.orders, command)
+        case BeginRollout() | AdvanceRollout():
+            return apply_rollout_command(state.rollouts, command)
         case Noop():
             return command
     if isinstance(command, ClaimCommand):
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -244,6 +244,11 @@
         """
         await self._reads.wait()
 
+    @property
+    def section(self) -> ControlSection:
+        """The replica and its applied state, read-only."""
+        return self._section
+
     @property
     def leader_since(self) -> float:
         """Monotonic time in seconds at which this replica last became leader."""
--- a/packages/cranberryfield-core/src/cranberryfield/core/errors.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/errors.py
@@ -64,6 +64,7 @@
     UNKNOWN_PATH = "unknown_path"
     INVALID_SETTING = "invalid_setting"
     STALE_REVISION = "stale_revision"
+    CONFLICT = "conflict"
     FOREIGN_DATA = "foreign_data"
     DATA_IN_USE = "data_in_use"
     CORRUPT_DATA = "corrupt_data"
@@ -125,6 +126,7 @@
     ErrorKind.UNKNOWN_PATH: ErrorResponse(404, _NO, False, 4),
     ErrorKind.INVALID_SETTING: ErrorResponse(422, _NO, False, 8),
     ErrorKind.STALE_REVISION: ErrorResponse(409, _NO, False, 9),
+    ErrorKind.CONFLICT: ErrorResponse(409, _NO, False, 9),
     ErrorKind.FOREIGN_DATA: ErrorResponse(500, _NO, False, 10),
     ErrorKind.DATA_IN_USE: ErrorResponse(500, _NO, False, 10),
     ErrorKind.CORRUPT_DATA: ErrorResponse(500, _NO, False, 11),
@@ -218,6 +220,7 @@
     ErrorKind.UNKNOWN_PATH: ControlError,
     ErrorKind.INVALID_SETTING: ControlError,
     ErrorKind.STALE_REVISION: ControlError,
+    ErrorKind.CONFLICT: ControlError,
     ErrorKind.NO_QUORUM: ControlError,
     ErrorKind.FOREIGN_DATA: StorageError,
     ErrorKind.DATA_IN_USE: StorageError,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -6,12 +6,15 @@
 
 import anyio
 
+from cranberryfield.control.rollouts import ExposureBound
 from cranberryfield.control.runtime import ControlRuntime, ControlSection
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock, wall_clock
 from cranberryfield.core.config import ClusterConfig
 from cranberryfield.core.config.daemon import split_address
 from cranberryfield.core.deployment import Deployment, decode_deployment
+from cranberryfield.core.errors import ErrorKind, UnavailableError
+from cranberryfield.core.features import FeatureLevel
 from cranberryfield.core.http1 import (
     ConnectionPool,
     Exchange,
@@ -19,6 +22,7 @@
     ServerState,
     serve_http,
 )
+from cranberryfield.core.ids import ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.deployment import (
     DeclareDeployment,
@@ -26,6 +30,12 @@
     DeploymentView,
     ReadDeployment,
 )
+from cranberryfield.core.messages.rollouts import (
+    BeginRollout,
+    ReadRollout,
+    RolloutBegun,
+    RolloutView,
+)
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings.follow import SettingsSection
 from cranberryfield.daemon.cluster.autoscaler import UpstreamAutoscaler
@@ -34,6 +44,7 @@
     ControlOperations,
     ProtocolAdapter,
 )
+from cranberryfield.daemon.cluster.rollouts import RolloutCoordinator
 from cranberryfield.daemon.cluster.suspect_store import SuspectStore
 from cranberryfield.entry.limits import TokenOwner
 from cranberryfield.entry.paths.relay_directory import answer_relay_queries
@@ -83,6 +94,8 @@
         Sends commands and queries to the leader.
     leader_tasks : tuple
         Background tasks that only act while this host leads.
+    rollouts : RolloutCoordinator, optional
+        Moves rollouts forward while this host leads; None if there are none.
     """
 
     def __init__(
@@ -96,6 +109,7 @@
         streams: StreamDirectory,
         proposer: Proposer,
         leader_tasks: tuple[UsageReporter | UpstreamAutoscaler, ...],
+        rollouts: RolloutCoordinator | None = None,
     ):
         self._address = address
         self._adapter = adapter
@@ -106,12 +120,15 @@
         self._streams = streams
         self._proposer = proposer
         self._leader_tasks = leader_tasks
+        self._rollouts = rollouts
         self._server_state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
         self._operations = ControlOperations(
             self._declare_deployment,
             self._read_deployment,
             publisher.announce,
             publisher.depart,
+            self._begin_rollout if rollouts is not None else None,
+            self._read_rollout if rollouts is not None else None,
         )
 
     @classmethod
@@ -176,6 +193,20 @@
                     table, collector.reports, token_issuer, cloud, deployment, clock
                 ),
             )
+        rollouts = None
+        if config.rollout_exposure_ratio is not None:
+            rollouts = RolloutCoordinator(
+                section,
+                runtime,
+                table,
+                mesh,
+                deployment,
+                ExposureBound(
+                    config.rollout_exposure_ratio, config.rollout_exposure_allowance
+                ),
+                clock,
+                wall_clock,
+            )
         return cls(
             config.control.operators,
             adapter,
@@ -186,6 +217,7 @@
             streams,
             proposer,
             leader_tasks,
+            rollouts,
         )
 
     async def run(self) -> None:
@@ -198,6 +230,8 @@
             tasks.start_soon(self._streams.run)
             for task in self._leader_tasks:
                 tasks.start_soon(task.run)
+            if self._rollouts is not None:
+                tasks.start_soon(self._rollouts.run)
             address = split_address(self._address)
             tasks.start_soon(
                 serve_http, address, self._handle_control_request, self._server_state
@@ -223,6 +257,22 @@
     async def _read_deployment(self) -> DeploymentView:
         return await self._proposer.ask(ReadDeployment(), READ_TIMEOUT_S)
 
+    async def _begin_rollout(self, order: BeginRollout) -> RolloutBegun:
+        self._check_level()
+        return await self._proposer.ask(order, READ_TIMEOUT_S)
+
+    async def _read_rollout(self, service: ServiceName) -> RolloutView:
+        self._check_level()
+        return await self._proposer.ask(ReadRollout(service), READ_TIMEOUT_S)
+
+    def _check_level(self) -> None:
+        """Send nothing to the leader that its build may not understand."""
+        level = self._runtime.section.state.feature_level
+        if level < FeatureLevel.ROLLOUTS:
+            raise UnavailableError(
+                ErrorKind.NOT_READY, "not all control hosts understand rollouts yet"
+            )
+
 
 def _applied_deployment(
     section: ControlSection,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/protocol_adapter.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/protocol_adapter.py
@@ -7,13 +7,18 @@
 from cranberryfield.core.deployment import RouteTable
 from cranberryfield.core.errors import CranberryfieldError
 from cranberryfield.core.http1 import ConnectionPool, Exchange
-from cranberryfield.core.ids import UpstreamId
+from cranberryfield.core.ids import ServiceName, UpstreamId
 from cranberryfield.core.messages.deployment import (
     DeclareDeployment,
     DeploymentDeclared,
     DeploymentView,
 )
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.messages.rollouts import (
+    BeginRollout,
+    RolloutBegun,
+    RolloutView,
+)
 from cranberryfield.daemon.cluster.cloud import CloudClient
 from cranberryfield.entry.relay import RelayRequest, UpstreamCodec
 
@@ -35,12 +40,19 @@
     depart : callable
         Marks an upstream as leaving; if an incarnation is given, only that
         incarnation.
+    begin_rollout : callable, optional
+        Commits the order of a rollout; the leader states when it has begun and which
+        versions serve. None if the deployment has no rollouts.
+    read_rollout : callable, optional
+        Returns the latest rollout of a service.
     """
 
     declare_deployment: Callable[[DeclareDeployment], Awaitable[DeploymentDeclared]]
     read_deployment: Callable[[], Awaitable[DeploymentView]]
     announce: Callable[[UpstreamRecord], None]
     depart: Callable[[UpstreamId, int | None], None]
+    begin_rollout: Callable[[BeginRollout], Awaitable[RolloutBegun]] | None = None
+    read_rollout: Callable[[ServiceName], Awaitable[RolloutView]] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -24,6 +24,7 @@
     ErrorKind.UNKNOWN_PATH,
     ErrorKind.INVALID_SETTING,
     ErrorKind.STALE_REVISION,
+    ErrorKind.CONFLICT,
     ErrorKind.FOREIGN_DATA,
     ErrorKind.DATA_IN_USE,
     ErrorKind.CORRUPT_DATA,
