Compare versions in matched slices, and grow the share in steps

Change: usual failure rates are also taken from all old outcomes on the route and in the data centre; a decision at the deadline needs more evidence; the share does not grow while the version is in doubt.

--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/counts.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/counts.py
@@ -15,6 +15,10 @@
 #: Highest count that is believed.
 MAX_COUNT = 1 << 40
 
+#: Averaging time of the rate of requests, in seconds.
+RATE_WINDOW_S = 1.5
+NO_COUNTS = RolloutCounts(0, 0, 0, 0)
+
 #: Route and data centre, within which versions are compared.
 Cell = tuple[str, str]
 
@@ -40,12 +44,17 @@
         """Number of successful attempts."""
         return sum(self.durations)
 
-    def add(self, counts: VersionCounts, sign: int = 1) -> None:
-        """Add the counts of a report, or subtract them with a sign of -1."""
-        self.attempts += sign * counts.attempts
-        self.failures += sign * counts.failures
+    def add(self, counts: VersionCounts, known: VersionCounts | None) -> None:
+        """Add what was counted since an earlier report of the same relay."""
+        self.attempts += counts.attempts
+        self.failures += counts.failures
         for bucket, count in enumerate(counts.durations):
-            self.durations[bucket] += sign * count
+            self.durations[bucket] += count
+        if known is not None:
+            self.attempts -= known.attempts
+            self.failures -= known.failures
+            for bucket, count in enumerate(known.durations):
+                self.durations[bucket] -= count
 
 
 @dataclass(slots=True)
@@ -64,6 +73,8 @@
         Revision of the grants that the relay had.
     rate_per_s : float
         Requests for the service that arrive at the relay, smoothed.
+    cells : dict
+        The counts by route, data centre and whether they are of the target.
     """
 
     incarnation: int
@@ -71,6 +82,7 @@
     heard_at: float
     revision: int
     rate_per_s: float = 0.0
+    cells: dict[tuple[str, str, bool], VersionCounts] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -144,39 +156,43 @@
     str or None
         Why the report is ignored; None if it is not.
     """
-    problem = _problem_of(counts)
-    if problem is not None:
-        return problem
     host = collected.hosts.get(node)
     if host is None and len(collected.hosts) >= MAX_HOSTS:
         return "too many relays report"
     if host is not None and incarnation < host.incarnation:
         return "of an earlier start"
     is_same_start = host is not None and incarnation == host.incarnation
-    known = host.counts if is_same_start else None
-    if known is not None and _decreases(known, counts):
-        return "counts decrease"
-    arrivals = counts.arrivals - (known.arrivals if known else 0)
+    known = host.counts if is_same_start else NO_COUNTS
+    known_cells = host.cells if is_same_start else {}
+    # Most cells of a report are unchanged; only the others cost time.
+    changed = [
+        (one, known_cells.get(_key_of(one)))
+        for one in counts.counts[:MAX_CELLS_PER_HOST]
+        if one != known_cells.get(_key_of(one))
+    ]
+    problem = _problem_of(known, counts, changed)
+    if problem is not None:
+        return problem
+    arrivals = counts.arrivals - known.arrivals
     collected.arrivals += arrivals
     collected.earned += share * arrivals
-    collected.target_attempts += counts.target_attempts
-    if known is not None:
-        collected.target_attempts -= known.target_attempts
-        for one in known.counts:
-            _outcomes_of(collected, one).add(one, -1)
-    for one in counts.counts:
-        _outcomes_of(collected, one).add(one)
+    collected.target_attempts += counts.target_attempts - known.target_attempts
+    for one, earlier in changed:
+        _outcomes_of(collected, one).add(one, earlier)
     rate_per_s = host.rate_per_s if host is not None else 0.0
-    if known is not None and now > host.heard_at:
+    if is_same_start and now > host.heard_at:
         elapsed_s = now - host.heard_at
         weight = min(1.0, elapsed_s / RATE_WINDOW_S)
         rate_per_s += weight * (arrivals / elapsed_s - rate_per_s)
-    collected.hosts[node] = HostCounts(incarnation, counts, now, revision, rate_per_s)
+    cells = {_key_of(one): one for one in counts.counts}
+    collected.hosts[node] = HostCounts(
+        incarnation, counts, now, revision, rate_per_s, cells
+    )
     return None
 
 
-#: Averaging time of the rate of requests, in seconds.
-RATE_WINDOW_S = 1.5
+def _key_of(counts: VersionCounts) -> tuple[str, str, bool]:
+    return counts.route, counts.data_centre, counts.is_target
 
 
 def _outcomes_of(collected: CollectedCounts, counts: VersionCounts) -> Outcomes:
@@ -187,31 +203,33 @@
     return pair[counts.is_target]
 
 
-def _problem_of(counts: RolloutCounts) -> str | None:
+def _problem_of(
+    known: RolloutCounts,
+    counts: RolloutCounts,
+    changed: list[tuple[VersionCounts, VersionCounts | None]],
+) -> str | None:
     if len(counts.counts) > MAX_CELLS_PER_HOST:
         return "too many routes"
     numbers = [counts.arrivals, counts.target_attempts, counts.running_elsewhere]
-    for one in counts.counts:
+    is_lower = (
+        counts.arrivals < known.arrivals
+        or counts.target_attempts < known.target_attempts
+    )
+    for one, earlier in changed:
         if len(one.durations) > MAX_BUCKETS:
             return "too many buckets"
         if max(len(one.route), len(one.data_centre)) > MAX_NAME_CHARS:
             return "name too long"
         numbers += [one.attempts, one.failures, *one.durations]
+        if earlier is not None:
+            pairs = zip(one.durations, earlier.durations, strict=False)
+            is_lower = (
+                is_lower
+                or one.attempts < earlier.attempts
+                or one.failures < earlier.failures
+                or len(one.durations) < len(earlier.durations)
+                or any(new < old for new, old in pairs)
+            )
     if min(numbers) < 0 or max(numbers) > MAX_COUNT:
         return "count out of range"
-    return None
-
-
-def _decreases(known: RolloutCounts, counts: RolloutCounts) -> bool:
-    """Return whether a total or a sum over cells is lower than it was."""
-
-    def totals(one: RolloutCounts) -> tuple[int, ...]:
-        return (
-            one.arrivals,
-            one.target_attempts,
-            sum(cell.attempts for cell in one.counts),
-            sum(cell.failures for cell in one.counts),
-        )
-
-    pairs = zip(totals(known), totals(counts), strict=True)
-    return any(new < old for old, new in pairs)
+    return "counts decrease" if is_lower else None
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/leadership.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/leadership.py
@@ -46,6 +46,9 @@
 MAX_HOSTS = 1_024
 #: Time after which the progress of other leaders may be unknown, in seconds.
 INHERITED_S = 1.0
+#: Time after the switch in which a fault is taken for one of the version under load,
+#: although the old version gets no more requests, in seconds.
+COMPARED_S = 1.2
 #: Relative change of a share from which it is granted anew.
 SHARE_STEP = 0.1
 
@@ -306,13 +309,15 @@
     unused = max(0.0, counts.earned - counts.target_attempts)
     attempts = counts.target_attempts + min(unused, len(counts.hosts))
     attempts += counts.unreported(track.share, LEASE_S, now)
+    is_switched = track.stage is RolloutStage.SWITCHING
+    is_compared = not is_switched or now - track.stage_at <= COMPARED_S
     heard = [host.heard_at for host in counts.hosts.values()]
     return Situation(
         track.stage,
         elapsed_s,
         duration_s,
         now - track.stage_at,
-        current_verdict(track.evidence),
+        current_verdict(track.evidence, is_compared),
         counts.arrivals,
         attempts,
         counts.rate_per_s(),
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/plan.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/plan.py
@@ -10,7 +10,7 @@
 #: Validity of a granted share, in seconds.
 LEASE_S = 3.0
 #: Number of outcomes of the target version for which the share is chosen.
-WANTED_OUTCOMES = 90
+WANTED_OUTCOMES = 110
 #: Least share while observing, as a part of the exposure ratio.
 MIN_RATIO_PART = 0.4
 #: Part of the allowance that the plan uses; the rest covers requests that are counted
@@ -26,9 +26,12 @@
 LAST_PART, LAST_MIN_S, LAST_MAX_S = 0.33, 4.0, 8.0
 #: Shares between the observed one and all, and the time at each, in seconds: two
 #: reports and their way, so that a fault under load shows at a part of the traffic.
-GROWING_SHARES = (0.2, 0.5)
-STEP_S = 0.75
+GROWING_SHARES = (0.25, 0.5)
+STEP_S = 1.0
 SHORT_STEP_S = 0.4
+#: Part of the last time before the deadline that the switch needs; a version in doubt
+#: waits up to then.
+MIN_SWITCH_LEFT_PART = 0.6
 #: Least time at the full share before the rollout is completed, in seconds.
 MIN_SWITCHING_S = 1.0
 #: Time before the deadline at which a rollout that cannot be completed is rolled
@@ -229,7 +232,7 @@
     step = int(situation.stage_s / step_s)
     if step < len(GROWING_SHARES):
         return Plan(GROWING_SHARES[step])
-    if situation.verdict.is_suspect and left_s > last_s / 2:
+    if situation.verdict.is_doubtful and left_s > MIN_SWITCH_LEFT_PART * last_s:
         return Plan(GROWING_SHARES[-1])
     if situation.verdict.is_suspect:
         reason = f"deadline: {situation.verdict.reason}"
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/verdict.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/verdict.py
@@ -23,8 +23,14 @@
 GOOD_SCORE = -4.0
 #: The same for each single route, on which there are fewer requests.
 GOOD_ROUTE_SCORE = -1.5
-#: Score from which a decision without a verdict goes against the new version.
-SUSPECT_SCORE = 2.5
+#: The same from which the share does not grow further.
+DOUBT_SCORE = 2.0
+DOUBT_BAD_OUTCOMES = 2
+#: Score, with a number of bad outcomes, from which a decision without a verdict goes
+#: against the new version. At 2.5 and 2, single crashes of upstreams shortly before
+#: the deadline rolled back 10 of 100 good versions of a small service.
+SUSPECT_SCORE = 5.0
+SUSPECT_BAD_OUTCOMES = 4
 #: Largest addition of one slice to a score, so that a single upstream that crashes
 #: cannot decide: the failures of a crash fall into one or two slices.
 MAX_SLICE_SCORE = 2.5
@@ -34,6 +40,8 @@
 #: Least number of bad outcomes, and of slices with some, for a bad verdict.
 MIN_BAD_OUTCOMES = 5
 MIN_BAD_SLICES = 2
+#: The same once nothing is left to compare with: longer than most disruptions.
+MIN_UNCOMPARED_BAD_SLICES = 8
 #: Failure rate that is taken to be usual if nothing is known.
 USUAL_FAILURES = 0.01
 USUAL_SLOW = 0.06
@@ -46,7 +54,7 @@
 BASELINE_DECAY = 0.9
 #: Number of slices whose failures of old versions count for the present one, as
 #: failures of one cause are not counted at the same moment.
-DISRUPTION_SLICES = 4
+DISRUPTION_SLICES = 6
 MAX_RATE = 0.9
 #: Bounds on the groups of which scores are kept.
 MAX_GROUPS = 600
@@ -82,11 +90,14 @@
         Whether a decision without more outcomes should go against it.
     reason : str
         The figures that decided it.
+    is_doubtful : bool
+        Whether the share should not grow now.
     """
 
     finding: Finding
     is_suspect: bool
     reason: str
+    is_doubtful: bool = False
 
 
 @dataclass(slots=True)
@@ -142,13 +153,12 @@
     cells : mapping
         By cell, outcomes of the old versions and of the new one in the slice.
     """
-    old_by_route: dict[str, list[Outcomes]] = {}
-    for (route, _), (old, _) in cells.items():
-        old_by_route.setdefault(route, []).append(old)
-    for route, outcomes in old_by_route.items():
-        _update_baseline(evidence, (route, ""), outcomes)
+    pooled: dict[Cell, list[Outcomes]] = {}
     for cell, (old, _) in cells.items():
-        _update_baseline(evidence, cell, [old])
+        for pool in _pools_of(cell):
+            pooled.setdefault(pool, []).append(old)
+    for pool, outcomes in pooled.items():
+        _update_baseline(evidence, pool, outcomes)
     additions: dict[tuple[tuple[str, str], _Fault], list[float]] = {}
     for cell, (_, new) in cells.items():
         count = new.failures + new.successes
@@ -166,20 +176,37 @@
         _add_to_score(evidence, key, ratio, int(total), int(bad))
 
 
-def current_verdict(evidence: Evidence) -> Verdict:
-    """Return what the test says so far."""
+def _pools_of(cell: Cell) -> tuple[Cell, ...]:
+    """Return the cell, its route, its data centre and all, for their usual rates."""
+    return cell, (cell[0], ""), ("", cell[1]), ("", "")
+
+
+def current_verdict(evidence: Evidence, is_compared: bool = True) -> Verdict:
+    """Return what the test says so far.
+
+    Parameters
+    ----------
+    evidence : Evidence
+        Scores so far.
+    is_compared : bool
+        Whether old versions still get requests. Otherwise a disruption of both cannot
+        be told from a fault of the new one, and a fault must last longer.
+    """
+    min_bad_slices = MIN_BAD_SLICES if is_compared else MIN_UNCOMPARED_BAD_SLICES
     worst_key, worst = max(
         evidence.scores.items(),
         key=lambda item: item[1].up,
         default=(None, _Score()),
     )
     for key, score in evidence.scores.items():
-        if _is_bad(score):
-            return Verdict(Finding.BAD, True, _describe(key, score))
-    is_suspect = worst.up >= SUSPECT_SCORE and worst.bad_outcomes >= 2
-    if worst_key is not None and worst.up >= SUSPECT_SCORE:
+        if _is_bad(score, min_bad_slices):
+            return Verdict(Finding.BAD, True, _describe(key, score), True)
+    if worst.up >= DOUBT_SCORE and worst.bad_outcomes >= DOUBT_BAD_OUTCOMES:
+        is_suspect = (
+            worst.up >= SUSPECT_SCORE and worst.bad_outcomes >= SUSPECT_BAD_OUTCOMES
+        )
         reason = f"suspect: {_describe(worst_key, worst)}"
-        return Verdict(Finding.UNDECIDED, is_suspect, reason)
+        return Verdict(Finding.UNDECIDED, is_suspect, reason, True)
     open_groups = _open_groups(evidence)
     if evidence.outcomes and not open_groups:
         reason = f"no fault in {evidence.outcomes} outcomes"
@@ -189,11 +216,11 @@
     return Verdict(Finding.UNDECIDED, False, reason)
 
 
-def _is_bad(score: _Score) -> bool:
+def _is_bad(score: _Score, min_bad_slices: int) -> bool:
     return (
         score.up >= BAD_SCORE
         and score.bad_outcomes >= MIN_BAD_OUTCOMES
-        and score.bad_slices >= MIN_BAD_SLICES
+        and score.bad_slices >= min_bad_slices
     )
 
 
@@ -274,26 +301,33 @@
 
 def _compare(evidence: Evidence, cell: Cell, new: Outcomes):
     """Yield, for each kind of fault, bad and all outcomes and the usual bad rate."""
-    baseline = evidence.baselines.get(cell) or evidence.baselines.get((cell[0], ""))
-    if baseline is None:
+    pools = [
+        evidence.baselines[pool]
+        for pool in _pools_of(cell)
+        if pool in evidence.baselines
+    ]
+    if not pools:
         # Without old outcomes there is nothing to compare with.
         return
+    own = pools[0]
+    # The highest of the rates, as a disruption may hit a route or a data centre and
+    # the old outcomes of a cell in one slice are few.
     usual = max(
         USUAL_FAILURES,
-        _smooth(baseline.failures, baseline.attempts, USUAL_FAILURES, 5.0),
-        *baseline.recent_failure_rates,
+        _smooth(own.failures, own.attempts, USUAL_FAILURES, 5.0),
+        *(rate for pool in pools for rate in pool.recent_failure_rates),
     )
     count = new.failures + new.successes
     yield _Fault.RARE_FAILURES, new.failures, count, usual
     yield _Fault.FAILURES, new.failures, count, usual
-    limit = _slow_limit(baseline)
+    limit = _slow_limit(own)
     if limit is None or not new.successes:
         return
-    slow = sum(baseline.durations[limit:])
+    slow = sum(own.durations[limit:])
     usual_slow = max(
         USUAL_SLOW,
-        _smooth(slow, sum(baseline.durations), USUAL_SLOW, 5.0),
-        *baseline.recent_slow_rates,
+        _smooth(slow, sum(own.durations), USUAL_SLOW, 5.0),
+        *own.recent_slow_rates,
     )
     yield _Fault.SLOW, sum(new.durations[limit:]), new.successes, usual_slow
 
