Let no disruption decide after the switch, and cap the share without a verdict

Cause: after the switch the old version gets no requests, so a burst or a cut data centre looked like a fault of the new version; upstreams announced late, and a new leader, let the share grow without a verdict.

Change: without old outcomes a fault must last for 10 slices (2 s); scores are bounded, so that a burst is soon forgotten; the share stays within the exposure bound until the verdict is good; growth begins at half of the duration; a new leader skips steps when the time is short; at the last moment a busy service with fewer than 5 outcomes is rolled back.

--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/leadership.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/leadership.py
@@ -46,9 +46,6 @@
 MAX_HOSTS = 1_024
 #: Time after which the progress of other leaders may be unknown, in seconds.
 INHERITED_S = 1.0
-#: Time after the switch in which a fault is taken for one of the version under load,
-#: although the old version gets no more requests, in seconds.
-COMPARED_S = 1.2
 #: Relative change of a share from which it is granted anew.
 SHARE_STEP = 0.1
 
@@ -309,8 +306,7 @@
     unused = max(0.0, counts.earned - counts.target_attempts)
     attempts = counts.target_attempts + min(unused, len(counts.hosts))
     attempts += counts.unreported(track.share, LEASE_S, now)
-    is_switched = track.stage is RolloutStage.SWITCHING
-    is_compared = not is_switched or now - track.stage_at <= COMPARED_S
+    is_compared = track.stage is not RolloutStage.SWITCHING
     heard = [host.heard_at for host in counts.hosts.values()]
     return Situation(
         track.stage,
@@ -327,6 +323,7 @@
         now - max(heard, default=float("-inf")) <= SILENT_S,
         track.is_inherited,
         _is_drained(leadership, track, duration_s - elapsed_s, now),
+        track.evidence.outcomes,
     )
 
 
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/plan.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/plan.py
@@ -21,9 +21,9 @@
 BURST_FACTOR = 2.0
 #: Time before the deadline at which the share begins to grow, as a part of the
 #: duration with bounds in seconds. Old runs must end in what is left of it.
-TAIL_PART, TAIL_MIN_S, TAIL_MAX_S = 0.45, 4.5, 12.0
+TAIL_PART, TAIL_MIN_S, TAIL_MAX_S = 0.5, 4.5, 12.0
 #: The same for a version that has not been found good or bad by then.
-LAST_PART, LAST_MIN_S, LAST_MAX_S = 0.33, 4.0, 8.0
+LAST_PART, LAST_MIN_S, LAST_MAX_S = 0.36, 4.0, 8.0
 #: Shares between the observed one and all, and the time at each, in seconds: two
 #: reports and their way, so that a fault under load shows at a part of the traffic.
 GROWING_SHARES = (0.25, 0.5)
@@ -34,6 +34,9 @@
 MIN_SWITCH_LEFT_PART = 0.6
 #: Least time at the full share before the rollout is completed, in seconds.
 MIN_SWITCHING_S = 1.0
+#: Least number of outcomes, or part of all requests if that is less, for a switch that
+#: the deadline asks for.
+MIN_LAST_OUTCOMES, MIN_LAST_PART = 5, 0.1
 #: Time before the deadline at which a rollout that cannot be completed is rolled
 #: back, in seconds; the end must be committed by the deadline.
 END_MARGIN_S = 0.6
@@ -89,6 +92,8 @@
         ended are not known then.
     is_drained : bool
         Whether all relays in touch know the switch and run nothing elsewhere.
+    outcomes : int
+        Outcomes of the target version that this leader knows.
     """
 
     stage: RolloutStage
@@ -105,6 +110,7 @@
     has_reports: bool = True
     is_inherited: bool = False
     is_drained: bool = False
+    outcomes: int = 0
 
     @property
     def left_s(self) -> float:
@@ -164,7 +170,7 @@
         case RolloutStage.OBSERVING:
             return _observe(situation, bound)
         case RolloutStage.ADVANCING:
-            return _advance(situation)
+            return _advance(situation, bound)
     return _switch(situation)
 
 
@@ -201,15 +207,7 @@
 
 def _observing_share(situation: Situation, bound: ExposureBound) -> float:
     """Return the share that gives the wanted sample without exceeding the bound."""
-    slack = bound.ratio * situation.arrivals - situation.target_attempts
-    slack += ALLOWANCE_PART * bound.allowance
-    per_lease = max(situation.rate_per_s, 0.1) * (LEASE_S + 1.0)
-    if slack < 0.0:
-        return max(0.0, bound.ratio + slack / per_lease)
-    if situation.is_inherited:
-        # The attempts of relays that have ended are missing, so nothing is left over.
-        slack = 0.0
-    highest = bound.ratio + slack / (BURST_FACTOR * per_lease)
+    highest = _highest_share(situation, bound)
     tail_s = min(max(TAIL_PART * situation.duration_s, TAIL_MIN_S), TAIL_MAX_S)
     time_s = situation.left_s - tail_s
     missing = WANTED_OUTCOMES - situation.target_attempts
@@ -220,24 +218,46 @@
     return min(1.0, highest, max(wanted, MIN_RATIO_PART * bound.ratio))
 
 
-def _advance(situation: Situation) -> Plan:
+def _highest_share(situation: Situation, bound: ExposureBound) -> float:
+    """Return the share that keeps within the bound for the next lease."""
+    slack = bound.ratio * situation.arrivals - situation.target_attempts
+    slack += ALLOWANCE_PART * bound.allowance
+    per_lease = max(situation.rate_per_s, 0.1) * (LEASE_S + 1.0)
+    if slack < 0.0:
+        return max(0.0, bound.ratio + slack / per_lease)
+    if situation.is_inherited:
+        # The attempts of relays that have ended are missing, so nothing is left over.
+        slack = 0.0
+    return min(1.0, bound.ratio + slack / (BURST_FACTOR * per_lease))
+
+
+def _advance(situation: Situation, bound: ExposureBound) -> Plan:
     left_s = situation.left_s
     if left_s <= END_MARGIN_S:
         reason = "deadline: the switch cannot end in time"
         return Plan(0.0, RolloutStage.ROLLED_BACK, reason)
-    if not situation.has_reports:
-        return Plan(GROWING_SHARES[0])
+    verdict = situation.verdict
+    is_good = verdict.finding is Finding.GOOD
     last_s = min(max(LAST_PART * situation.duration_s, LAST_MIN_S), LAST_MAX_S)
     step_s = STEP_S if left_s > last_s - STEP_S else SHORT_STEP_S
     step = int(situation.stage_s / step_s)
-    if step < len(GROWING_SHARES):
-        return Plan(GROWING_SHARES[step])
-    if situation.verdict.is_doubtful and left_s > MIN_SWITCH_LEFT_PART * last_s:
-        return Plan(GROWING_SHARES[-1])
-    if situation.verdict.is_suspect:
-        reason = f"deadline: {situation.verdict.reason}"
-        return Plan(0.0, RolloutStage.ROLLED_BACK, reason)
-    return Plan(1.0, RolloutStage.SWITCHING, situation.verdict.reason)
+    share = GROWING_SHARES[min(step, len(GROWING_SHARES) - 1)]
+    if not is_good:
+        share = min(share, _highest_share(situation, bound))
+    is_last_moment = left_s <= MIN_SWITCH_LEFT_PART * last_s
+    # A new leader does not repeat the steps when the time is short.
+    may_skip = is_good and situation.is_inherited and is_last_moment
+    if step < len(GROWING_SHARES) and not may_skip:
+        return Plan(share)
+    if is_good:
+        return Plan(1.0, RolloutStage.SWITCHING, verdict.reason)
+    if not is_last_moment:
+        return Plan(share)
+    wanted = min(MIN_LAST_OUTCOMES, MIN_LAST_PART * situation.arrivals)
+    if verdict.is_suspect or situation.outcomes < wanted:
+        return Plan(0.0, RolloutStage.ROLLED_BACK, f"deadline: {verdict.reason}")
+    reason = f"deadline, nothing against it: {verdict.reason}"
+    return Plan(1.0, RolloutStage.SWITCHING, reason)
 
 
 def _switch(situation: Situation) -> Plan:
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/verdict.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/verdict.py
@@ -37,11 +37,12 @@
 #: The same for slices with many outcomes, in which one upstream has a small part.
 MAX_LARGE_SLICE_SCORE = 3.5
 LARGE_SLICE_OUTCOMES = 20
-#: Least number of bad outcomes, and of slices with some, for a bad verdict.
+#: Least number of bad outcomes, and of slices that speak against the version, for a
+#: bad verdict.
 MIN_BAD_OUTCOMES = 5
 MIN_BAD_SLICES = 2
-#: The same once nothing is left to compare with: longer than most disruptions.
-MIN_UNCOMPARED_BAD_SLICES = 8
+#: The same once nothing is left to compare with: 2 s, longer than most disruptions.
+MIN_UNCOMPARED_BAD_SLICES = 10
 #: Failure rate that is taken to be usual if nothing is known.
 USUAL_FAILURES = 0.01
 USUAL_SLOW = 0.06
@@ -60,6 +61,8 @@
 MAX_GROUPS = 600
 #: Scores for good versions are bounded, so that later faults still count.
 MIN_TOTAL = -20.0
+#: Scores against it are bounded too, so that a disruption is soon forgotten.
+MAX_UP = 12.0
 
 
 class Finding(Enum):
@@ -348,11 +351,11 @@
         score = evidence.scores[key] = _Score()
     is_large = total >= LARGE_SLICE_OUTCOMES
     ratio = min(ratio, MAX_LARGE_SLICE_SCORE if is_large else MAX_SLICE_SCORE)
-    score.up = max(0.0, score.up + ratio)
+    score.up = min(MAX_UP, max(0.0, score.up + ratio))
     score.total = max(MIN_TOTAL, score.total + ratio)
     score.outcomes += total
     score.bad_outcomes += bad
-    score.bad_slices += bool(bad)
+    score.bad_slices += ratio > 0.0
     if not score.up:
         # A new sequence begins; earlier outcomes do not speak against the version.
         score.outcomes = score.bad_outcomes = score.bad_slices = 0
