Tell control hosts of all streams and versions, and assume a version only on their word

A relay that had just restarted took the one version of its registry for that of any stream that nobody knew. All hosts had forgotten the other version, or the relay had not heard of it. So streams of a version that had left were joined to another one's text.

Two control hosts are told of each stream if upstreams state versions, and all of each version. They pass origins on when a link opens or closes, and keep the versions of a service on disk. An unknown stream goes on only if a majority of control hosts knows one version for as long as the stream may be taken up. A later attempt at another version replaces the origin of the first one at all control hosts.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -35,6 +35,7 @@
     ProtocolAdapter,
 )
 from cranberryfield.daemon.cluster.suspect_store import SuspectStore
+from cranberryfield.daemon.cluster.version_store import VersionStore
 from cranberryfield.entry.limits import TokenOwner
 from cranberryfield.entry.paths.relay_directory import answer_relay_queries
 from cranberryfield.entry.quarantine import (
@@ -45,7 +46,11 @@
 from cranberryfield.entry.quota import QuotaLeeway, QuotaServer
 from cranberryfield.entry.registry import RegistryPublisher, RegistryTable
 from cranberryfield.entry.reports import ReportCollector
-from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
+from cranberryfield.entry.streams import (
+    ServedVersionSection,
+    StreamDirectory,
+    StreamOriginSection,
+)
 
 __all__ = ["ControlHost"]
 
@@ -79,6 +84,8 @@
         Keeps them on disk.
     streams : StreamDirectory
         Knows what began the streams that callers may take up again.
+    version_store : VersionStore
+        Keeps the software versions that were in service on disk.
     proposer : Proposer
         Sends commands and queries to the leader.
     leader_tasks : tuple
@@ -94,6 +101,7 @@
         exchange: SuspectExchange,
         suspect_store: SuspectStore,
         streams: StreamDirectory,
+        version_store: VersionStore,
         proposer: Proposer,
         leader_tasks: tuple[UsageReporter | UpstreamAutoscaler, ...],
     ):
@@ -104,6 +112,7 @@
         self._exchange = exchange
         self._suspect_store = suspect_store
         self._streams = streams
+        self._version_store = version_store
         self._proposer = proposer
         self._leader_tasks = leader_tasks
         self._server_state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
@@ -127,19 +136,23 @@
     ) -> "ControlHost":
         """Build the role; see `ControlRuntime.from_config`."""
         board.add(SettingsSection())
+        served = board.add(ServedVersionSection())
+        data_folder = Path(config.control.data_folder)
+        version_store = VersionStore(data_folder, served, clock, wall_clock)
+        # Before the replica of the log creates its files in the folder.
+        version_store.load()
         runtime = ControlRuntime.from_config(config, mesh, board, clock, rng, names)
         table = board.add(RegistryTable())
         publisher = RegistryPublisher(table, mesh, clock)
         suspects = board.add(QuarantineSection())
-        suspect_store = SuspectStore(
-            Path(config.control.data_folder), suspects, clock, wall_clock
-        )
+        suspect_store = SuspectStore(data_folder, suspects, clock, wall_clock)
         suspect_store.load()
         exchange = SuspectExchange(suspects, mesh, names, clock, rng)
         make_cluster_reserver(board, mesh, names, clock)
         streams = StreamDirectory(
-            board.add(StreamOriginSection()), table, mesh, names, clock
+            board.add(StreamOriginSection()), table, mesh, names, clock, served
         )
+        streams.watch_versions(version_store.on_change)
         answer_relay_queries(mesh, rng)
         proposer = Proposer(mesh, names.known, clock)
         section = board.read(ControlSection)
@@ -184,6 +197,7 @@
             exchange,
             suspect_store,
             streams,
+            version_store,
             proposer,
             leader_tasks,
         )
@@ -196,6 +210,7 @@
             tasks.start_soon(self._exchange.run)
             tasks.start_soon(self._suspect_store.run)
             tasks.start_soon(self._streams.run)
+            tasks.start_soon(self._version_store.run)
             for task in self._leader_tasks:
                 tasks.start_soon(task.run)
             address = split_address(self._address)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -16,6 +16,8 @@
 
 __all__ = ["find_resumed_origin", "may_go_on"]
 
+MS_PER_S = 1000
+
 #: Bounds of the time after which control hosts may be asked again, in seconds.
 UNANSWERED_RETRY_S = (0.3, 0.7)
 
@@ -45,26 +47,39 @@
         Of kind ``no_upstream`` if the stream must not go on, since it is not known
         what began it, or since the route leads to another service now.
     """
-    found, was_answered = None, True
-    if request.first_request:
-        answer = await directory.find(request.first_request)
-        found, was_answered = answer.origin, answer.was_answered
-    versions = known_versions(table, request.service)
-    origin = resumed_origin(found, request.service, versions)
-    if origin is not None:
-        return origin
-    if found is not None:
+    service = request.service
+    longest_s = request.route.timeout_ms / MS_PER_S
+    answer = await directory.find(request.first_request or "", service, longest_s)
+    found, evidence = answer.origin, answer.evidence
+    versions = known_versions(table, service)
+    origin = None
+    if not answer.is_contradicted:
+        origin = resumed_origin(
+            found, service, versions | evidence.versions, evidence.is_complete
+        )
+    may_learn = False
+    if origin is None and found is not None:
         detail = f"the stream was begun by {found.service}, which the route has left"
-    else:
+    elif origin is None:
         detail = "the software version that began the stream is not known"
-    # Control hosts that have not answered, or told of no upstream yet, may do so soon;
-    # else coming back is no use.
-    is_final = was_answered and bool(versions)
+        # Control hosts that have not answered, or told of no upstream yet, may do so
+        # soon; else coming back is no use.
+        is_only = len(versions | evidence.versions) == 1
+        may_learn = (
+            not versions
+            or bool(request.first_request and not answer.was_answered)
+            or (is_only and not evidence.has_majority)
+        )
+    elif origin.software_version in evidence.in_service - versions:
+        detail = "upstreams of the version that began the stream are not known yet"
+        may_learn = True
+    else:
+        return origin
     raise UnavailableError(
         ErrorKind.NO_UPSTREAM,
         detail,
         was_run=WasRun.NO,
-        retry_after_s=None if is_final else rng.uniform(*UNANSWERED_RETRY_S),
+        retry_after_s=rng.uniform(*UNANSWERED_RETRY_S) if may_learn else None,
     )
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
@@ -1,7 +1,8 @@
 """Exchange of the origins of streams between relays and control hosts."""
 
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
 from hashlib import blake2b
+from itertools import islice
 
 import anyio
 import structlog
@@ -15,22 +16,30 @@
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.messages.streams import (
     AskStreamOrigin,
+    ServedVersion,
     StreamOriginMark,
     StreamOrigins,
 )
 from cranberryfield.entry.registry import RegistryTable
+from cranberryfield.entry.streams.found_origin import FoundOrigin
 from cranberryfield.entry.streams.section import (
     KnownOrigin,
     StreamOrigin,
     StreamOriginSection,
     find_origin,
     forget_ended,
-    known_versions,
-    origins_of_service,
     record_origin,
 )
+from cranberryfield.entry.streams.served_versions import (
+    ServedVersionSection,
+    forget_old_versions,
+    note_served_versions,
+    note_version,
+    recent_versions,
+    states_versions,
+)
 
-__all__ = ["FoundOrigin", "StreamDirectory"]
+__all__ = ["StreamDirectory"]
 
 MS_PER_S = 1000
 DIGEST_BYTES = 8
@@ -38,36 +47,30 @@
 COPIES = 2
 #: Time for control hosts to answer, in seconds. It is taken from the caller's time.
 ASK_TIMEOUT_S = 0.3
+#: Time for further answers once one control host knows the stream, in seconds. Another
+#: one may know of a later attempt.
+FURTHER_ANSWERS_S = 0.1
 FORGET_INTERVAL_S = 5.0
 #: Time after the end of a request for which its stream may still be asked for, as
 #: clocks of hosts differ, in seconds.
 KEEP_MARGIN_S = 1.0
 CONTROL_ROLE = "control"
+NO_SERVICE = ServiceName("")
+#: Streams that are looked through in one step after a link has changed. A step of 500
+#: takes about 3 ms.
+STREAMS_PER_STEP = 500
 
 logger = structlog.get_logger(__name__)
 
-
-@dataclass(frozen=True, slots=True)
-class FoundOrigin:
-    """What a host has found of a stream.
-
-    Attributes
-    ----------
-    origin : StreamOrigin or None
-        What began it; None if nobody knows.
-    was_answered : bool
-        Whether any control host has answered.
-    """
-
-    origin: StreamOrigin | None
-    was_answered: bool
+#: Returns the control hosts that must be told of a stream.
+_Receivers = Callable[[bytes], list[NodeId]]
 
 
 class StreamDirectory:
     """Tells control hosts what began each stream, and asks them.
 
-    While a service has a single software version, nobody needs to be told; each
-    relay keeps its own streams and tells them once another version appears.
+    Two control hosts are told of each stream before it runs, and all of them of each
+    version, unless the upstreams of the service state no versions.
 
     Parameters
     ----------
@@ -81,6 +84,8 @@
         Names of the control hosts.
     clock : Clock
         Monotonic time.
+    served : ServedVersionSection, optional
+        Versions that were in service; owned by this object.
     """
 
     def __init__(
@@ -90,24 +95,50 @@
         mesh: Mesh,
         names: ControlHostNames,
         clock: Clock,
+        served: ServedVersionSection | None = None,
     ):
         self._section = section
         self._table = table
         self._mesh = mesh
         self._names = names
         self._clock = clock
-        self._versions: dict[ServiceName, frozenset[str]] = {}
+        self._served = served or ServedVersionSection(complete_since=clock())
+        self._pending: list[tuple[_Receivers, Iterator[bytes]]] = []
+        self._wake = anyio.Event()
+        self._watchers: list[Callable[[], None]] = []
         mesh.handle(StreamOrigins, self._on_origins)
         mesh.handle(AskStreamOrigin, self._on_ask)
         mesh.watch_links(self._on_link)
 
+    def watch_versions(self, watcher: Callable[[], None]) -> None:
+        """Call `watcher` when this host hears of a further version of a service."""
+        self._watchers.append(watcher)
+
     async def run(self) -> None:
-        """Forget streams that may not be taken up any more, until cancelled."""
+        """Forget old streams and tell control hosts of others, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._forget_loop)
+            tasks.start_soon(self._tell_loop)
+
+    async def _forget_loop(self) -> None:
         while True:
-            await anyio.sleep(FORGET_INTERVAL_S)
             forget_ended(self._section, self._clock())
-            for service in self._versions:
-                self._versions[service] = known_versions(self._table, service)
+            self.note_served()
+            await anyio.sleep(FORGET_INTERVAL_S)
+
+    def note_served(self) -> None:
+        """Record the versions that are in service now, and forget old ones."""
+        now = self._clock()
+        if note_served_versions(self._served, self._table, now):
+            self._notify_watchers()
+        forget_old_versions(self._served, now)
+
+    async def _tell_loop(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self.tell_pending():
+                await anyio.sleep(0)
 
     def record(self, request_id: str, origin: StreamOrigin, deadline: float) -> None:
         """Record what a stream is sent to, and tell control hosts if it matters.
@@ -122,87 +153,170 @@
             Monotonic time in seconds of the request's deadline.
         """
         request, until = _digest(request_id), deadline + KEEP_MARGIN_S
-        record_origin(self._section, request, origin, until)
-        if self._has_versions(origin.service):
-            self._tell({request: KnownOrigin(origin, until)})
+        earlier = self._section.origins.get(request)
+        has_changed = earlier is not None and earlier.origin != origin
+        attempt = earlier.attempt + has_changed if earlier is not None else 0
+        self._note_version(origin.service, origin.software_version)
+        record_origin(self._section, request, origin, until, attempt)
+        if not states_versions(self._served, origin.service):
+            return
+        # Those that were told of another version may not be among the first two now.
+        receivers = self._control_hosts if has_changed else self._holders
+        self._tell([request], receivers)
 
     def on_announcement(self, record: UpstreamRecord) -> None:
-        """Tell control hosts of a service's streams once it has several versions.
+        """Tell control hosts of a version before streams are sent there.
 
         Parameters
         ----------
         record : UpstreamRecord
             Changed record of an upstream.
         """
-        service = record.service
-        versions = self._versions.get(service, frozenset())
-        if record.software_version in versions:
+        self._note_version(record.service, record.software_version)
+
+    def _note_version(self, service: ServiceName, version: str) -> None:
+        stated = states_versions(self._served, service)
+        if not note_version(self._served, service, version, self._clock()):
+            return
+        self._notify_watchers()
+        if not states_versions(self._served, service):
             return
-        self._versions[service] = versions | {record.software_version}
-        if len(versions) == 1:
-            self._tell(origins_of_service(self._section, service, self._clock()))
+        if not stated:
+            # Nobody was told of the streams at upstreams that stated no version.
+            self._tell(
+                [
+                    request
+                    for request, known in self._section.origins.items()
+                    if known.origin.service == service
+                ],
+                self._holders,
+            )
+        for node in self._control_hosts(b""):
+            self._send(node, self._version_marks(service))
 
-    def _has_versions(self, service: ServiceName) -> bool:
-        return len(self._versions.get(service, ())) > 1
+    def _notify_watchers(self) -> None:
+        for watcher in self._watchers:
+            watcher()
 
     def _on_link(self, peer: Hello, is_open: bool) -> None:
-        """Tell a control host, which may have restarted, of the streams in progress."""
-        if not is_open or CONTROL_ROLE not in peer.roles:
+        """Tell control hosts of the streams whose holders have changed with a link.
+
+        One that is linked may have restarted, and one that is not linked any more may
+        have been one of two that knew a stream.
+        """
+        node = peer.node
+        if CONTROL_ROLE not in peer.roles:
             return
-        for service in self._versions:
-            if self._has_versions(service):
-                now = self._clock()
-                self._tell(origins_of_service(self._section, service, now), peer.node)
-
-    def _tell(
-        self, origins: dict[bytes, KnownOrigin], only: NodeId | None = None
-    ) -> None:
-        """Tell the control hosts of each stream, or only one of them."""
+        if is_open:
+            marks = [
+                mark
+                for service in self._served.last_served
+                if states_versions(self._served, service)
+                for mark in self._version_marks(service)
+            ]
+            if marks:
+                self._send(node, marks)
+
+        def receivers(request: bytes) -> list[NodeId]:
+            hosts = self._control_hosts(request, node)
+            if node not in hosts[:COPIES]:
+                return []
+            if is_open:
+                return [node]
+            return [one for one in hosts if one != node][COPIES - 1 : COPIES]
+
+        self._pending.append((receivers, iter(list(self._section.origins))))
+        self._wake.set()
+
+    def _version_marks(self, service: ServiceName) -> list[StreamOriginMark]:
+        """Return the versions of a service as marks of no stream, with their ages."""
+        return [
+            StreamOriginMark(b"", service, one.software_version, one.age_ms)
+            for one in self._recent_versions(service)
+        ]
+
+    def _recent_versions(self, service: ServiceName) -> tuple[ServedVersion, ...]:
+        return recent_versions(self._served, self._table, service, self._clock())
+
+    def tell_pending(self) -> bool:
+        """Tell of some streams whose holders have changed; return whether any is left.
+
+        A step without I/O is kept short by the number of streams.
+        """
+        if not self._pending:
+            return False
+        receivers, requests = self._pending[0]
+        some = list(islice(requests, STREAMS_PER_STEP))
+        if not some:
+            self._pending.pop(0)
+        self._tell(some, receivers)
+        return bool(self._pending)
+
+    def _tell(self, requests: list[bytes], receivers: _Receivers) -> None:
+        """Tell control hosts of those of the streams that may still be taken up."""
         now = self._clock()
         marks_for: dict[NodeId, list[StreamOriginMark]] = {}
-        for request, known in origins.items():
-            mark = StreamOriginMark(
-                request,
-                known.origin.service,
-                known.origin.software_version,
-                int((known.until - now) * MS_PER_S),
-            )
-            for node in self._control_hosts(request)[:COPIES]:
-                if only not in (None, node):
-                    continue
+        for request in requests:
+            known = self._section.origins.get(request)
+            if known is None or known.until <= now:
+                continue
+            if not states_versions(self._served, known.origin.service):
+                continue
+            mark = _make_mark(request, known, now)
+            for node in receivers(request):
                 marks_for.setdefault(node, []).append(mark)
         for node, marks in marks_for.items():
+            self._send(node, marks)
+
+    def _send(self, node: NodeId, marks: list[StreamOriginMark]) -> None:
+        if node != self._mesh.hello.node:
             self._mesh.send(node, StreamOrigins(tuple(marks)))
 
-    def _control_hosts(self, request: bytes) -> list[NodeId]:
+    def _holders(self, request: bytes) -> list[NodeId]:
+        return self._control_hosts(request)[:COPIES]
+
+    def _control_hosts(
+        self, request: bytes, further: NodeId | None = None
+    ) -> list[NodeId]:
         """Return the linked control hosts, those that are told of a stream first."""
+        linked = {node for node in self._names.known() if self._mesh.is_linked(node)}
+        if further is not None:
+            linked.add(further)
         return sorted(
-            (node for node in self._names.known() if self._mesh.is_linked(node)),
+            linked,
             key=lambda node: xxhash.xxh64_intdigest(node.encode() + request),
             reverse=True,
         )
 
-    async def find(self, request_id: str) -> FoundOrigin:
+    async def find(
+        self,
+        request_id: str,
+        service: ServiceName = NO_SERVICE,
+        longest_s: float = 0.0,
+    ) -> FoundOrigin:
         """Return what began the stream of a request, as this host or others know.
 
         Parameters
         ----------
         request_id : str
-            Id of the request whose response had the first event.
+            Id of the request whose response had the first event; empty if it is not
+            known.
+        service : ServiceName
+            Service whose versions are asked for.
+        longest_s : float
+            Longest time for which a stream of it may be taken up, in seconds.
         """
-        request = _digest(request_id)
+        request = _digest(request_id) if request_id else b""
         own = find_origin(self._section, request)
         if own is not None:
             return FoundOrigin(own, True)
-        found: list[StreamOrigin] = []
-        answered: list[NodeId] = []
+        answers: list[StreamOrigins] = []
         async with anyio.create_task_group() as tasks:
 
             async def ask(node: NodeId) -> None:
                 try:
-                    reply = await self._mesh.request(
-                        node, AskStreamOrigin(request), ASK_TIMEOUT_S
-                    )
+                    question = AskStreamOrigin(request, service)
+                    reply = await self._mesh.request(node, question, ASK_TIMEOUT_S)
                 except CranberryfieldError as error:
                     logger.info(
                         "origin of a stream not answered",
@@ -210,34 +324,54 @@
                         detail=error.detail,
                     )
                     return
-                answered.append(node)
+                answers.append(reply)
                 if reply.origins:
-                    found.append(_origin_of(reply.origins[0]))
-                    tasks.cancel_scope.cancel()
+                    scope = tasks.cancel_scope
+                    latest = anyio.current_time() + FURTHER_ANSWERS_S
+                    scope.deadline = min(scope.deadline, latest)
 
             for node in self._control_hosts(request):
                 tasks.start_soon(ask, node)
-        return FoundOrigin(found[0] if found else None, bool(answered))
+        return FoundOrigin.from_answers(answers, len(self._names.known()), longest_s)
 
     def _on_origins(self, sender: NodeId, message: StreamOrigins) -> None:
         now = self._clock()
+        has_news = False
         for mark in message.origins:
-            until = now + mark.keep_ms / MS_PER_S
-            record_origin(self._section, mark.request, _origin_of(mark), until)
+            service, version = mark.service, mark.software_version
+            keep_s = mark.keep_ms / MS_PER_S
+            age_s = 0.0 if mark.request else keep_s
+            has_news |= note_version(self._served, service, version, now, age_s)
+            if mark.request:
+                origin = StreamOrigin(service, version)
+                until = now + keep_s
+                record_origin(self._section, mark.request, origin, until, mark.attempt)
+        if has_news:
+            self._notify_watchers()
 
     def _on_ask(self, sender: NodeId, message: AskStreamOrigin) -> StreamOrigins:
+        now = self._clock()
         known = self._section.origins.get(message.request)
-        if known is None:
-            return StreamOrigins()
-        origin = known.origin
-        mark = StreamOriginMark(
-            message.request, origin.service, origin.software_version, 0
+        marks = () if known is None else (_make_mark(message.request, known, now),)
+        if not message.service:
+            return StreamOrigins(marks)
+        note_served_versions(self._served, self._table, now)
+        return StreamOrigins(
+            marks,
+            self._recent_versions(message.service),
+            int(self._served.reach_s(now) * MS_PER_S),
+            len(self._names.known()),
         )
-        return StreamOrigins((mark,))
 
 
-def _origin_of(mark: StreamOriginMark) -> StreamOrigin:
-    return StreamOrigin(mark.service, mark.software_version)
+def _make_mark(request: bytes, known: KnownOrigin, now: float) -> StreamOriginMark:
+    return StreamOriginMark(
+        request,
+        known.origin.service,
+        known.origin.software_version,
+        max(0, int((known.until - now) * MS_PER_S)),
+        known.attempt,
+    )
 
 
 def _digest(request_id: str) -> bytes:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/section.py
@@ -14,7 +14,6 @@
     "find_origin",
     "forget_ended",
     "known_versions",
-    "origins_of_service",
     "record_origin",
     "resumed_origin",
 ]
@@ -33,10 +32,21 @@
 
 @dataclass(frozen=True, slots=True)
 class KnownOrigin:
-    """Origin of a stream, and until when it may be taken up, monotonic, in seconds."""
+    """Origin of a stream.
+
+    Attributes
+    ----------
+    origin : StreamOrigin
+        Service and software version.
+    until : float
+        Monotonic time in seconds until which the stream may be taken up.
+    attempt : int
+        How often the version had changed by the attempt that this is known from.
+    """
 
     origin: StreamOrigin
     until: float
+    attempt: int = 0
 
 
 @dataclass(slots=True)
@@ -47,9 +57,13 @@
 
 
 def record_origin(
-    section: StreamOriginSection, request: bytes, origin: StreamOrigin, until: float
+    section: StreamOriginSection,
+    request: bytes,
+    origin: StreamOrigin,
+    until: float,
+    attempt: int = 0,
 ) -> None:
-    """Record what a stream is sent to; the last record before its first event holds.
+    """Record what a stream is sent to; the last attempt before its first event holds.
 
     Parameters
     ----------
@@ -61,9 +75,15 @@
         Service and software version of the upstream.
     until : float
         Monotonic time in seconds until which the stream may be taken up.
+    attempt : int
+        How often the version had changed by this attempt. A lower one than that of
+        the known record is late, and is ignored.
     """
-    section.origins.pop(request, None)
-    section.origins[request] = KnownOrigin(origin, until)
+    known = section.origins.pop(request, None)
+    if known is not None and known.attempt > attempt:
+        section.origins[request] = known
+        return
+    section.origins[request] = KnownOrigin(origin, until, attempt)
     while len(section.origins) > MAX_ORIGINS:
         section.origins.popitem(last=False)
 
@@ -74,17 +94,6 @@
     return known.origin if known is not None else None
 
 
-def origins_of_service(
-    section: StreamOriginSection, service: ServiceName, now: float
-) -> dict[bytes, KnownOrigin]:
-    """Return the streams of a service that may still be taken up."""
-    return {
-        request: known
-        for request, known in section.origins.items()
-        if known.origin.service == service and known.until > now
-    }
-
-
 def forget_ended(section: StreamOriginSection, now: float) -> None:
     """Remove streams that may not be taken up any more.
 
@@ -111,7 +120,10 @@
 
 
 def resumed_origin(
-    found: StreamOrigin | None, service: ServiceName, versions: Iterable[str]
+    found: StreamOrigin | None,
+    service: ServiceName,
+    versions: Iterable[str],
+    is_complete: bool,
 ) -> StreamOrigin | None:
     """Return what began a stream that a caller takes up again.
 
@@ -122,28 +134,37 @@
     service : ServiceName
         Service that the route of the request has now.
     versions : iterable of str
-        Software versions of the upstreams of that service.
+        Software versions that have served it for as long as a stream may be taken up.
+    is_complete : bool
+        Whether no other version can have served it in that time.
 
     Returns
     -------
     StreamOrigin or None
         None if it is not certain, or if the route leads to another service now, so
         that the stream must not go on. A stream of which nothing is known can only
-        have begun at the one version that there is.
+        have begun at the one version that there was. Where upstreams state no
+        versions, they are taken for one version.
 
     Examples
     --------
     >>> begun = StreamOrigin("drafts", "v1")
-    >>> resumed_origin(begun, "drafts", {"v1", "v2"}) == begun
+    >>> resumed_origin(begun, "drafts", {"v1", "v2"}, False) == begun
+    True
+    >>> resumed_origin(begun, "other", {"v1"}, True) is None
+    True
+    >>> resumed_origin(None, "drafts", {"v1"}, True) == begun
     True
-    >>> resumed_origin(begun, "other", {"v1"}) is None
+    >>> resumed_origin(None, "drafts", {"v1"}, False) is None
     True
-    >>> resumed_origin(None, "drafts", {"v1"}) == begun
+    >>> resumed_origin(None, "drafts", {"v1", "v2"}, True) is None
     True
-    >>> resumed_origin(None, "drafts", {"v1", "v2"}) is None
+    >>> resumed_origin(None, "drafts", {""}, False) == StreamOrigin("drafts", "")
     True
     """
     if found is not None:
         return found if found.service == service else None
     versions = set(versions)
-    return StreamOrigin(service, versions.pop()) if len(versions) == 1 else None
+    if versions == {""} or (len(versions) == 1 and is_complete):
+        return StreamOrigin(service, versions.pop())
+    return None
