Test streams after losses of all relays and of all hosts with real processes

The two worst cells of the table of events: all relays lost when a second version appeared, and all hosts lost after the first version had left. Both fleets of a test need ids of their own.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
@@ -56,9 +56,9 @@
 KEEP_MARGIN_S = 1.0
 CONTROL_ROLE = "control"
 NO_SERVICE = ServiceName("")
-#: Streams that are looked through in one step after a link has changed. A step of 500
-#: takes about 3 ms.
-STREAMS_PER_STEP = 500
+#: Streams that are looked through in one step after a link has changed. One takes about
+#: 13 us together with its message.
+STREAMS_PER_STEP = 200
 
 logger = structlog.get_logger(__name__)
 
--- a/standins/runner_fleet.py
+++ b/standins/runner_fleet.py
@@ -52,6 +52,8 @@
     holds_listeners : bool
         Whether the fleet has the listening sockets, as a supervisor with socket
         activation, so that an address accepts connections while its runner is down.
+    prefix : str
+        Beginning of the runners' ids, which tells two fleets of a cluster apart.
     """
 
     def __init__(
@@ -62,12 +64,14 @@
         keeps_ids: bool = False,
         holds_listeners: bool = False,
         versions: Sequence[str] = ("v1",),
+        prefix: str = "f",
     ):
         self._cluster = cluster
         self._restart_s = restart_s
         self._keeps_ids = keeps_ids
         self._holds_listeners = holds_listeners
         self._versions = versions
+        self._prefix = prefix
         self._ended = threading.Event()
         self._rng = Random(count)
         self._slots = [self._create_slot(number) for number in range(count)]
@@ -99,9 +103,9 @@
 
     def version_of(self, runner: str) -> str:
         """Return the version of the software of a runner, the first for any other."""
-        if not runner.startswith("f"):
+        if not runner.startswith(self._prefix):
             return self._versions[0]
-        number = int(runner.removeprefix("f").partition("-")[0])
+        number = int(runner.removeprefix(self._prefix).partition("-")[0])
         return self._versions[number % len(self._versions)]
 
     @contextmanager
@@ -131,7 +135,7 @@
         return self._cluster.folder / "fleet-runs"
 
     def _create_slot(self, number: int) -> _Slot:
-        port, runner, listener = free_port(), f"f{number}-0", None
+        port, runner, listener = free_port(), f"{self._prefix}{number}-0", None
         if self._holds_listeners:
             listener = socket.create_server(
                 ("127.0.0.1", port), backlog=LISTENER_BACKLOG
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,6 +1,9 @@
 """Streams while upstreams of several software versions serve, on real processes."""
 
+import socket
+import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 
 import httpx
 import pytest
@@ -21,6 +24,7 @@
 RUNNERS = 6
 STREAMS = 18
 LONG_DEADLINE_MS = 60_000
+FIRST_REQUEST_S = 1.0
 
 
 @pytest.fixture(scope="module")
@@ -39,6 +43,12 @@
         yield running
 
 
+@pytest.fixture
+def stack():
+    with ExitStack() as entered:
+        yield entered
+
+
 def serves_all(cluster, fleet, relay):
     """Return whether a relay knows all runners of the fleet and no other."""
     lines = cluster.processes[relay].log.read_text().splitlines()
@@ -155,3 +165,104 @@
         status, rest = take_up(cluster, RELAYS[1], "one-version", events)
         assert status == OK
         assert len(events + rest) == STREAM_EVENTS
+
+
+def begin_streams(cluster, name):
+    """Begin streams at both relays and leave them; return their first events."""
+    deadline = {"Deadline-Ms": str(LONG_DEADLINE_MS)}
+
+    def begin(number):
+        request = f"{name}-{number}"
+        limit = 1 + number % 4
+        relay = RELAYS[number % 2]
+        return request, *read_stream(cluster, relay, request, limit, **deadline)
+
+    with ThreadPoolExecutor(STREAMS) as threads:
+        streams = list(threads.map(begin, range(STREAMS)))
+    assert all(status == OK and events for _, status, events in streams)
+    return {request: events for request, _, events in streams}
+
+
+def take_up_all(cluster, streams):
+    """Take streams up, each at one of the relays in turn."""
+    with ThreadPoolExecutor(STREAMS) as threads:
+        ends = [
+            threads.submit(take_up, cluster, RELAYS[number % 2], request, events)
+            for number, (request, events) in enumerate(streams.items())
+        ]
+        return [one.result() for one in ends]
+
+
+def restart(cluster, names):
+    for name in names:
+        cluster.processes[name].kill()
+    for name in names:
+        cluster.processes[name].start()
+
+
+def wait_until_announced(cluster, fleet):
+    """Wait until a control host has heard of all runners of a fleet."""
+
+    def is_announced():
+        logs = [cluster.processes[one].log.read_text() for one in CONTROL]
+        return all(any(f'"{one}"' in log for log in logs) for one in fleet.runner_ids)
+
+    wait_until(is_announced, "the fleet is announced")
+
+
+# Guards against streams that are refused though their version serves: they began while
+# it was the only one, and all relays were killed when the second one appeared.
+def test_streams_go_on_after_the_loss_of_all_relays(cluster):
+    with RunnerFleet(cluster, RUNNERS) as first:
+        for relay in RELAYS:
+            wait_until(lambda one=relay: is_served(cluster, first, one), relay)
+        streams = begin_streams(cluster, "all-relays")
+        with RunnerFleet(cluster, RUNNERS, versions=("v2",), prefix="g") as second:
+            wait_until_announced(cluster, second)
+            restart(cluster, RELAYS)
+            for relay in RELAYS:
+                wait_until(lambda one=relay: cluster.is_ready(one), relay)
+            ends = take_up_all(cluster, streams)
+    for events, (status, rest) in zip(streams.values(), ends, strict=True):
+        assert status == OK
+        together = events + rest
+        assert [number for number, _ in together] == list(range(1, STREAM_EVENTS + 1))
+        assert {runner for _, runner in together} <= set(first.runner_ids)
+
+
+# Guards against streams that are joined to the text of another version: the one that
+# began them has left, and all hosts have lost their memory.
+def test_streams_are_refused_after_the_loss_of_all_hosts(cluster, stack):
+    with RunnerFleet(cluster, RUNNERS) as first:
+        for relay in RELAYS:
+            wait_until(lambda one=relay: is_served(cluster, first, one), relay)
+        streams = begin_streams(cluster, "all-hosts")
+        second = stack.enter_context(
+            RunnerFleet(cluster, RUNNERS, versions=("v2",), prefix="h")
+        )
+        wait_until_announced(cluster, second)
+    restart(cluster, [*CONTROL, *RELAYS])
+    for relay in RELAYS:
+        wait_until(lambda one=relay: is_served(cluster, second, one), relay)
+    assert take_up_all(cluster, streams) == [(REFUSED, [])] * STREAMS
+
+
+# Guards against a relay that waits for something before it serves after a loss of all
+# relays. The time counts from the moment at which it accepts connections.
+def test_first_requests_are_served_soon_after_the_loss_of_all_relays(cluster, fleet):
+    restart(cluster, RELAYS)
+    for relay in RELAYS:
+        address = (cluster.ip_addresses[relay], cluster.relay_port)
+        wait_until(lambda one=address: accepts(one), f"{relay} accepts connections")
+    returned_at = time.monotonic()
+    for relay in RELAYS:
+        wait_until(lambda one=relay: cluster.request_status(one) == OK, relay)
+    assert time.monotonic() - returned_at < FIRST_REQUEST_S
+
+
+def accepts(address):
+    try:
+        socket.create_connection(address, 1.0).close()
+    except OSError:
+        return False
+    return True
