Write down what becomes of streams after a loss of relays

A refusal because nobody knows what began a stream is logged with the versions that may have, and whether a majority of control hosts has answered.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from random import Random
 
+import structlog
+
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.registry import RegistryTable
@@ -21,6 +23,8 @@
 #: Bounds of the time after which control hosts may be asked again, in seconds.
 UNANSWERED_RETRY_S = (0.3, 0.7)
 
+logger = structlog.get_logger(__name__)
+
 
 async def find_resumed_origin(
     directory: StreamDirectory,
@@ -62,6 +66,14 @@
         detail = f"the stream was begun by {found.service}, which the route has left"
     elif origin is None:
         detail = "the software version that began the stream is not known"
+        logger.info(
+            "origin of a stream not known",
+            first_request=request.first_request,
+            versions=sorted(versions | evidence.versions),
+            has_majority=evidence.has_majority,
+            is_complete=evidence.is_complete,
+            is_contradicted=answer.is_contradicted,
+        )
         # Control hosts that have not answered, or told of no upstream yet, may do so
         # soon; else coming back is no use.
         is_only = len(versions | evidence.versions) == 1
