--- a/standins/mixed_cluster.py
+++ b/standins/mixed_cluster.py
@@ -23,6 +23,7 @@
 #: Interval between the requests of each caller, in seconds.
 REQUEST_INTERVAL_S = 0.05
 ANNOUNCE_INTERVAL_S = 0.5
+CALLER_TIMEOUT_S = 6.0
 #: Every so many requests must not be executed twice.
 ONCE_EVERY = 4
 #: Time after a host has returned in which its links may still be replaced, in seconds.
@@ -250,18 +251,32 @@
             thread.join()
 
     def _call(self, relay: str) -> None:
-        number = 0
-        while not self._stop.wait(REQUEST_INTERVAL_S):
-            # As a load balancer does, which takes hosts that are not ready out.
-            if not self._cluster.is_ready(relay):
-                continue
-            number += 1
-            path = "/once/1" if number % ONCE_EVERY == 0 else "/x/1"
-            response = self._cluster.send_request(relay, path=path)
-            status = response.status_code if response is not None else 0
-            self.statuses[status] += 1
-            if status != 200:
-                self.failures.append((relay, status, time.time()))
+        # Each request has a connection of its own: one that is kept could be closed
+        # by a relay that stops, just as the next request is sent.
+        limits = httpx.Limits(max_keepalive_connections=0)
+        with httpx.Client(
+            trust_env=False, timeout=CALLER_TIMEOUT_S, limits=limits
+        ) as client:
+            number = 0
+            while not self._stop.wait(REQUEST_INTERVAL_S):
+                # As a load balancer does, which takes hosts that are not ready out.
+                if not self._is_ready(relay, client):
+                    continue
+                number += 1
+                path = "/once/1" if number % ONCE_EVERY == 0 else "/x/1"
+                response = self._cluster.send_request(relay, path=path, client=client)
+                status = response.status_code if response is not None else 0
+                self.statuses[status] += 1
+                if status != 200:
+                    self.failures.append((relay, status, time.time()))
+
+    def _is_ready(self, relay: str, client: httpx.Client) -> bool:
+        address = self._cluster.ip_addresses[relay]
+        try:
+            url = f"http://{address}:{self._cluster.ready_port}/readyz"
+            return client.get(url).status_code == 200
+        except httpx.HTTPError:
+            return False
 
     def _announce(self) -> None:
         sequence = 1
