--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -1,6 +1,6 @@
 """Links of one process: listening, dialling and dispatch of messages."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from hmac import compare_digest
 
 import anyio
@@ -19,6 +19,7 @@
 )
 from cranberryfield.core.features import FeatureLevel
 from cranberryfield.core.ids import NodeId
+from cranberryfield.core.mesh.dispatch import Handler, MessageDispatcher
 from cranberryfield.core.mesh.link import (
     Link,
     MeteredClientConnection,
@@ -37,11 +38,10 @@
     MAX_FRAME_BYTES,
     Envelope,
     EnvelopeKind,
-    SkipReason,
     decode_frame,
     encode_frame,
 )
-from cranberryfield.core.messages.links import Failure, Hello
+from cranberryfield.core.messages.links import Hello
 
 __all__ = ["Handler", "Mesh"]
 
@@ -64,9 +64,6 @@
 MAX_QUEUED_PER_OPENING_LINK = 1000
 OPENING_POLL_S = 0.01
 
-#: Handles one message from a node; returns a reply, an awaitable reply or None.
-Handler = Callable[[NodeId, Message], Message | None | Awaitable[Message | None]]
-
 logger = structlog.get_logger(__name__)
 
 
@@ -88,7 +85,7 @@
         self._key = key
         self._tls = tls
         self._links: dict[NodeId, list[Link]] = {}
-        self._handlers: dict[type[Message], Handler] = {}
+        self._dispatcher = MessageDispatcher(hello.node)
         self._link_watchers: list[Callable[[Hello, bool], None]] = []
         self._tasks: TaskGroup | None = None
         self._addresses: dict[NodeId, str] = {}
@@ -118,7 +115,7 @@
         handler : callable
             Called with the sender's id and the message.
         """
-        self._handlers[message_type] = handler
+        self._dispatcher.handle(message_type, handler)
 
     def handle_tunnels(self, handler: TunnelHandler) -> None:
         """Register the function that connects tunnels of other processes."""
@@ -253,7 +250,7 @@
         handled without a link. See `Link.request` for the errors.
         """
         if node == self._hello.node:
-            return await self._handle_locally(message, timeout_s)
+            return await self._dispatcher.handle_locally(message, timeout_s)
         deadline = anyio.current_time() + timeout_s
         if not self._links.get(node):
             await self._wait_until_opened(node, timeout_s)
@@ -295,21 +292,6 @@
         with scope:
             await self.dial(self._addresses[node])
 
-    async def _handle_locally(self, message: Message, timeout_s: float) -> Message:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            raise UnavailableError(
-                ErrorKind.NOT_READY, "no handler for the request on this process"
-            )
-        reply = handler(self._hello.node, message)
-        if not isinstance(reply, Awaitable):
-            return reply
-        with anyio.move_on_after(timeout_s):
-            return await reply
-        raise UnavailableError(
-            ErrorKind.NOT_READY, "the local handler did not reply in time"
-        )
-
     async def listen(self, address: str, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Accept links until cancelled.
 
@@ -428,7 +410,7 @@
             async with anyio.create_task_group() as tasks:
                 if closes_when_idle:
                     tasks.start_soon(self._close_when_idle, link)
-                await link.run(self._on_envelope)
+                await link.run(self._dispatch)
                 tasks.cancel_scope.cancel()
         finally:
             self._remove_link(link)
@@ -465,53 +447,5 @@
         for watcher in self._link_watchers:
             watcher(peer, is_open)
 
-    def _on_envelope(self, link: Link, envelope: Envelope) -> None:
-        handler = self._handlers.get(type(envelope.message))
-        if handler is None:
-            self._refuse_unhandled(link, envelope)
-            return
-        if envelope.kind is EnvelopeKind.REQUEST:
-            self._handle_request(link, envelope, handler)
-            return
-        try:
-            handler(link.peer.node, envelope.message)
-        except Exception:
-            logger.exception("handler failed", message=type(envelope.message).__name__)
-
-    def _refuse_unhandled(self, link: Link, envelope: Envelope) -> None:
-        name = type(envelope.message).__name__
-        link.count_skipped(SkipReason.NO_HANDLER, name)
-        if envelope.kind is EnvelopeKind.REQUEST:
-            failure = Failure(
-                ErrorKind.NOT_READY.value, f"no handler for {name} on this process"
-            )
-            link.send(Envelope(EnvelopeKind.REPLY, envelope.call, failure))
-
-    def _handle_request(self, link: Link, envelope: Envelope, handler: Handler) -> None:
-        """Reply to a request; in a task only if the handler has to wait."""
-        try:
-            reply = handler(link.peer.node, envelope.message)
-        except Exception as error:
-            reply = _failure(error, envelope.message)
-        if isinstance(reply, Awaitable):
-            self._tasks.start_soon(self._reply_later, link, envelope, reply)
-        elif reply is not None:
-            link.send(Envelope(EnvelopeKind.REPLY, envelope.call, reply))
-
-    async def _reply_later(
-        self, link: Link, envelope: Envelope, pending: Awaitable[Message | None]
-    ) -> None:
-        try:
-            reply = await pending
-        except Exception as error:
-            reply = _failure(error, envelope.message)
-        if reply is not None:
-            link.send(Envelope(EnvelopeKind.REPLY, envelope.call, reply))
-
-
-def _failure(error: Exception, request: Message) -> Failure:
-    """Return the reply to a request whose handler has failed."""
-    if isinstance(error, CranberryfieldError):
-        return Failure(error.kind.value, error.detail)
-    logger.error("handler failed", message=type(request).__name__, exc_info=error)
-    return Failure(ErrorKind.INTERNAL.value, "the handler failed")
+    def _dispatch(self, link: Link, envelope: Envelope) -> None:
+        self._dispatcher.dispatch(link, envelope, self._tasks)
