--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -23,6 +23,7 @@
     requests,
     rollouts,
     settings,
+    slots,
     streams,
     tunnels,
 )
@@ -57,6 +58,7 @@
     requests,
     rollouts,
     settings,
+    slots,
     streams,
     tunnels,
 )
