Take a shared slot before an attempt where shared_slots is set

Change: client and owner with their timers, and hooks in the chooser, the relay and both roles of the cluster host. Nothing is constructed without the setting.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -45,6 +45,7 @@
 from cranberryfield.entry.quota import QuotaLeeway, QuotaServer
 from cranberryfield.entry.registry import RegistryPublisher, RegistryTable
 from cranberryfield.entry.reports import ReportCollector
+from cranberryfield.entry.slots import SlotOwnerSection, SlotServer
 from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 
 __all__ = ["ControlHost"]
@@ -95,7 +96,7 @@
         suspect_store: SuspectStore,
         streams: StreamDirectory,
         proposer: Proposer,
-        leader_tasks: tuple[UsageReporter | UpstreamAutoscaler, ...],
+        leader_tasks: tuple[UsageReporter | UpstreamAutoscaler | SlotServer, ...],
     ):
         self._address = address
         self._adapter = adapter
@@ -155,6 +156,17 @@
         collector = ReportCollector(mesh, runtime.leading_term, table, clock)
         TokenOwner(mesh, runtime.leading_term, clock)
         leader_tasks = ()
+        if config.shared_slots:
+            slots = SlotServer(
+                board.add(SlotOwnerSection()),
+                table,
+                mesh,
+                runtime.leading_term,
+                lambda: runtime.leader_since,
+                clock,
+                rng,
+            )
+            leader_tasks = (slots,)
         if config.cloud is not None:
             cloud = adapter.make_cloud_client(
                 ConnectionPool(clock), config.cloud.address
@@ -162,7 +174,7 @@
             token_issuer = FencingTokenIssuer(
                 config.node_id, runtime, config.duty_handover_ms / MS_PER_S, clock
             )
-            leader_tasks = (
+            leader_tasks += (
                 UsageReporter(
                     section,
                     collector.reports,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -1,5 +1,6 @@
 """The relay role of a cluster host, which serves callers' requests."""
 
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -22,7 +23,7 @@
     ServerState,
     serve_http,
 )
-from cranberryfield.core.ids import NodeId
+from cranberryfield.core.ids import NodeId, ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
@@ -64,6 +65,7 @@
 from cranberryfield.entry.relay.upstream_statements import UpstreamStatements
 from cranberryfield.entry.relay.usage import UsageSection
 from cranberryfield.entry.reports import HostReporter
+from cranberryfield.entry.slots import RelaySlots, SlotClient
 from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 
 __all__ = ["RelayHost", "not_ready_retry_s"]
@@ -141,6 +143,8 @@
         Monotonic time that counts suspensions.
     rng : random.Random
         Source of the jitter in retry delays.
+    slots : SlotClient, optional
+        Takes slots of services that relays share.
     """
 
     def __init__(
@@ -159,6 +163,7 @@
         tunnels: TunnelExit,
         clock: Clock,
         rng: Random,
+        slots: SlotClient | None = None,
     ):
         self._config = config
         self._adapter = adapter
@@ -174,6 +179,7 @@
         self._tunnels = tunnels
         self._clock = clock
         self._rng = rng
+        self._slots = slots
         self._started_at = clock()
         self._stopping = False
         self._server_state = ServerState()
@@ -281,6 +287,19 @@
             connector.on_answer(record.process, metadata.pause_s, via)
             statements.on_answer(record, metadata, sent_at)
 
+        slots = None
+        if config.shared_slots:
+            slots = SlotClient(
+                board.add(RelaySlots(mesh.hello.incarnation, config.zone)),
+                table,
+                mesh,
+                leader,
+                hosts,
+                _plain_services(deployment),
+                metrics,
+                clock,
+                rng,
+            )
         relay = Relay(
             table,
             loads,
@@ -303,6 +322,7 @@
             hosts,
             clock,
             rng,
+            slots,
         )
         return cls(
             config,
@@ -319,6 +339,7 @@
             TunnelExit(table, paths, pauses, mesh, clock),
             clock,
             rng,
+            slots,
         )
 
     def is_ready(self) -> bool:
@@ -337,6 +358,8 @@
             tasks.start_soon(self._reporter.run)
             tasks.start_soon(self._connector.run)
             tasks.start_soon(self._finder.run)
+            if self._slots is not None:
+                tasks.start_soon(self._slots.run)
             tasks.start_soon(self._close_idle_connections)
             readiness = split_address(self._config.relay.readiness)
             tasks.start_soon(
@@ -407,3 +430,23 @@
             limits.header_timeout_ms / MS_PER_S,
             limits.idle_timeout_ms / MS_PER_S,
         )
+
+
+def _plain_services(
+    deployment: DeploymentSection,
+) -> Callable[[ServiceName], bool]:
+    """Return a function that tells whether a service is declared without an engine."""
+    version: int | None = None
+    plain: frozenset[ServiceName] = frozenset()
+
+    def is_plain(service: ServiceName) -> bool:
+        nonlocal version, plain
+        declared = deployment.table.deployment
+        if declared.version != version:
+            version = declared.version
+            plain = frozenset(
+                one.name for one in declared.services if one.engine is None
+            )
+        return service in plain
+
+    return is_plain
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -71,6 +71,7 @@
     has_windowed_retry,
     spend_windowed_retry,
 )
+from cranberryfield.entry.slots.client import SlotClient
 from cranberryfield.entry.streams import StreamDirectory, StreamOrigin
 
 __all__ = ["Relay"]
@@ -126,6 +127,8 @@
         Monotonic time.
     rng : random.Random
         Adds jitter to the retry delays of refused callers.
+    slots : SlotClient, optional
+        Takes slots of services that relays share.
     """
 
     def __init__(
@@ -149,6 +152,7 @@
         host_count: Callable[[], int],
         clock: Clock,
         rng: Random,
+        slots: SlotClient | None = None,
     ):
         self._table = table
         self._loads = loads
@@ -178,6 +182,7 @@
             host_count,
             data_centre,
             clock,
+            slots,
         )
 
     async def run(self) -> None:
@@ -219,6 +224,7 @@
             outcome = f"refused: {error.kind.value}: {error.detail}"
             await self._refuse_or_abort(exchange, error)
         finally:
+            self._chooser.release(request)
             record_end(self._demand, request.service, self._clock())
             if not (state.may_have_run or state.has_pending_attempt):
                 self._quota.refund(state.charged_workspace, request.quota_cost)
@@ -304,6 +310,7 @@
         if not may_run:
             self._quarantine.release(state.fingerprint, record.upstream)
             self._limiter.put_back(record)
+            self._chooser.release(request)
             return None
         return record
 
@@ -357,6 +364,7 @@
         has_alternative = may_follow(
             request.route, record, candidates, state
         ) and has_windowed_retry(self._budget, request.service, started_at)
+        result = None
         try:
             if request.route.kind is not RouteKind.STREAM:
                 result = await call_upstream(
@@ -377,6 +385,10 @@
         finally:
             load.own_attempts.pop(request.id, None)
             self._quarantine.release(state.fingerprint, record.upstream)
+            was_refused = (
+                result is not None and result.outcome is RelayAttemptOutcome.NOT_RUN
+            )
+            self._chooser.release(request, was_refused)
         has_crashed = await self._detector.examine(run, result)
         state.has_pending_attempt = False
         self._record_result(request, record, result, has_crashed, state)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -5,6 +5,7 @@
 import anyio
 
 from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import UnavailableError
 from cranberryfield.core.ids import DataCentre, NodeId, UpstreamId
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.registry import RegistryTable, doubtful_among
@@ -23,6 +24,7 @@
     RelayCostModel,
     choose_relay_upstream,
 )
+from cranberryfield.entry.slots.client import SlotClient
 
 __all__ = ["ROOM_POLL_S", "RelayUpstreamChooser"]
 
@@ -62,6 +64,8 @@
         Data centre of this host.
     clock : Clock
         Monotonic time.
+    slots : SlotClient, optional
+        Takes slots of services that relays share.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         host_count: Callable[[], int],
         data_centre: DataCentre,
         clock: Clock,
+        slots: SlotClient | None = None,
     ):
         self._table = table
         self._loads = loads
@@ -87,6 +92,7 @@
         self._host_count = host_count
         self._data_centre = data_centre
         self._clock = clock
+        self._slots = slots
         self._model = RelayCostModel()
 
     async def choose(
@@ -107,8 +113,14 @@
         Returns
         -------
         UpstreamRecord or None
-            The upstream, reserved for a suspect, with a token of its limit; None if
-            all were tried, are at their limits, or want no requests.
+            The upstream, reserved for a suspect, with a token of its limit and a
+            shared slot; None if all were tried, are at their limits, or want no
+            requests.
+
+        Raises
+        ------
+        UnavailableError
+            If no shared slot is free in time.
         """
         reserved_for_others: set[UpstreamId] = set()
         now = self._clock()
@@ -147,9 +159,21 @@
                 continue
             if record is None:
                 return None
+            if self._slots is not None and self._slots.is_shared(request.service):
+                try:
+                    record = await self._take_slot(
+                        request, state, unavailable, record, reserved_for_others
+                    )
+                except UnavailableError:
+                    if state.may_have_run or state.fallback_response is not None:
+                        return None
+                    raise
+                if record is None:
+                    continue
             if self._clock() < isolate_until and not await self._quarantine.reserve(
                 state.fingerprint, record.upstream, request.deadline
             ):
+                self.release(request)
                 reserved_for_others.add(record.upstream)
                 continue
             may_run = False
@@ -159,9 +183,59 @@
                 # Also if the caller leaves while the owner of the limit is asked.
                 if not may_run:
                     self._quarantine.release(state.fingerprint, record.upstream)
+                    self.release(request)
             if may_run:
                 return record
 
+    async def _take_slot(
+        self,
+        request: RelayRequest,
+        state: RelayRequestState,
+        unavailable: set[UpstreamId],
+        local_choice: UpstreamRecord,
+        unusable: set[UpstreamId],
+    ) -> UpstreamRecord | None:
+        """Wait for a slot; None if it is of an upstream that this relay cannot use.
+
+        Such an upstream is added to `unusable`.
+        """
+        began = self._clock()
+        known = self._table.active_upstreams(request.service)
+        avoided = doubtful_among(self._table, known).union(
+            self._quarantine.crashed_among(known),
+            unavailable,
+            (one.upstream for one in known if one.process in state.tried_processes),
+            (
+                one.upstream
+                for one in known
+                if self._loads.load_of(one.upstream).backoff_until > began
+            ),
+        )
+        excluded = avoided - {local_choice.upstream}
+        upstream, incarnation = await self._slots.take(request, excluded, local_choice)
+        state.waited_s += self._clock() - began
+        for one in may_go_on(
+            state.origin, self._table.active_upstreams(request.service)
+        ):
+            if one.process == (upstream, incarnation):
+                return one
+        self.release(request)
+        unusable.add(upstream)
+        return None
+
+    def release(self, request: RelayRequest, was_refused: bool = False) -> None:
+        """Give back the shared slot of a request, if it has one.
+
+        Parameters
+        ----------
+        request : RelayRequest
+            The request.
+        was_refused : bool
+            Whether the upstream has refused the attempt.
+        """
+        if self._slots is not None:
+            self._slots.release(request, was_refused)
+
     def _choose_now(
         self,
         request: RelayRequest,
