Prefer waiting requests that can still meet their target

Change: within a rank, requests that can still meet the target go first, also in the turns that are kept for the session served least.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
@@ -20,6 +20,7 @@
 from cranberryfield.entry.slots.relay_slots import (
     ANSWER_TIMEOUT_S,
     RelaySlots,
+    answer_due_at,
     apply_replies,
     ask_for_slot,
     check_owner,
@@ -41,6 +42,8 @@
 LOCAL_WAIT_FRACTION = 0.25
 #: Bounds of the retry delay of requests without room or owner, in seconds.
 LOCAL_RETRY_S = (0.2, 0.5)
+#: Lateness of a timer from which this process has not run for a while, in seconds.
+LATENESS_S = 0.02
 MS_PER_S = 1000
 
 logger = structlog.get_logger(__name__)
@@ -205,8 +208,7 @@
         """Send reports until cancelled."""
         renewed_at = self._clock()
         while True:
-            with anyio.move_on_after(RENEWAL_INTERVAL_S):
-                await self._report_due.wait()
+            await self._wait_for_report(renewed_at + RENEWAL_INTERVAL_S)
             self._report_due = anyio.Event()
             self._update_owner()
             now = self._clock()
@@ -216,6 +218,20 @@
             self._report(now, is_renewal)
             self._notice_reach(now)
 
+    async def _wait_for_report(self, renew_at: float) -> None:
+        """Wait until a report or its acknowledgement is due, or leases are renewed."""
+        due_at = answer_due_at(self._state)
+        wake_at = renew_at if due_at is None else min(renew_at, due_at)
+        with anyio.move_on_after(max(0.0, wake_at - self._clock())):
+            await self._report_due.wait()
+        if due_at is None or self._clock() < due_at:
+            return
+        if self._clock() > due_at + LATENESS_S:
+            # Replies may have arrived while this process did not run.
+            await anyio.sleep(LATENESS_S)
+        check_owner(self._state, self._clock())
+        self._wake_answered()
+
     def _report(self, now: float, is_renewal: bool) -> None:
         state = self._state
         is_lost = not is_owner_in_reach(state, now)
@@ -253,14 +269,7 @@
         self._wake_ups[id(pending)] = pending, event
         self._report_due.set()
         try:
-            while pending.outcome is AskOutcome.WAITING:
-                with anyio.move_on_after(ANSWER_TIMEOUT_S):
-                    await event.wait()
-                if pending.outcome is AskOutcome.WAITING:
-                    # Replies may have arrived while this process did not run.
-                    await anyio.sleep(0)
-                    check_owner(self._state, self._clock())
-                    self._wake_answered()
+            await event.wait()
         except BaseException:
             end_number(self._state, pending.number, self._clock())
             self._report_due.set()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
+    "answer_due_at",
     "RelaySlots",
     "apply_replies",
     "ask_for_slot",
@@ -35,8 +36,9 @@
 ]
 
 #: Time for the owner to acknowledge a report, in seconds, after which this relay
-#: chooses by itself.
-ANSWER_TIMEOUT_S = 0.1
+#: chooses by itself. The request that noticed it does so within 0.1 s of its ask, with
+#: the time until the report is sent.
+ANSWER_TIMEOUT_S = 0.08
 #: Reports whose acknowledgement is awaited; older ones renew no lease.
 MAX_AWAITED = 64
 #: Services whose times of attempts are remembered.
@@ -107,7 +109,9 @@
     state.owner = owner
     state._term = 0
     state._awaited.clear()
-    state._unanswered_since = None
+    if not state.pending:
+        # Else requests that wait for an answer already do not wait twice as long.
+        state._unanswered_since = None
     state._is_silent = False
     state._lends_from = float("-inf")
     for pending in list(state.pending.values()):
@@ -122,8 +126,8 @@
 
 def check_owner(state: RelaySlots, now: float) -> None:
     """Give up waiting for an owner that has not acknowledged a report in time."""
-    since = state._unanswered_since
-    is_late = since is not None and now - since >= ANSWER_TIMEOUT_S
+    due_at = answer_due_at(state)
+    is_late = due_at is not None and now >= due_at
     if state.owner is None or is_late:
         state._is_silent = True
     if not is_owner_in_reach(state, now):
@@ -131,6 +135,15 @@
             state.pending.pop(number).outcome = AskOutcome.NO_OWNER
 
 
+def answer_due_at(state: RelaySlots) -> float | None:
+    """Return the monotonic time in seconds by which the owner has to acknowledge.
+
+    None if it owes no acknowledgement.
+    """
+    since = state._unanswered_since
+    return None if since is None or state._is_silent else since + ANSWER_TIMEOUT_S
+
+
 def ask_for_slot(state: RelaySlots, wish: SlotWish) -> PendingAsk:
     """Ask for a slot with the next report."""
     state._number += 1
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/waiting_line.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/waiting_line.py
@@ -22,8 +22,8 @@
 #: one workspace, which takes 0.1 ms with this number.
 MAX_WAITING = 256
 #: Each such grant of a workspace goes to the session that was served least, and to its
-#: oldest request, whatever the order says. So each class and session keeps a quarter
-#: of its workspace's share at least.
+#: oldest request that can still meet its target, whatever the order says. So a quarter
+#: of a workspace's share is open to each class and session.
 OLDEST_EVERY = 4
 #: Workspaces and sessions whose shares are remembered; those least recently served are
 #: forgotten first.
@@ -56,6 +56,15 @@
         """Monotonic time of the owner at which its deadline passes, in seconds."""
         return self.received_at + self.ask.left_ms / 1000
 
+    def target_slack_s(self, now: float) -> float:
+        """Return the time left to its target beyond the run, in seconds.
+
+        That to the deadline, if it has no target.
+        """
+        ask = self.ask
+        left_ms = ask.target_ms - ask.waited_ms if ask.target_ms else ask.left_ms
+        return self.received_at + (left_ms - ask.run_ms) / 1000 - now
+
     @property
     def session(self) -> str:
         """Key of its session; its own key if it belongs to none."""
@@ -69,9 +78,15 @@
 
 
 def rank_then_slack(waiting: WaitingAsk, now: float) -> tuple[float, ...]:
-    """Order by rank, then by the time that is left beyond the run, in seconds."""
-    slack_s = waiting.deadline - now - waiting.ask.run_ms / 1000
-    return (waiting.ask.rank, slack_s)
+    """Order by rank, then by the time that is left beyond the run, in seconds.
+
+    The time is that to the target; requests that miss it anyway go after those that can
+    still meet it, by the time to their deadlines.
+    """
+    slack_s = waiting.target_slack_s(now)
+    if slack_s >= 0.0:
+        return (waiting.ask.rank, 0, slack_s)
+    return (waiting.ask.rank, 1, waiting.deadline - now)
 
 
 @dataclass(slots=True)
@@ -205,7 +220,11 @@
         # The dictionary is in the order of arrival, and sorting is stable.
         if turn % OLDEST_EVERY == 0:
             candidates = sorted(
-                members.values(), key=lambda one: line._sessions.of(one.session)
+                members.values(),
+                key=lambda one: (
+                    one.target_slack_s(now) < 0.0,
+                    line._sessions.of(one.session),
+                ),
             )
         else:
             candidates = sorted(members.values(), key=lambda one: order(one, now))
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -91,10 +91,16 @@
     ----------
     folder : pathlib.Path
         Folder for the files of the processes.
+    settings : sequence of str
+        Further lines of the settings of each host.
+    slots : int
+        Slots that runners announce.
     """
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, settings: Sequence[str] = (), slots: int = 8):
         self.folder = folder
+        self._settings = settings
+        self._slots = slots
         self.runner_port = free_port()
         self.runs_path = folder / "runs"
         arguments = [
@@ -131,6 +137,7 @@
             "first_start: true",
             f'metrics: "{ip_address}:{self.metrics_port}"',
             "stop_s: 8",
+            *self._settings,
         ]
         if name in RELAYS:
             lines += [
@@ -189,7 +196,7 @@
             "address": f"127.0.0.1:{port}",
             "zone": "fann",
             "version": version,
-            "slots": 8,
+            "slots": self._slots,
             "state": "ready",
             "seq": sequence,
             "born": int(started_at * MS_PER_S),
@@ -339,15 +346,14 @@
 
 
 @contextmanager
-def running_cluster(folder: Path) -> Iterator[Cluster]:
+def running_cluster(
+    folder: Path, settings: Sequence[str] = (), slots: int = 8
+) -> Iterator[Cluster]:
     """Run a cluster whose relays serve requests and stop it on exit.
 
-    Parameters
-    ----------
-    folder : pathlib.Path
-        Folder for the files of the cluster.
+    See `Cluster` for the parameters.
     """
-    cluster = Cluster(folder)
+    cluster = Cluster(folder, settings, slots)
     try:
         cluster.start()
         wait_until(
