Do not renew a lease of a slot that has ended

Cause: a report that arrived after the lease had ended was acknowledged, and the relay took its lease for valid again, though the owner had lent the slot to another in the meantime.

Change: the relay renews only leases that are valid when the acknowledgement arrives.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
@@ -277,7 +277,7 @@
                 if pending.is_acknowledged:
                     _ask_anew(state, pending)
     lease_s = replies.lease_ms / MS_PER_S
-    _acknowledge(state, replies.sequence, lease_s)
+    _acknowledge(state, replies.sequence, lease_s, now)
     if replies.lends_in_ms:
         state._lends_from = now + replies.lends_in_ms / MS_PER_S
         check_owner(state, now)
@@ -292,14 +292,18 @@
             _ask_anew(state, state.pending[number])
 
 
-def _acknowledge(state: RelaySlots, sequence: int, lease_s: float) -> None:
-    """Take note of the latest report that the owner has."""
+def _acknowledge(state: RelaySlots, sequence: int, lease_s: float, now: float) -> None:
+    """Take note of the latest report that the owner has.
+
+    A lease that has ended is not renewed: the owner may have lent the slot to another
+    before it received the report.
+    """
     state._is_silent = False
     while state._awaited and next(iter(state._awaited)) <= sequence:
         _, (sent_at, numbers) = state._awaited.popitem(last=False)
         for number in numbers:
             held = state.held.get(number)
-            if held is not None and held.is_lent:
+            if held is not None and held.lease_ends_at > now:
                 held.lease_ends_at = max(held.lease_ends_at, sent_at + lease_s)
     first = next(iter(state._awaited.values()), None)
     state._unanswered_since = None if first is None else first[0]
