Send no slot messages to older builds, and use no slot after its lease

Cause: a request that waited when an older build became leader would have waited for ever, and one that waited for a token of a stated limit after it had its slot could begin after the lease.

Change: a leader that does not understand the messages is no owner; the chooser looks at the lease once more before an attempt. The owner looks up the upstreams of a service once for each change of the registry.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -180,6 +180,9 @@
             may_run = False
             try:
                 may_run = await self._limiter.acquire(record)
+                if may_run and not self._has_valid_slot(request):
+                    self._limiter.put_back(record)
+                    may_run = False
             finally:
                 # Also if the caller leaves while the owner of the limit is asked.
                 if not may_run:
@@ -233,6 +236,9 @@
         unusable.add(upstream)
         return None
 
+    def _has_valid_slot(self, request: RelayRequest) -> bool:
+        return self._slots is None or self._slots.is_usable(request.id)
+
     def release(self, request: RelayRequest, was_refused: bool = False) -> None:
         """Give back the shared slot of a request, if it has one.
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
@@ -167,15 +167,15 @@
             await anyio.sleep(LOCAL_POLL_S)
 
     def is_usable(self, request: str) -> bool:
-        """Return whether an attempt may begin with the slot of a request.
+        """Return whether an attempt may begin with what slot a request has, if any.
 
         Its lease may have ended while the request waited for something else, or while
         this process was suspended.
         """
         number = self._numbers.get(request)
-        held = self._state.held.get(number)
-        if held is None:
-            return False
+        if number is None:
+            return True
+        held = self._state.held[number]
         return not held.is_lent or holds_lease(self._state, number, self._clock())
 
     def release(self, request: str, was_refused: bool = False) -> None:
@@ -236,8 +236,6 @@
         owner = state.owner
         if owner is None or not (has_news or (is_renewal and has_leases)):
             return
-        if not understands_slots(self._mesh, owner):
-            return
         if not self._mesh.send(owner, make_report(state, now, is_renewal)):
             # There is no link: no use in waiting for an answer.
             check_owner(state, now + ANSWER_TIMEOUT_S)
@@ -304,7 +302,10 @@
         return sum(max(1, one.capacity) for one in records)
 
     def _update_owner(self) -> None:
-        set_owner(self._state, self._leader())
+        leader = self._leader()
+        if leader is not None and not understands_slots(self._mesh, leader):
+            leader = None
+        set_owner(self._state, leader)
         if self._state.owner is None:
             check_owner(self._state, self._clock())
             self._wake_answered()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/server.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/server.py
@@ -7,8 +7,9 @@
 import structlog
 
 from cranberryfield.core.clock import Clock
-from cranberryfield.core.ids import NodeId
+from cranberryfield.core.ids import NodeId, ServiceName
 from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.messages.slots import SlotReplies, SlotReport
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.slots.owner import (
@@ -73,6 +74,8 @@
         self._clock = clock
         self._rng = rng
         self._order = order
+        self._records: dict[ServiceName, list[UpstreamRecord]] = {}
+        self._records_digest: int | None = None
         mesh.handle(SlotReport, self._on_report)
 
     async def run(self) -> None:
@@ -85,7 +88,7 @@
             self._send(
                 advance_slots(
                     self._section,
-                    self._table.active_upstreams,
+                    self._upstreams,
                     self._clock(),
                     self._rng,
                     self._order,
@@ -120,7 +123,7 @@
                 self._section,
                 sender,
                 report,
-                self._table.active_upstreams,
+                self._upstreams,
                 self._clock(),
                 self._rng,
                 self._order,
@@ -131,6 +134,17 @@
         for node, reply in replies.items():
             self._mesh.send(node, reply)
 
+    def _upstreams(self, service: ServiceName) -> list[UpstreamRecord]:
+        """Return the upstreams of a service, looked up once for each change."""
+        if self._table.digest != self._records_digest:
+            self._records_digest = self._table.digest
+            self._records.clear()
+        records = self._records.get(service)
+        if records is None:
+            records = self._table.active_upstreams(service)
+            self._records[service] = records
+        return records
+
     def _log_counts(self) -> None:
         now = self._clock()
         for name, service in self._section.services.items():
@@ -140,7 +154,7 @@
             logger.info(
                 "slots shared",
                 service=name,
-                slots=total_slots(service, self._table.active_upstreams(name), now),
+                slots=total_slots(service, self._upstreams(name), now),
                 held=len(service.held),
                 waiting=service.line.size,
                 granted=counts.granted,
