--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/codec.py
@@ -25,6 +25,7 @@
     requests,
     rollouts,
     settings,
+    slots,
     streams,
     tunnels,
 )
@@ -61,6 +62,7 @@
     requests,
     rollouts,
     settings,
+    slots,
     streams,
     tunnels,
 )
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -57,6 +57,7 @@
 from cranberryfield.entry.quota import QuotaLeeway, QuotaServer
 from cranberryfield.entry.registry import RegistryPublisher, RegistryTable
 from cranberryfield.entry.reports import ReportCollector
+from cranberryfield.entry.slots import SlotOwnerSection, SlotServer
 from cranberryfield.entry.streams import (
     ServedVersionSection,
     StreamDirectory,
@@ -116,7 +117,7 @@
         streams: StreamDirectory,
         version_store: VersionStore,
         proposer: Proposer,
-        leader_tasks: tuple[UsageReporter | UpstreamAutoscaler, ...],
+        leader_tasks: tuple[UsageReporter | UpstreamAutoscaler | SlotServer, ...],
         rollouts: RolloutCoordinator | None = None,
     ):
         self._address = address
@@ -185,6 +186,17 @@
         collector = ReportCollector(mesh, runtime.leading_term, table, clock)
         TokenOwner(mesh, runtime.leading_term, clock)
         leader_tasks = ()
+        if config.shared_slots:
+            slots = SlotServer(
+                board.add(SlotOwnerSection()),
+                table,
+                mesh,
+                runtime.leading_term,
+                lambda: runtime.leader_since,
+                clock,
+                rng,
+            )
+            leader_tasks = (slots,)
         if config.cloud is not None:
             cloud = adapter.make_cloud_client(
                 ConnectionPool(clock), config.cloud.address
@@ -192,7 +204,7 @@
             token_issuer = FencingTokenIssuer(
                 config.node_id, runtime, config.duty_handover_ms / MS_PER_S, clock
             )
-            leader_tasks = (
+            leader_tasks += (
                 UsageReporter(
                     section,
                     collector.reports,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -1,5 +1,6 @@
 """The relay role of a cluster host, which serves callers' requests."""
 
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -23,7 +24,7 @@
     ServerState,
     serve_http,
 )
-from cranberryfield.core.ids import NodeId
+from cranberryfield.core.ids import NodeId, ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
@@ -70,6 +71,7 @@
     RolloutSection,
     RolloutTraffic,
 )
+from cranberryfield.entry.slots import RelaySlots, SlotClient
 from cranberryfield.entry.streams import StreamDirectory, StreamOriginSection
 
 __all__ = ["RelayHost", "not_ready_retry_s"]
@@ -149,6 +151,8 @@
         Source of the jitter in retry delays.
     rollout_reporter : RolloutReporter, optional
         Reports to the leader about rollouts; not given if the deployment has none.
+    slots : SlotClient, optional
+        Takes slots of services that relays share.
     """
 
     def __init__(
@@ -168,6 +172,7 @@
         clock: Clock,
         rng: Random,
         rollout_reporter: RolloutReporter | None = None,
+        slots: SlotClient | None = None,
     ):
         self._config = config
         self._adapter = adapter
@@ -184,6 +189,7 @@
         self._clock = clock
         self._rng = rng
         self._rollout_reporter = rollout_reporter
+        self._slots = slots
         self._started_at = clock()
         self._stopping = False
         self._server_state = ServerState()
@@ -305,6 +311,19 @@
             )
             replica.watch(rollout_reporter.on_announcement)
 
+        slots = None
+        if config.shared_slots:
+            slots = SlotClient(
+                board.add(RelaySlots(mesh.hello.incarnation, config.zone)),
+                table,
+                mesh,
+                leader,
+                hosts,
+                _plain_services(deployment),
+                metrics,
+                clock,
+                rng,
+            )
         relay = Relay(
             table,
             loads,
@@ -333,6 +352,7 @@
             clock,
             rng,
             rollouts,
+            slots,
         )
         return cls(
             config,
@@ -350,6 +370,7 @@
             clock,
             rng,
             rollout_reporter,
+            slots,
         )
 
     def is_ready(self) -> bool:
@@ -375,6 +396,8 @@
             tasks.start_soon(self._finder.run)
             if self._rollout_reporter is not None:
                 tasks.start_soon(self._rollout_reporter.run)
+            if self._slots is not None:
+                tasks.start_soon(self._slots.run)
             tasks.start_soon(self._close_idle_connections)
             readiness = split_address(self._config.relay.readiness)
             tasks.start_soon(
@@ -460,3 +483,23 @@
     """Return whether a process understands the messages of rollouts."""
     supports = getattr(mesh, "supports", None)
     return supports is None or supports(node, FeatureLevel.ROLLOUTS)
+
+
+def _plain_services(
+    deployment: DeploymentSection,
+) -> Callable[[ServiceName], bool]:
+    """Return a function that tells whether a service is declared without an engine."""
+    version: int | None = None
+    plain: frozenset[ServiceName] = frozenset()
+
+    def is_plain(service: ServiceName) -> bool:
+        nonlocal version, plain
+        declared = deployment.table.deployment
+        if declared.version != version:
+            version = declared.version
+            plain = frozenset(
+                one.name for one in declared.services if one.engine is None
+            )
+        return service in plain
+
+    return is_plain
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -76,6 +76,7 @@
     spend_windowed_retry,
 )
 from cranberryfield.entry.rollouts import Judgement, RolloutSection, RolloutTraffic
+from cranberryfield.entry.slots.client import SlotClient
 from cranberryfield.entry.streams import StreamDirectory, StreamOrigin
 
 __all__ = ["Relay"]
@@ -134,6 +135,8 @@
     rollouts : RolloutTraffic, optional
         Restricts attempts to the versions that they may use, and counts them; not
         given if the deployment has no rollouts.
+    slots : SlotClient, optional
+        Takes slots of services that relays share.
     """
 
     def __init__(
@@ -158,6 +161,7 @@
         clock: Clock,
         rng: Random,
         rollouts: RolloutTraffic | None = None,
+        slots: SlotClient | None = None,
     ):
         self._table = table
         self._loads = loads
@@ -191,6 +195,7 @@
             data_centre,
             clock,
             self._rollouts,
+            slots,
         )
 
     async def run(self) -> None:
@@ -233,6 +238,7 @@
             outcome = f"refused: {error.kind.value}: {error.detail}"
             await self._refuse_or_abort(exchange, error)
         finally:
+            self._chooser.release(request)
             record_end(self._demand, request.service, self._clock())
             if not (state.may_have_run or state.has_pending_attempt):
                 self._quota.refund(state.charged_workspace, request.quota_cost)
@@ -327,6 +333,7 @@
         if not may_run:
             self._quarantine.release(state.fingerprint, record.upstream)
             self._limiter.put_back(record)
+            self._chooser.release(request)
             return None
         return record
 
@@ -381,6 +388,7 @@
         has_alternative = may_follow(
             request.route, record, candidates, state
         ) and has_windowed_retry(self._budget, request.service, started_at)
+        result = None
         try:
             if request.route.kind is not RouteKind.STREAM:
                 result = await call_upstream(
@@ -410,6 +418,10 @@
             self._rollouts.end(rollout_run, judgement)
             load.own_attempts.pop(request.id, None)
             self._quarantine.release(state.fingerprint, record.upstream)
+            was_refused = (
+                result is not None and result.outcome is RelayAttemptOutcome.NOT_RUN
+            )
+            self._chooser.release(request, was_refused)
         has_crashed = await self._detector.examine(run, result)
         state.has_pending_attempt = False
         self._record_result(request, record, result, has_crashed, state)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -5,6 +5,7 @@
 import anyio
 
 from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import UnavailableError
 from cranberryfield.core.ids import DataCentre, NodeId, UpstreamId
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.entry.registry import RegistryTable, doubtful_among
@@ -24,6 +25,8 @@
     choose_relay_upstream,
 )
 from cranberryfield.entry.rollouts import RolloutTraffic
+from cranberryfield.entry.slots.asks import SlotWish
+from cranberryfield.entry.slots.client import SlotClient
 
 __all__ = ["ROOM_POLL_S", "RelayUpstreamChooser"]
 
@@ -65,6 +68,8 @@
         Monotonic time.
     rollouts : RolloutTraffic
         Restricts attempts to the versions that they may use.
+    slots : SlotClient, optional
+        Takes slots of services that relays share.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         data_centre: DataCentre,
         clock: Clock,
         rollouts: RolloutTraffic,
+        slots: SlotClient | None = None,
     ):
         self._table = table
         self._loads = loads
@@ -92,6 +98,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self._rollouts = rollouts
+        self._slots = slots
         self._model = RelayCostModel()
 
     async def choose(
@@ -112,8 +119,14 @@
         Returns
         -------
         UpstreamRecord or None
-            The upstream, reserved for a suspect, with a token of its limit; None if
-            all were tried, are at their limits, or want no requests.
+            The upstream, reserved for a suspect, with a token of its limit and a
+            shared slot; None if all were tried, are at their limits, or want no
+            requests.
+
+        Raises
+        ------
+        UnavailableError
+            If no shared slot is free in time.
         """
         reserved_for_others: set[UpstreamId] = set()
         now = self._clock()
@@ -159,24 +172,47 @@
                 continue
             if record is None:
                 return None
+            if self._slots is not None and self._slots.is_shared(request.service):
+                try:
+                    is_preferred = record in exposure.preferred
+                    record = await self._take_slot(
+                        request,
+                        state,
+                        exposure.preferred if is_preferred else candidates,
+                        unavailable,
+                        record,
+                        reserved_for_others,
+                    )
+                except UnavailableError:
+                    if state.may_have_run or state.fallback_response is not None:
+                        return None
+                    raise
+                if record is None:
+                    continue
             if self._clock() < isolate_until and not await self._quarantine.reserve(
                 state.fingerprint, record.upstream, request.deadline
             ):
+                self.release(request)
                 reserved_for_others.add(record.upstream)
                 continue
             may_run = False
             try:
                 may_run = await self._limiter.acquire(record)
+                if may_run and not self._has_valid_slot(request):
+                    self._limiter.put_back(record)
+                    may_run = False
             finally:
                 # Also if the caller leaves while the owner of the limit is asked.
                 if not may_run:
                     self._quarantine.release(state.fingerprint, record.upstream)
+                    self.release(request)
             if not may_run:
                 continue
             if self._rollouts.take(record, has_begun):
                 return record
             self._quarantine.release(state.fingerprint, record.upstream)
             self._limiter.put_back(record)
+            self.release(request)
 
     def _choose_preferred(
         self,
@@ -206,6 +242,69 @@
         is_usable = self._loads.load_of(record.upstream).backoff_until <= self._clock()
         return record if is_usable else None
 
+    async def _take_slot(
+        self,
+        request: RelayRequest,
+        state: RelayRequestState,
+        allowed: list[UpstreamRecord],
+        unavailable: set[UpstreamId],
+        local_choice: UpstreamRecord,
+        unusable: set[UpstreamId],
+    ) -> UpstreamRecord | None:
+        """Wait for a slot; None if it is of an upstream that this relay cannot use.
+
+        Such an upstream is added to `unusable`.
+        """
+        began = self._clock()
+        known = self._table.active_upstreams(request.service)
+        avoided = doubtful_among(self._table, known).union(
+            self._quarantine.crashed_among(known),
+            unavailable,
+            {one.upstream for one in known} - {one.upstream for one in allowed},
+            (one.upstream for one in known if one.process in state.tried_processes),
+            (
+                one.upstream
+                for one in known
+                if self._loads.load_of(one.upstream).backoff_until > began
+            ),
+        )
+        wish = SlotWish(
+            request.service,
+            request.workspace.name if request.workspace is not None else "",
+            request.rank,
+            request.arrived_at,
+            request.deadline,
+            int(request.route.target_ms or 0),
+            request.affinity_key or "",
+            tuple(sorted(avoided - {local_choice.upstream})),
+        )
+        upstream, incarnation = await self._slots.take(request.id, wish, local_choice)
+        state.waited_s += self._clock() - began
+        for one in may_go_on(
+            state.origin, self._table.active_upstreams(request.service)
+        ):
+            if one.process == (upstream, incarnation):
+                return one
+        self.release(request)
+        unusable.add(upstream)
+        return None
+
+    def _has_valid_slot(self, request: RelayRequest) -> bool:
+        return self._slots is None or self._slots.is_usable(request.id)
+
+    def release(self, request: RelayRequest, was_refused: bool = False) -> None:
+        """Give back the shared slot of a request, if it has one.
+
+        Parameters
+        ----------
+        request : RelayRequest
+            The request.
+        was_refused : bool
+            Whether the upstream has refused the attempt.
+        """
+        if self._slots is not None:
+            self._slots.release(request.id, was_refused)
+
     def _choose_now(
         self,
         request: RelayRequest,
