--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -48,6 +48,7 @@
 from cranberryfield.daemon.cluster.suspect_store import SuspectStore
 from cranberryfield.daemon.cluster.version_store import VersionStore
 from cranberryfield.entry.limits import TokenOwner
+from cranberryfield.entry.overload.slot_order import least_cost_first
 from cranberryfield.entry.paths.relay_directory import answer_relay_queries
 from cranberryfield.entry.quarantine import (
     QuarantineSection,
@@ -58,6 +59,7 @@
 from cranberryfield.entry.registry import RegistryPublisher, RegistryTable
 from cranberryfield.entry.reports import ReportCollector
 from cranberryfield.entry.slots import SlotOwnerSection, SlotServer
+from cranberryfield.entry.slots.waiting_line import rank_then_slack
 from cranberryfield.entry.streams import (
     ServedVersionSection,
     StreamDirectory,
@@ -195,6 +197,7 @@
                 lambda: runtime.leader_since,
                 clock,
                 rng,
+                least_cost_first if config.least_cost else rank_then_slack,
             )
             leader_tasks = (slots,)
         if config.cloud is not None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/overload/tests/test_cost.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/overload/tests/test_cost.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench.measure_least_cost import LOADS, POLICIES, optimum_bound, play
+from cranberryfield.core.messages.slots import SlotAsk
 from cranberryfield.entry.overload import (
     PendingWork,
     RefusalReason,
@@ -12,6 +13,8 @@
     refuse_unservable,
     request_urgency,
 )
+from cranberryfield.entry.overload.slot_order import least_cost_first
+from cranberryfield.entry.slots.waiting_line import WaitingAsk
 
 NOW = 10.0
 
@@ -119,3 +122,20 @@
     by_kind = {kind: won / owed for kind, (won, owed) in outcome.by_kind.items()}
     assert by_kind["chat"] >= by_kind["triage"] - 0.15
     assert by_kind["triage"] >= by_kind["drafts"] - 0.15
+
+
+def waiting_ask(number, rank=0, waited_ms=0, target_ms=218, run_ms=45):
+    ask = SlotAsk(number, "plain", "w", rank, 2_700, waited_ms, target_ms, run_ms)
+    return WaitingAsk(("relay-1", 1, number), ask, NOW)
+
+
+def test_slots_go_to_requests_that_can_still_meet_their_target():
+    """A burst before 24 slots: late bookings would make all later ones late."""
+    late, at_risk = waiting_ask(1, waited_ms=300), waiting_ask(2, waited_ms=150)
+    in_time, no_target = waiting_ask(3), waiting_ask(4, target_ms=0)
+    waiting = [late, at_risk, in_time, no_target]
+    ordered = sorted(waiting, key=lambda one: least_cost_first(one, NOW))
+    assert ordered[:2] == [in_time, no_target] and set(map(id, ordered[2:])) == {
+        id(late),
+        id(at_risk),
+    }
