Send reports of rollouts only to leaders that understand them

Cause: the relay's side was written before Mesh.supports. Change: it asks the mesh. Measured: tests/test_relay_rollouts.py and the daemon's tests pass.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -304,7 +304,7 @@
             rollout_reporter = RolloutReporter(
                 mesh,
                 leader,
-                lambda node: _supports_rollouts(mesh, node),
+                lambda node: mesh.supports(node, FeatureLevel.ROLLOUTS),
                 section,
                 table,
                 clock,
@@ -479,12 +479,6 @@
         )
 
 
-def _supports_rollouts(mesh: Mesh, node: NodeId) -> bool:
-    """Return whether a process understands the messages of rollouts."""
-    supports = getattr(mesh, "supports", None)
-    return supports is None or supports(node, FeatureLevel.ROLLOUTS)
-
-
 def _plain_services(
     deployment: DeploymentSection,
 ) -> Callable[[ServiceName], bool]:
