--- a/standins/rollout_model.py
+++ b/standins/rollout_model.py
@@ -284,6 +284,7 @@
     duration_s: float = 12.0,
     bound: ExposureBound,
     leader_lost_at: float | None = None,
+    leader_lost_in: RolloutStage | None = None,
     frozen: tuple[int, float, float] | None = None,
     cut_off: tuple[int, float, float] | None = None,
     restarted_at: float | None = None,
@@ -312,6 +313,8 @@
         The bound.
     leader_lost_at : float, optional
         Time at which the leader is lost; the next one leads 1.5 s later.
+    leader_lost_in : RolloutStage, optional
+        Stage 0.3 s after whose beginning it is lost.
     frozen, cut_off : tuple, optional
         Number of relays that are frozen or cut off from the leader, from when, and
         until when.
@@ -465,6 +468,8 @@
         if leader_back_at is not None and now >= leader_back_at:
             leadership = Leadership(2, now)
             leader_back_at = None
+        if leader_lost_in is not None and rollout.stage is leader_lost_in:
+            leader_lost_at, leader_lost_in = now + 0.3, None
         while events and events[0][0] <= now:
             _, _, details, ends = heapq.heappop(events)
             finish_attempt(details, ends)
