--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -91,10 +91,14 @@
     ----------
     folder : pathlib.Path
         Folder for the files of the processes.
+    control_lines : sequence of str
+        Further lines in the settings of control hosts; with some of them on rollouts,
+        the group begins at the feature level of rollouts.
     """
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, control_lines: Sequence[str] = ()):
         self.folder = folder
+        self._control_lines = control_lines
         self.runner_port = free_port()
         self.runs_path = folder / "runs"
         arguments = [
@@ -144,12 +148,15 @@
                 "control:",
                 f'  operators: "{ip_address}:{self.control_port}"',
                 f'  data_folder: "{self.folder / name}-data"',
+                *self._control_lines,
             ]
         file = self.folder / f"{name}.yaml"
         file.write_text("\n".join(lines))
         arguments = ["standins.platform_host", str(file)]
         if name in RELAYS:
             arguments.append("--may-be-cut-off")
+        elif any(line.startswith("rollout") for line in self._control_lines):
+            arguments.append("--with-rollouts")
         return Process(name, arguments, self.folder)
 
     def start(self) -> None:
@@ -339,15 +346,19 @@
 
 
 @contextmanager
-def running_cluster(folder: Path) -> Iterator[Cluster]:
+def running_cluster(
+    folder: Path, control_lines: Sequence[str] = ()
+) -> Iterator[Cluster]:
     """Run a cluster whose relays serve requests and stop it on exit.
 
     Parameters
     ----------
     folder : pathlib.Path
         Folder for the files of the cluster.
+    control_lines : sequence of str
+        Further lines in the settings of control hosts.
     """
-    cluster = Cluster(folder)
+    cluster = Cluster(folder, control_lines)
     try:
         cluster.start()
         wait_until(
--- a/standins/platform_host.py
+++ b/standins/platform_host.py
@@ -19,4 +19,8 @@
         from standins.cut_network import install_cut
 
         install_cut(Path(sys.argv[1]))
+    if "--with-rollouts" in sys.argv:
+        from standins.feature_level import assume_rollouts
+
+        assume_rollouts()
     runpy.run_path(str(LAUNCHER_PATH))
