Count and log the progress of rollouts, and give the bench its figures

Cause: an operator could not see the share, or that no relay reports.

Measured: pytest on control/rollouts, the daemon, the adapter and tests/test_rollouts.py: passed.

--- a/bench/measure_rollouts.py
+++ b/bench/measure_rollouts.py
@@ -3,22 +3,22 @@
 The bound on the exposure, the relays and the load are those of docs/work-plan.md.
 """
 
-import sys
 from collections import Counter
 from random import Random
 
+from bench.figures import Figure
 from cranberryfield.control.rollouts.plan import ExposureBound
 from cranberryfield.core.messages.rollouts import RolloutStage
-from standins.rollout_model import (
+from standins.rollout_loads import (
     BAD_KINDS,
     ENGINE_SERVICE,
     PLAIN_SERVICE,
     draw_bad_fault,
     draw_disruption,
-    run_rollout,
 )
+from standins.rollout_model import run_rollout
 
-__all__ = ["measure_bad", "measure_good", "run"]
+__all__ = ["measure", "measure_bad", "measure_good"]
 
 BOUND = ExposureBound(0.1, 50.0)
 SERVICES = {"engine": ENGINE_SERVICE, "plain": PLAIN_SERVICE}
@@ -55,32 +55,34 @@
     return found
 
 
-def run(count: int = 200) -> None:
-    """Print the outcomes of `count` good and `count` bad versions of each service.
+def measure(count: int = 200) -> list[Figure]:
+    """Measure `count` good and `count` bad versions of each service.
 
-    Versions that are bad under load only are shown also for relays that spread a small
-    share over all upstreams of the target, none of which has its usual load then.
+    Bad versions are measured also for relays that spread a small share over all
+    upstreams of the target, none of which has its usual load then.
     """
+    figures = []
     for name in SERVICES:
         good = measure_good(name, count)
         completed = good[RolloutStage.COMPLETED]
-        print(f"{name}: {completed} of {count} good versions completed; {dict(good)}")
-        _print_bad(name, count, measure_bad(name, count))
-        spread = measure_bad(name, count, is_concentrated=False)
-        _print_bad(f"{name}, share spread over all upstreams", count, spread)
-
-
-def _print_bad(name: str, count: int, bad: dict) -> None:
-    ended = sum(one[RolloutStage.ROLLED_BACK] for one in bad.values())
-    beyond = sum(one["beyond"] for one in bad.values())
-    print(f"{name}: {ended} of {count} bad versions rolled back, {beyond} beyond")
-    for (what, where), stages in bad.items():
-        print(
-            f"  {what}, {where}: rolled back {stages[RolloutStage.ROLLED_BACK]}, "
-            f"completed {stages[RolloutStage.COMPLETED]}, beyond "
-            f"{stages['beyond']}, highest exposure {stages['worst']} % of the bound"
+        target = 0.95 * count
+        figures.append(
+            Figure(f"{name}: good, completed", completed, "versions", target, True)
         )
-
-
-if __name__ == "__main__":
-    run(int(sys.argv[1]) if len(sys.argv) > 1 else 200)
+        for is_concentrated in (True, False):
+            bad = measure_bad(name, count, is_concentrated=is_concentrated)
+            spread = "" if is_concentrated else ", share spread"
+            ended = sum(one[RolloutStage.ROLLED_BACK] for one in bad.values())
+            beyond = sum(one["beyond"] for one in bad.values())
+            title = f"{name}{spread}: bad"
+            figures += [
+                Figure(f"{title}, rolled back", ended, "versions", target, True),
+                Figure(f"{title}, beyond the bound", beyond, "versions", 0.0),
+            ]
+            for (what, where), stages in bad.items():
+                note = f"{stages['beyond']} beyond the bound"
+                kind = f"{title}, {what}, {where}: highest exposure"
+                figures.append(
+                    Figure(kind, stages["worst"], "% of the bound", note=note)
+                )
+    return figures
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/tests/test_outcomes.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/tests/test_outcomes.py
@@ -11,12 +11,8 @@
 from cranberryfield.control.rollouts.leadership import decide_rollouts
 from cranberryfield.control.rollouts.plan import ExposureBound, Plan
 from cranberryfield.core.messages.rollouts import RolloutStage
-from standins.rollout_model import (
-    ENGINE_SERVICE,
-    PLAIN_SERVICE,
-    Fault,
-    run_rollout,
-)
+from standins.rollout_loads import ENGINE_SERVICE, PLAIN_SERVICE, Fault
+from standins.rollout_model import run_rollout
 
 OBSERVING, ADVANCING, SWITCHING, COMPLETED, ROLLED_BACK = RolloutStage
 FAILS = Fault(failures=0.5)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -36,6 +36,7 @@
     RolloutBegun,
     RolloutView,
 )
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings.follow import SettingsSection
 from cranberryfield.daemon.cluster.autoscaler import UpstreamAutoscaler
@@ -141,6 +142,7 @@
         names: ControlHostNames,
         clock: Clock,
         rng: Random,
+        metrics: Metrics,
     ) -> "ControlHost":
         """Build the role; see `ControlRuntime.from_config`."""
         board.add(SettingsSection())
@@ -206,6 +208,7 @@
                 ),
                 clock,
                 wall_clock,
+                metrics,
             )
         return cls(
             config.control.operators,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -76,7 +76,7 @@
 
         roles.append(
             ControlHost.from_config(
-                config, adapter, mesh, board, directory.names, clock, rng
+                config, adapter, mesh, board, directory.names, clock, rng, metrics
             )
         )
     if config.relay is not None:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/rollouts.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/rollouts.py
@@ -41,6 +41,7 @@
     RolloutGrants,
     RolloutReport,
 )
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.registry import RegistryTable
 
 __all__ = ["RolloutCoordinator"]
@@ -76,6 +77,8 @@
         Exposure of a version that is not known to be good.
     clock, wall : Clock
         Monotonic time, and the system clock.
+    metrics : Metrics
+        Counts orders, stages and ignored reports.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         bound: ExposureBound,
         clock: Clock,
         wall: Clock,
+        metrics: Metrics,
     ):
         self._section = section
         self._runtime = runtime
@@ -97,6 +101,9 @@
         self._bound = bound
         self._clock = clock
         self._wall = wall
+        self._metrics = metrics
+        self._logged_shares: dict[int, float] = {}
+        self._has_silence = False
         self._started_at = clock()
         self._leadership: Leadership | None = None
         self._pushed_revision = 0
@@ -124,6 +131,7 @@
                 self._clock(),
                 self._wall(),
             )
+            self._log_progress(leadership)
             for rollout, reason in find_extended(leadership, self._state):
                 logger.info(
                     "rollout observes longer",
@@ -135,6 +143,26 @@
                 await self._advance(rollout, plan)
             self._push()
 
+    def _log_progress(self, leadership: Leadership) -> None:
+        """Log shares that have changed, and that no relay reports any more."""
+        shares = {}
+        for number, track in leadership.tracks.items():
+            shares[number] = track.share
+            if self._logged_shares.get(number) != track.share:
+                logger.info(
+                    "rollout share",
+                    number=number,
+                    share=round(track.share, 4),
+                    arrivals=track.counts.arrivals,
+                    target_attempts=track.counts.target_attempts,
+                    outcomes=track.evidence.outcomes,
+                )
+        self._logged_shares = shares
+        is_silent = bool(shares) and not leadership.followers(self._clock())
+        if is_silent and not self._has_silence:
+            logger.warning("no relay reports on rollouts", numbers=sorted(shares))
+        self._has_silence = is_silent
+
     def _current_leadership(self) -> Leadership | None:
         """Return the section of the term that this host leads, if it does."""
         term = self._runtime.leading_term()
@@ -158,6 +186,8 @@
     async def _advance(self, rollout: Rollout, plan: Plan) -> None:
         command = AdvanceRollout(rollout.number, plan.next_stage, plan.reason)
         result = await self._propose(command)
+        if result is not None:
+            self._metrics.count(f"rollouts_{plan.next_stage.name.lower()}")
         logger.info(
             "rollout advances" if result is not None else "rollout cannot be advanced",
             number=rollout.number,
@@ -197,6 +227,7 @@
         now = self._clock()
         follow_state(leadership, self._state, now, self._wall())
         for problem in record_report(leadership, sender, report, now):
+            self._metrics.count("rollout_reports_ignored")
             logger.warning("report ignored", sender=sender, problem=problem)
         return make_grants(leadership, self._state)
 
@@ -222,6 +253,7 @@
         )
         result = await self._runtime.propose(encode_message(command))
         if isinstance(result, RolloutBegun) and result.took_effect:
+            self._metrics.count("rollouts_begun")
             logger.info(
                 "rollout begins",
                 number=result.number,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_rollouts.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_rollouts.py
@@ -22,6 +22,7 @@
     RolloutReport,
     RolloutStage,
 )
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.daemon.cluster.rollouts import RolloutCoordinator
 from cranberryfield.entry.registry import RegistryTable, accept_record
 
@@ -48,6 +49,7 @@
             ExposureBound(0.1, 50.0),
             lambda: self.now,
             lambda: 1_000.0 + self.now,
+            Metrics(),
         )
 
     def handle(self, message_type, handler):
