--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/__init__.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/__init__.py
@@ -11,6 +11,7 @@
     ExposureBound,
     Plan,
     Situation,
+    VersionsServing,
     plan_rollout,
 )
 from cranberryfield.control.rollouts.verdict import (
@@ -29,6 +30,7 @@
     "RolloutsState",
     "Situation",
     "Verdict",
+    "VersionsServing",
     "apply_rollout_command",
     "current_verdict",
     "plan_rollout",
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/leadership.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/leadership.py
@@ -11,6 +11,7 @@
     ExposureBound,
     Plan,
     Situation,
+    VersionsServing,
     plan_rollout,
 )
 from cranberryfield.control.rollouts.verdict import (
@@ -29,8 +30,9 @@
 
 __all__ = [
     "Leadership",
-    "VersionsServing",
     "decide_rollouts",
+    "find_extended",
+    "follow_state",
     "make_grants",
     "record_report",
 ]
@@ -46,31 +48,12 @@
 MAX_HOSTS = 1_024
 #: Time after which the progress of other leaders may be unknown, in seconds.
 INHERITED_S = 1.0
+#: Number of bits for revisions within a term.
+TERM_SHIFT = 24
 #: Relative change of a share from which it is granted anew.
 SHARE_STEP = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class VersionsServing:
-    """Announced upstreams of a service by version.
-
-    Attributes
-    ----------
-    target_upstreams, target_slots : int
-        Upstreams of the target version, and their slots.
-    other_upstreams, other_slots : int
-        The same of other versions.
-    is_complete : bool
-        Whether this host has been up for long enough to have heard of all upstreams.
-    """
-
-    target_upstreams: int = 0
-    target_slots: int = 0
-    other_upstreams: int = 0
-    other_slots: int = 0
-    is_complete: bool = True
-
-
 @dataclass(slots=True)
 class _Track:
     """Progress of one rollout as this leader sees it."""
@@ -99,7 +82,8 @@
     since : float
         Monotonic time in seconds at which it began.
     revision : int
-        Revision of the grants.
+        Revision of the grants. Those of later terms are higher, as reports name no
+        term: a relay with grants of an earlier leader may not know the stage.
     tracks : dict
         Rollouts in progress by number.
     heard_at : dict
@@ -115,6 +99,9 @@
     heard_at: dict[NodeId, float] = field(default_factory=dict)
     problems: set[tuple[NodeId, str]] = field(default_factory=set)
 
+    def __post_init__(self):
+        self.revision = max(self.revision, self.term << TERM_SHIFT)
+
     def followers(self, now: float) -> list[NodeId]:
         """Return the relays that have reported recently."""
         return [node for node, at in self.heard_at.items() if now - at <= SILENT_S]
--- a/packages/cranberryfield-control/src/cranberryfield/control/rollouts/plan.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/rollouts/plan.py
@@ -5,7 +5,14 @@
 from cranberryfield.control.rollouts.verdict import Finding, Verdict
 from cranberryfield.core.messages.rollouts import RolloutStage
 
-__all__ = ["LEASE_S", "ExposureBound", "Plan", "Situation", "plan_rollout"]
+__all__ = [
+    "LEASE_S",
+    "ExposureBound",
+    "Plan",
+    "Situation",
+    "VersionsServing",
+    "plan_rollout",
+]
 
 #: Validity of a granted share, in seconds.
 LEASE_S = 3.0
@@ -60,6 +67,27 @@
     allowance: float
 
 
+@dataclass(frozen=True, slots=True)
+class VersionsServing:
+    """Announced upstreams of a service by version.
+
+    Attributes
+    ----------
+    target_upstreams, target_slots : int
+        Upstreams of the target version, and their slots.
+    other_upstreams, other_slots : int
+        The same of other versions.
+    is_complete : bool
+        Whether this host has been up for long enough to have heard of all upstreams.
+    """
+
+    target_upstreams: int = 0
+    target_slots: int = 0
+    other_upstreams: int = 0
+    other_slots: int = 0
+    is_complete: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Situation:
     """What the leader knows of a rollout.
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/rollouts.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/rollouts.py
@@ -12,11 +12,11 @@
     Plan,
     Rollout,
     RolloutsState,
+    VersionsServing,
     rollout_view,
 )
 from cranberryfield.control.rollouts.leadership import (
     Leadership,
-    VersionsServing,
     decide_rollouts,
     find_extended,
     follow_state,
--- a/standins/rollout_model.py
+++ b/standins/rollout_model.py
@@ -11,7 +11,6 @@
 
 from cranberryfield.control.rollouts.leadership import (
     Leadership,
-    VersionsServing,
     decide_rollouts,
     make_grants,
     record_report,
@@ -20,7 +19,7 @@
     RolloutsState,
     apply_rollout_command,
 )
-from cranberryfield.control.rollouts.plan import ExposureBound
+from cranberryfield.control.rollouts.plan import ExposureBound, VersionsServing
 from cranberryfield.core.messages.rollouts import (
     AdvanceRollout,
     BeginRollout,
