--- a/standins/recorded_messages.py
+++ b/standins/recorded_messages.py
@@ -14,7 +14,7 @@
 from cranberryfield.core.messages import codec
 from cranberryfield.core.messages.base import Message
 
-__all__ = ["message_kinds", "read_recording", "sample_message"]
+__all__ = ["is_extension", "message_kinds", "read_recording", "sample_message"]
 
 #: Elements of each sample collection.
 SAMPLE_ELEMENTS = 2
@@ -71,6 +71,22 @@
     return {name: bytes.fromhex(data) for name, data in lines}
 
 
+def is_extension(recorded: object, written: object) -> bool:
+    """Return whether `written` is `recorded`, with fields added at their ends.
+
+    Both are decoded without their types, so that records are lists.
+    """
+    if isinstance(recorded, list) and isinstance(written, list):
+        return len(recorded) <= len(written) and all(
+            map(is_extension, recorded, written)
+        )
+    if isinstance(recorded, dict) and isinstance(written, dict):
+        return recorded.keys() == written.keys() and all(
+            is_extension(value, written[key]) for key, value in recorded.items()
+        )
+    return type(recorded) is type(written) and recorded == written
+
+
 def main(path: Path) -> None:
     """Add the messages of this build that a recording lacks."""
     recorded = read_recording(path.read_text()) if path.exists() else {}
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -5,13 +5,20 @@
 import time
 import warnings
 
+import msgspec
 import pytest
 
-from cranberryfield.core.messages.codec import encode_message
+from cranberryfield.core.messages.codec import decode_message, encode_message
+from cranberryfield.core.messages.commands import RaiseFeatureLevel
 from standins.mixed_cluster import MixedCluster, Traffic, unpack_build
 from standins.platform_cluster import CONTROL, RELAYS
 from standins.processes import ROOT, wait_until
-from standins.recorded_messages import message_kinds, sample_message
+from standins.recorded_folder import command_data, write_folder
+from standins.recorded_messages import (
+    is_extension,
+    message_kinds,
+    sample_message,
+)
 
 #: The last build without feature levels.
 EARLIER = "70892fe"
@@ -29,6 +36,23 @@
 """
 
 
+_READ_FOLDER = """
+import sys
+from pathlib import Path
+from random import Random
+sys.path[:0] = sys.argv[2:]
+from cranberryfield.control.machine import apply_command
+from cranberryfield.control.recovery import encode_state, recover_replica
+from cranberryfield.core.messages.codec import decode_message
+stored = recover_replica(Path(sys.argv[1]), "recorded", "control-1", Random(1), 0.0)
+log = stored.replica.log
+first = stored.snapshots.header.last_index + 1
+for entry in log.slice(first, log.last_index):
+    apply_command(stored.state, decode_message(entry.command))
+print(encode_state(stored.state).hex())
+"""
+
+
 @pytest.fixture(scope="module")
 def earlier(tmp_path_factory):
     """Sources of the earlier build; those of the current one without its history."""
@@ -66,6 +90,30 @@
     assert read.stdout.split() == known
 
 
+# Guards against an upgrade that cannot be reversed: a data folder that this build has
+# written below the first level must lead the earlier build to the same state.
+def test_the_earlier_build_goes_on_with_a_data_folder_of_this_one(tmp_path, earlier):
+    if earlier is None:
+        return
+    commands = [
+        command
+        for command in command_data()
+        if not isinstance(decode_message(command), RaiseFeatureLevel)
+    ]
+    path = tmp_path / "data"
+    final_state = msgspec.msgpack.decode(write_folder(path, commands))
+    paths = [str(path) for path in earlier.glob("packages/*/src")]
+    read = subprocess.run(
+        [sys.executable, "-c", _READ_FOLDER, str(path), *paths],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    earlier_state = msgspec.msgpack.decode(bytes.fromhex(read.stdout))
+    assert is_extension(earlier_state, final_state)
+    assert [7, b"a deployment"] in earlier_state
+
+
 def roll(cluster, names, build):
     """Restart hosts one by one, with a change of the deployment after each."""
     for name in names:
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -30,7 +30,7 @@
     TERM,
     write_folder,
 )
-from standins.recorded_messages import message_kinds, read_recording
+from standins.recorded_messages import is_extension, message_kinds, read_recording
 
 FOLDER = Path(__file__).parent / "recorded"
 BUILDS = ["", "-70892fe"]
@@ -44,19 +44,6 @@
     return read_recording((FOLDER / f"{name}.txt").read_text())
 
 
-def is_extension(recorded, written):
-    """Return whether `written` is `recorded`, with fields added at their ends."""
-    if isinstance(recorded, list) and isinstance(written, list):
-        return len(recorded) <= len(written) and all(
-            map(is_extension, recorded, written)
-        )
-    if isinstance(recorded, dict) and isinstance(written, dict):
-        return recorded.keys() == written.keys() and all(
-            is_extension(value, written[key]) for key, value in recorded.items()
-        )
-    return type(recorded) is type(written) and recorded == written
-
-
 MESSAGES = [
     pytest.param(name, data, id=f"{name}{build}")
     for build in BUILDS
