--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_chooser_with_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_chooser_with_slots.py
@@ -25,13 +25,13 @@
     def __init__(self, *grants, shared=True, usable=True):
         self.grants, self.shared = list(grants), shared
         self.usable = [usable] if isinstance(usable, bool) else list(usable)
-        self.wishes, self.released = [], 0
+        self.asked, self.released = [], 0
 
     def is_shared(self, service):
         return self.shared
 
-    async def take(self, request, wish, local_choice):
-        self.wishes.append(wish)
+    async def take(self, request, requirements, local_choice):
+        self.asked.append(requirements)
         grant = self.grants.pop(0)
         if isinstance(grant, Exception):
             raise grant
@@ -108,8 +108,8 @@
 def test_upstreams_that_the_request_cannot_use_are_excluded(reason):
     slots = ScriptedSlots("c")
     assert choose(slots, **{reason: ["a", "b"]}) == ("c", 1)
-    assert set(slots.wishes[0].excluded) == {"a", "b"}
-    assert (slots.wishes[0].rank, slots.wishes[0].target_ms) == (2, 218)
+    assert set(slots.asked[0].excluded) == {"a", "b"}
+    assert (slots.asked[0].rank, slots.asked[0].target_ms) == (2, 218)
 
 
 # Guards against an attempt at an upstream that this relay does not know.
@@ -141,4 +141,4 @@
 def test_a_service_that_is_not_shared_is_asked_no_slot():
     slots = ScriptedSlots(shared=False)
     assert choose(slots)[0] in NAMES
-    assert slots.wishes == []
+    assert slots.asked == []
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -24,7 +24,7 @@
     RelayCostModel,
     choose_relay_upstream,
 )
-from cranberryfield.entry.slots.asks import SlotWish
+from cranberryfield.entry.slots.asks import SlotRequirements
 from cranberryfield.entry.slots.client import SlotClient
 
 __all__ = ["ROOM_POLL_S", "RelayUpstreamChooser"]
@@ -224,7 +224,7 @@
         usable.add(local_choice.process)
         known = self._table.active_upstreams(request.service)
         excluded = [one.upstream for one in known if one.process not in usable]
-        wish = SlotWish(
+        requirements = SlotRequirements(
             request.service,
             request.workspace.name if request.workspace is not None else "",
             request.rank,
@@ -234,7 +234,9 @@
             request.affinity_key or "",
             tuple(excluded),
         )
-        upstream, incarnation = await self._slots.take(request.id, wish, local_choice)
+        upstream, incarnation = await self._slots.take(
+            request.id, requirements, local_choice
+        )
         state.waited_s += self._clock() - began
         for one in self._table.active_upstreams(request.service):
             if one.process == (upstream, incarnation) and one.process in usable:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/asks.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/asks.py
@@ -11,7 +11,7 @@
 )
 from cranberryfield.core.messages.slots import SlotRefusal
 
-__all__ = ["AskOutcome", "PendingAsk", "SlotWish"]
+__all__ = ["AskOutcome", "PendingAsk", "SlotRequirements"]
 
 
 class AskOutcome(Enum):
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SlotWish:
+class SlotRequirements:
     """What a request needs of the slot that it waits for.
 
     Attributes
@@ -64,7 +64,7 @@
     ----------
     number : int
         Number of the ask, and of the slot once it is granted.
-    wish : SlotWish
+    requirements : SlotRequirements
         What is asked for.
     outcome : AskOutcome
         What has become of it.
@@ -81,7 +81,7 @@
     """
 
     number: int
-    wish: SlotWish
+    requirements: SlotRequirements
     outcome: AskOutcome = AskOutcome.WAITING
     process: UpstreamProcess | None = None
     refusal: SlotRefusal | None = None
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
@@ -14,7 +14,7 @@
 from cranberryfield.core.messages.slots import SlotRefusalReason, SlotReplies
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.registry import RegistryTable
-from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotWish
+from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotRequirements
 from cranberryfield.entry.slots.peers import understands_slots
 from cranberryfield.entry.slots.relay_slots import (
     ANSWER_TIMEOUT_S,
@@ -126,7 +126,7 @@
         return leader is None or understands_slots(self._mesh, leader)
 
     async def take(
-        self, request: str, wish: SlotWish, local_choice: UpstreamRecord
+        self, request: str, requirements: SlotRequirements, local_choice: UpstreamRecord
     ) -> UpstreamProcess:
         """Take a slot for an attempt; return the upstream that it belongs to.
 
@@ -134,7 +134,7 @@
         ----------
         request : str
             Id of the request; `release` is to be called with it after the attempt.
-        wish : SlotWish
+        requirements : SlotRequirements
             What it needs.
         local_choice : UpstreamRecord
             Upstream that this relay would choose by itself.
@@ -146,16 +146,18 @@
         """
         self.release(request)
         began = self._clock()
-        room_until = began + LOCAL_WAIT_FRACTION * (wish.deadline - began)
+        room_until = began + LOCAL_WAIT_FRACTION * (requirements.deadline - began)
         while True:
             self._update_owner()
             if is_owner_in_reach(self._state, self._clock()):
-                process = await self._take_from_owner(request, wish, local_choice)
+                process = await self._take_from_owner(
+                    request, requirements, local_choice
+                )
                 if process is not None:
                     self._metrics.observe("slot_wait", self._clock() - began)
                     return process
                 continue
-            if self._has_local_room(wish.service):
+            if self._has_local_room(requirements.service):
                 return self._hold_locally(request, local_choice)
             if self._clock() >= room_until:
                 self._metrics.count("slots_refused_without_owner")
@@ -245,11 +247,11 @@
     async def _take_from_owner(
         self,
         request: str,
-        wish: SlotWish,
+        requirements: SlotRequirements,
         local_choice: UpstreamRecord,
     ) -> UpstreamProcess | None:
         """Wait for a grant; None if the owner is out of reach."""
-        pending = ask_for_slot(self._state, wish)
+        pending = ask_for_slot(self._state, requirements)
         event = anyio.Event()
         self._wake_ups[id(pending)] = pending, event
         self._report_due.set()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
@@ -18,7 +18,7 @@
     SlotReplies,
     SlotReport,
 )
-from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotWish
+from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotRequirements
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
@@ -148,10 +148,10 @@
     return None if since is None or state._is_silent else since + ANSWER_TIMEOUT_S
 
 
-def ask_for_slot(state: RelaySlots, wish: SlotWish) -> PendingAsk:
+def ask_for_slot(state: RelaySlots, requirements: SlotRequirements) -> PendingAsk:
     """Ask for a slot with the next report."""
     state._number += 1
-    pending = PendingAsk(state._number, wish)
+    pending = PendingAsk(state._number, requirements)
     state.pending[pending.number] = pending
     state.is_report_due = True
     return pending
@@ -236,7 +236,7 @@
         if pending.first_sent_at is None:
             pending.first_sent_at = now
             pending.first_sequence = state._sequence
-        asks.append(_make_ask(state, number, pending.wish, now))
+        asks.append(_make_ask(state, number, pending.requirements, now))
     wants_reply = bool(asks) or is_renewal
     if wants_reply:
         state._awaited[state._sequence] = now, tuple(state.held)
@@ -344,7 +344,7 @@
     pending.outcome = AskOutcome.GRANTED
     pending.process = grant.upstream, grant.incarnation
     state.held[grant.number] = _Held(
-        pending.wish.service, pending.process, now, lease_ends_at
+        pending.requirements.service, pending.process, now, lease_ends_at
     )
 
 
@@ -359,17 +359,19 @@
     state.is_report_due = True
 
 
-def _make_ask(state: RelaySlots, number: int, wish: SlotWish, now: float) -> SlotAsk:
+def _make_ask(
+    state: RelaySlots, number: int, requirements: SlotRequirements, now: float
+) -> SlotAsk:
     return SlotAsk(
         number,
-        wish.service,
-        wish.workspace,
-        wish.rank,
-        max(0, int((wish.deadline - now) * MS_PER_S)),
-        max(0, int((now - wish.arrived_at) * MS_PER_S)),
-        wish.target_ms,
-        int(state.run_s.get(wish.service, 0.0) * MS_PER_S),
-        wish.session,
+        requirements.service,
+        requirements.workspace,
+        requirements.rank,
+        max(0, int((requirements.deadline - now) * MS_PER_S)),
+        max(0, int((now - requirements.arrived_at) * MS_PER_S)),
+        requirements.target_ms,
+        int(state.run_s.get(requirements.service, 0.0) * MS_PER_S),
+        requirements.session,
         state.data_centre,
-        wish.excluded,
+        requirements.excluded,
     )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/service_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/service_slots.py
@@ -1,4 +1,4 @@
-"""Slots of one service: which are in use, free, or not believed in."""
+"""Slots of one service: those in use, and those that may be lent."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_client.py
@@ -18,7 +18,7 @@
     SlotOwnerSection,
     SlotServer,
 )
-from cranberryfield.entry.slots.asks import SlotWish
+from cranberryfield.entry.slots.asks import SlotRequirements
 from cranberryfield.entry.slots.owner import LEASE_S
 
 RECORD = UpstreamRecord("u0", 1, 1, "s", "d", "u0:1", "", (), 1, 0)
@@ -85,8 +85,8 @@
 
     async def take(self, client, request, left_s=60.0):
         now = self.clock()
-        wish = SlotWish("s", "w", 0, now, now + left_s)
-        return await client.take(request, wish, RECORD)
+        requirements = SlotRequirements("s", "w", 0, now, now + left_s)
+        return await client.take(request, requirements, RECORD)
 
     def run(self, conversation):
         async def main():
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_protocol.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_protocol.py
@@ -6,7 +6,7 @@
 
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.messages.slots import SlotRefusalReason, SlotReplies
-from cranberryfield.entry.slots.asks import AskOutcome, SlotWish
+from cranberryfield.entry.slots.asks import AskOutcome, SlotRequirements
 from cranberryfield.entry.slots.owner import (
     LEASE_S,
     SlotOwnerSection,
@@ -57,8 +57,10 @@
         return state
 
     def ask(self, name, left_s=2.7, workspace="w", **fields):
-        wish = SlotWish("s", workspace, 0, self.now, self.now + left_s, **fields)
-        return ask_for_slot(self.relays[name], wish)
+        requirements = SlotRequirements(
+            "s", workspace, 0, self.now, self.now + left_s, **fields
+        )
+        return ask_for_slot(self.relays[name], requirements)
 
     def report(self, name, is_renewal=False):
         """Make a report, which is on its way."""
--- a/standins/shared_slots.py
+++ b/standins/shared_slots.py
@@ -30,7 +30,7 @@
     loads_of_other_hosts,
     record_report,
 )
-from cranberryfield.entry.slots.asks import AskOutcome, SlotWish
+from cranberryfield.entry.slots.asks import AskOutcome, SlotRequirements
 from cranberryfield.entry.slots.client import (
     LOCAL_POLL_S,
     LOCAL_RETRY_S,
@@ -302,7 +302,7 @@
             self.attempt(relay, call, record.upstream, None)
             return
         if is_owner_in_reach(relay.slots, self.now):
-            wish = SlotWish(
+            requirements = SlotRequirements(
                 SERVICE,
                 call.workspace,
                 call.rank,
@@ -312,7 +312,7 @@
                 call.session,
                 tuple(sorted(call.refused_by)),
             )
-            pending = ask_for_slot(relay.slots, wish)
+            pending = ask_for_slot(relay.slots, requirements)
             relay.waiting[id(pending)] = (pending, call, began)
             self.flush_soon(relay)
             self.at(self.now + CHECK_S, self.check, relay)
