Keep a relay without a link to its share of the slots

Cause: the levels of peers are known for linked ones only, so that a relay cut off from the owner would have taken it for an older build and used as many slots as it liked.

Change: only a linked owner counts as one of an older build.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
@@ -15,7 +15,7 @@
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotRequirements
-from cranberryfield.entry.slots.peers import understands_slots
+from cranberryfield.entry.slots.peers import is_of_older_build, understands_slots
 from cranberryfield.entry.slots.relay_slots import (
     ANSWER_TIMEOUT_S,
     RelaySlots,
@@ -123,7 +123,7 @@
         if not 0 < slots <= self._host_count():
             return False
         leader = self._leader()
-        return leader is None or understands_slots(self._mesh, leader)
+        return leader is None or not is_of_older_build(self._mesh, leader)
 
     async def take(
         self, request: str, requirements: SlotRequirements, local_choice: UpstreamRecord
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_shared_slots_over_relays.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_shared_slots_over_relays.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from standins.shared_slots import LOADS, Load, run_relays
+from standins.shared_slots import run_relays
+from standins.shared_slots_load import LOADS, Load
 
 RELAYS = [76, 360]
 SEEDS = [1, 2]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_client.py
@@ -29,7 +29,8 @@
     """Delivers messages at once, unless a host is silent."""
 
     def __init__(self, level=FeatureLevel.ROLLOUTS):
-        self.handlers, self.sent, self.silent, self.level = {}, [], set(), level
+        self.handlers, self.sent, self.level = {}, [], level
+        self.silent, self.cut = set(), set()
 
     def mesh_of(self, node):
         handlers = self.handlers[node] = {}
@@ -44,7 +45,9 @@
             hello=SimpleNamespace(node=node, incarnation=1),
             handle=handlers.__setitem__,
             send=send,
-            supports=lambda node, level: self.level >= level,
+            # As that of the mesh, which knows the levels of linked peers only.
+            supports=lambda node, level: node not in self.cut and self.level >= level,
+            is_linked=lambda node: node not in self.cut,
         )
 
 
@@ -204,6 +207,27 @@
     assert took_s[0] < 1.0
 
 
+# Guards against a relay without a link that takes its owner for an older build, and
+# uses more than its share.
+def test_without_a_link_to_the_owner_a_relay_uses_its_share_at_once():
+    fixture = Fixture()
+    client = fixture.clients[0]
+    fixture.network.cut.add("owner")
+
+    async def conversation():
+        assert client.is_shared("s")
+        assert await fixture.take(client, "a") == RECORD.process
+        with pytest.raises(UnavailableError):
+            await fixture.take(client, "b", left_s=0.2)
+        fixture.network.cut.clear()
+        client.release("a")
+        await until(lambda: fixture.section.term is not None)
+        assert await fixture.take(client, "c") == RECORD.process
+        assert fixture.held == 1
+
+    fixture.run(conversation)
+
+
 # Guards against messages that an older build cannot read, at which it closes the link.
 def test_a_peer_of_an_older_build_gets_no_message():
     fixture = Fixture(FeatureLevel.BASE)
