--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -25,7 +25,7 @@
     choose_relay_upstream,
 )
 from cranberryfield.entry.rollouts import RolloutTraffic
-from cranberryfield.entry.slots.asks import SlotWish
+from cranberryfield.entry.slots.asks import SlotRequirements
 from cranberryfield.entry.slots.client import SlotClient
 
 __all__ = ["ROOM_POLL_S", "RelayUpstreamChooser"]
@@ -246,7 +246,7 @@
         self,
         request: RelayRequest,
         state: RelayRequestState,
-        allowed: list[UpstreamRecord],
+        candidates: list[UpstreamRecord],
         unavailable: set[UpstreamId],
         local_choice: UpstreamRecord,
         unusable: set[UpstreamId],
@@ -256,19 +256,21 @@
         Such an upstream is added to `unusable`.
         """
         began = self._clock()
-        known = self._table.active_upstreams(request.service)
-        avoided = doubtful_among(self._table, known).union(
-            self._quarantine.crashed_among(known),
+        avoided = doubtful_among(self._table, candidates).union(
+            self._quarantine.crashed_among(candidates),
             unavailable,
-            {one.upstream for one in known} - {one.upstream for one in allowed},
-            (one.upstream for one in known if one.process in state.tried_processes),
             (
                 one.upstream
-                for one in known
-                if self._loads.load_of(one.upstream).backoff_until > began
+                for one in candidates
+                if one.process in state.tried_processes
+                or self._loads.load_of(one.upstream).backoff_until > began
             ),
         )
-        wish = SlotWish(
+        usable = {one.process for one in candidates if one.upstream not in avoided}
+        usable.add(local_choice.process)
+        known = self._table.active_upstreams(request.service)
+        excluded = [one.upstream for one in known if one.process not in usable]
+        requirements = SlotRequirements(
             request.service,
             request.workspace.name if request.workspace is not None else "",
             request.rank,
@@ -276,14 +278,14 @@
             request.deadline,
             int(request.route.target_ms or 0),
             request.affinity_key or "",
-            tuple(sorted(avoided - {local_choice.upstream})),
+            tuple(excluded),
+        )
+        upstream, incarnation = await self._slots.take(
+            request.id, requirements, local_choice
         )
-        upstream, incarnation = await self._slots.take(request.id, wish, local_choice)
         state.waited_s += self._clock() - began
-        for one in may_go_on(
-            state.origin, self._table.active_upstreams(request.service)
-        ):
-            if one.process == (upstream, incarnation):
+        for one in self._table.active_upstreams(request.service):
+            if one.process == (upstream, incarnation) and one.process in usable:
                 return one
         self.release(request)
         unusable.add(upstream)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
@@ -14,8 +14,8 @@
 from cranberryfield.core.messages.slots import SlotRefusalReason, SlotReplies
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.registry import RegistryTable
-from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotWish
-from cranberryfield.entry.slots.peers import understands_slots
+from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotRequirements
+from cranberryfield.entry.slots.peers import is_of_older_build, understands_slots
 from cranberryfield.entry.slots.relay_slots import (
     ANSWER_TIMEOUT_S,
     RelaySlots,
@@ -28,6 +28,7 @@
     holds_lease,
     is_owner_in_reach,
     make_report,
+    needs_renewal,
     set_owner,
 )
 
@@ -122,10 +123,10 @@
         if not 0 < slots <= self._host_count():
             return False
         leader = self._leader()
-        return leader is None or understands_slots(self._mesh, leader)
+        return leader is None or not is_of_older_build(self._mesh, leader)
 
     async def take(
-        self, request: str, wish: SlotWish, local_choice: UpstreamRecord
+        self, request: str, requirements: SlotRequirements, local_choice: UpstreamRecord
     ) -> UpstreamProcess:
         """Take a slot for an attempt; return the upstream that it belongs to.
 
@@ -133,7 +134,7 @@
         ----------
         request : str
             Id of the request; `release` is to be called with it after the attempt.
-        wish : SlotWish
+        requirements : SlotRequirements
             What it needs.
         local_choice : UpstreamRecord
             Upstream that this relay would choose by itself.
@@ -145,16 +146,18 @@
         """
         self.release(request)
         began = self._clock()
-        room_until = began + LOCAL_WAIT_FRACTION * (wish.deadline - began)
+        room_until = began + LOCAL_WAIT_FRACTION * (requirements.deadline - began)
         while True:
             self._update_owner()
             if is_owner_in_reach(self._state, self._clock()):
-                process = await self._take_from_owner(request, wish, local_choice)
+                process = await self._take_from_owner(
+                    request, requirements, local_choice
+                )
                 if process is not None:
                     self._metrics.observe("slot_wait", self._clock() - began)
                     return process
                 continue
-            if self._has_local_room(wish.service):
+            if self._has_local_room(requirements.service):
                 return self._hold_locally(request, local_choice)
             if self._clock() >= room_until:
                 self._metrics.count("slots_refused_without_owner")
@@ -232,9 +235,9 @@
         state = self._state
         is_lost = not is_owner_in_reach(state, now)
         has_news = state.is_report_due and not is_lost
-        has_leases = bool(state.pending or state.held) or is_lost
+        is_renewal = is_renewal and needs_renewal(state, now)
         owner = state.owner
-        if owner is None or not (has_news or (is_renewal and has_leases)):
+        if owner is None or not (has_news or is_renewal):
             return
         if not self._mesh.send(owner, make_report(state, now, is_renewal)):
             # There is no link: no use in waiting for an answer.
@@ -244,11 +247,11 @@
     async def _take_from_owner(
         self,
         request: str,
-        wish: SlotWish,
+        requirements: SlotRequirements,
         local_choice: UpstreamRecord,
     ) -> UpstreamProcess | None:
         """Wait for a grant; None if the owner is out of reach."""
-        pending = ask_for_slot(self._state, wish)
+        pending = ask_for_slot(self._state, requirements)
         event = anyio.Event()
         self._wake_ups[id(pending)] = pending, event
         self._report_due.set()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/relay_slots.py
@@ -18,7 +18,7 @@
     SlotReplies,
     SlotReport,
 )
-from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotWish
+from cranberryfield.entry.slots.asks import AskOutcome, PendingAsk, SlotRequirements
 
 __all__ = [
     "ANSWER_TIMEOUT_S",
@@ -32,6 +32,7 @@
     "holds_lease",
     "is_owner_in_reach",
     "make_report",
+    "needs_renewal",
     "set_owner",
 ]
 
@@ -39,6 +40,9 @@
 #: chooses by itself. The request that noticed it does so within 0.1 s of its ask, with
 #: the time until the report is sent.
 ANSWER_TIMEOUT_S = 0.08
+#: Time for which a slot is in use before its lease is renewed, in seconds; most
+#: attempts end earlier and need no such message.
+RENEW_AFTER_S = 0.4
 #: Reports whose acknowledgement is awaited; older ones renew no lease.
 MAX_AWAITED = 64
 #: Services whose times of attempts are remembered.
@@ -144,10 +148,10 @@
     return None if since is None or state._is_silent else since + ANSWER_TIMEOUT_S
 
 
-def ask_for_slot(state: RelaySlots, wish: SlotWish) -> PendingAsk:
+def ask_for_slot(state: RelaySlots, requirements: SlotRequirements) -> PendingAsk:
     """Ask for a slot with the next report."""
     state._number += 1
-    pending = PendingAsk(state._number, wish)
+    pending = PendingAsk(state._number, requirements)
     state.pending[pending.number] = pending
     state.is_report_due = True
     return pending
@@ -200,6 +204,16 @@
         del state.run_s[next(iter(state.run_s))]
 
 
+def needs_renewal(state: RelaySlots, now: float) -> bool:
+    """Return whether the owner is to acknowledge what this relay waits for or holds.
+
+    Also while it is out of reach, as a reply shows that it is back.
+    """
+    if state.pending or not is_owner_in_reach(state, now):
+        return True
+    return any(now - one.begun_at >= RENEW_AFTER_S for one in state.held.values())
+
+
 def make_report(state: RelaySlots, now: float, is_renewal: bool = False) -> SlotReport:
     """Return the report that is due.
 
@@ -222,7 +236,7 @@
         if pending.first_sent_at is None:
             pending.first_sent_at = now
             pending.first_sequence = state._sequence
-        asks.append(_make_ask(state, number, pending.wish, now))
+        asks.append(_make_ask(state, number, pending.requirements, now))
     wants_reply = bool(asks) or is_renewal
     if wants_reply:
         state._awaited[state._sequence] = now, tuple(state.held)
@@ -330,7 +344,7 @@
     pending.outcome = AskOutcome.GRANTED
     pending.process = grant.upstream, grant.incarnation
     state.held[grant.number] = _Held(
-        pending.wish.service, pending.process, now, lease_ends_at
+        pending.requirements.service, pending.process, now, lease_ends_at
     )
 
 
@@ -345,17 +359,19 @@
     state.is_report_due = True
 
 
-def _make_ask(state: RelaySlots, number: int, wish: SlotWish, now: float) -> SlotAsk:
+def _make_ask(
+    state: RelaySlots, number: int, requirements: SlotRequirements, now: float
+) -> SlotAsk:
     return SlotAsk(
         number,
-        wish.service,
-        wish.workspace,
-        wish.rank,
-        max(0, int((wish.deadline - now) * MS_PER_S)),
-        max(0, int((now - wish.arrived_at) * MS_PER_S)),
-        wish.target_ms,
-        int(state.run_s.get(wish.service, 0.0) * MS_PER_S),
-        wish.session,
+        requirements.service,
+        requirements.workspace,
+        requirements.rank,
+        max(0, int((requirements.deadline - now) * MS_PER_S)),
+        max(0, int((now - requirements.arrived_at) * MS_PER_S)),
+        requirements.target_ms,
+        int(state.run_s.get(requirements.service, 0.0) * MS_PER_S),
+        requirements.session,
         state.data_centre,
-        wish.excluded,
+        requirements.excluded,
     )
