--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_chooser_with_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_chooser_with_slots.py
@@ -10,12 +10,14 @@
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.http1 import RequestHead
 from cranberryfield.core.messages.membership import UpstreamRecord
+from cranberryfield.core.metrics import Metrics
 from cranberryfield.entry.registry import RegistryTable, accept_record
 from cranberryfield.entry.relay import LoadSection, RelayRequest
 from cranberryfield.entry.relay.brittle_upstreams import BrittleUpstreams
 from cranberryfield.entry.relay.request_state import RelayRequestState
 from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
 from cranberryfield.entry.relay.upstream_pauses import UpstreamPauses, record_pause
+from cranberryfield.entry.rollouts import RolloutSection, RolloutTraffic
 
 NAMES = ["a", "b", "c"]
 
