Keep revisions of a term, and grant nothing from a state that may be old

Cause: a leader lease that expired for a moment dropped all counts and began the revisions of the term again, so that relays would have ignored its grants. A new leader could grant a stage from before entries that it had not applied yet.

Change: the section of a term is kept until the next term; it begins once an entry of that term is committed and applied.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/rollouts.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/rollouts.py
@@ -164,15 +164,32 @@
         self._has_silence = is_silent
 
     def _current_leadership(self) -> Leadership | None:
-        """Return the section of the term that this host leads, if it does."""
+        """Return the section of the term that this host leads, if it does.
+
+        It is kept while the leader lease has expired for a moment: revisions of one
+        term must not begin again.
+        """
         term = self._runtime.leading_term()
         if term is None:
-            self._leadership = None
-        elif self._leadership is None or self._leadership.term != term:
+            return None
+        if self._leadership is None or self._leadership.term != term:
+            if not self._has_current_state():
+                return None
             self._leadership = Leadership(term, self._clock())
             self._pushed_revision = 0
         return self._leadership
 
+    def _has_current_state(self) -> bool:
+        """Return whether all that earlier leaders have committed is applied.
+
+        A new leader knows that once it has committed an entry of its own term; before,
+        it could grant an earlier stage.
+        """
+        replica = self._section.replica
+        commit_index = replica.commit_index
+        is_own_entry = replica.log.term_at(commit_index) == replica.term
+        return is_own_entry and self._section.applied_index >= commit_index
+
     def _versions_serving(self, service: ServiceName) -> VersionsServing:
         target = self._state.latest[service].target
         counts = {True: [0, 0], False: [0, 0]}
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_rollouts.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_rollouts.py
@@ -13,6 +13,7 @@
 from cranberryfield.core.features import FeatureLevel
 from cranberryfield.core.messages.codec import decode_message
 from cranberryfield.core.messages.commands import ProposalRedirected
+from cranberryfield.core.messages.consensus import LogEntry
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.messages.rollouts import (
     BeginRollout,
@@ -38,10 +39,13 @@
         self.state = ControlState(feature_level=level)
         self.table = RegistryTable()
         replica = Replica("c1", Random(1), term=3, role=role)
+        replica.log.append((LogEntry(1, 3, b"x"),))
+        replica.commit_index = 1
+        self.replica = replica
         self.term = 3 if role is ReplicaRole.LEADER else None
         deployment = SimpleNamespace(services=[SimpleNamespace(name="s1")])
         self.coordinator = RolloutCoordinator(
-            ControlSection(replica, self.state),
+            ControlSection(replica, self.state, applied_index=1),
             self,
             self.table,
             self,
@@ -52,6 +56,12 @@
             Metrics(),
         )
 
+    def lead(self, term):
+        """Lead a later term, in which an entry is committed and applied."""
+        self.term = self.replica.term = term
+        self.replica.log.append((LogEntry(2, term, b"x"),))
+        self.replica.commit_index = self.coordinator._section.applied_index = 2
+
     def handle(self, message_type, handler):
         self.handlers[message_type] = handler
 
@@ -125,11 +135,36 @@
     assert harness.ask(RolloutReport(1, 0)).term == 0
 
 
+# Relays ignore lower revisions of a term, so they would ignore all grants for a while.
+def test_a_lease_that_expires_for_a_moment_resets_no_revision():
+    harness = ControlHostHarness()
+    harness.ask(ORDER)
+    harness.ask(RolloutReport(1, 0))
+    harness.state.rollouts.latest["s1"].stage = RolloutStage.SWITCHING
+    revision = harness.ask(RolloutReport(1, 0)).revision
+    harness.term = None
+    harness.ask(RolloutReport(1, 0))
+    harness.term = 3
+    assert harness.ask(RolloutReport(1, 0)).revision == revision
+
+
+# A new leader whose state lacks committed entries could grant an earlier stage.
+@pytest.mark.parametrize(("commit_index", "applied_index"), [(1, 1), (2, 1)])
+def test_a_new_leader_grants_nothing_before_its_state_is_current(
+    commit_index, applied_index
+):
+    harness = ControlHostHarness()
+    harness.lead(5)
+    harness.replica.commit_index = commit_index
+    harness.coordinator._section.applied_index = applied_index
+    assert harness.ask(RolloutReport(1, 0)).term == 0
+
+
 def test_a_new_term_forgets_counts_and_keeps_the_stage():
     harness = ControlHostHarness()
     harness.ask(ORDER)
     harness.state.rollouts.latest["s1"].stage = RolloutStage.SWITCHING
-    harness.term = 5
+    harness.lead(5)
     counts = RolloutCounts(1, 100, 10, 2)
     grants = harness.ask(RolloutReport(1, 0, (counts,)))
     [grant] = grants.grants
