Let only the leader raise the feature level

Cause: another host could have proposed a level that no control host understands, which stops all of them.

Change: a control host refuses a RaiseFeatureLevel that another host asks it to propose.

Measured: pytest tests/test_feature_levels.py, 8 passed.

--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -59,12 +59,17 @@
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config import DaemonConfig
-from cranberryfield.core.errors import StorageError
+from cranberryfield.core.errors import ErrorKind, StorageError
 from cranberryfield.core.ids import LogIndex, NodeId, Term
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.base import Message
 from cranberryfield.core.messages.codec import decode_message, encode_message
-from cranberryfield.core.messages.commands import ProposalRedirected, Propose
+from cranberryfield.core.messages.commands import (
+    ProposalRedirected,
+    Propose,
+    RaiseFeatureLevel,
+    Refused,
+)
 from cranberryfield.core.messages.consensus import (
     LogEntry,
     ReplicaEnvelope,
@@ -468,6 +473,9 @@
 
     async def _on_propose(self, sender: NodeId, message: Propose) -> Message:
         command = decode_message(message.command)
+        if isinstance(command, RaiseFeatureLevel):
+            # Only the leader knows what all control hosts understand.
+            return Refused(ErrorKind.PROTOCOL.value, "only the leader raises the level")
         await self._settings_publisher.wait_until_writable(command)
         result = await self.propose(message.command)
         await self._settings_publisher.wait_until_in_force(result)
--- a/tests/test_feature_levels.py
+++ b/tests/test_feature_levels.py
@@ -23,7 +23,12 @@
 )
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.codec import encode_message
-from cranberryfield.core.messages.commands import Noop, RaiseFeatureLevel
+from cranberryfield.core.messages.commands import (
+    Noop,
+    Propose,
+    RaiseFeatureLevel,
+    Refused,
+)
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.settings.follow import SettingsSection
 from standins.processes import free_port
@@ -40,9 +45,10 @@
     def __init__(self, folder, addresses, node):
         self._folder = folder
         self._addresses = addresses
-        self._node = node
+        self.node = node
         self._scope = None
         self._disks = 0
+        self.mesh = None
         self.section = None
         self.runtime = None
         self.error = None
@@ -57,21 +63,21 @@
 
     @property
     def data_folder(self):
-        return self._folder / f"{self._node}-{self._disks}"
+        return self._folder / f"{self.node}-{self._disks}"
 
     def lose_disk(self):
         self._disks += 1
 
     async def run(self, level, *, task_status):
-        address = self._addresses[self._node]
+        address = self._addresses[self.node]
         hello = Hello(
-            self._node, "g", time.time_ns(), "d", ("control",), address, "", level
+            self.node, "g", time.time_ns(), "d", ("control",), address, "", level
         )
-        mesh = Mesh(hello, "key")
+        mesh = self.mesh = Mesh(hello, "key")
         board = Blackboard()
         board.add(SettingsSection())
         config = SimpleNamespace(
-            data_folder=str(self.data_folder), group="g", node_id=self._node
+            data_folder=str(self.data_folder), group="g", node_id=self.node
         )
         self.error = None
         try:
@@ -80,7 +86,7 @@
                 mesh,
                 board,
                 monotonic_clock,
-                Random(self._node),
+                Random(self.node),
                 ControlHostNames.from_list(NODES),
             )
             self.section = board.read(ControlSection)
@@ -88,7 +94,7 @@
                 async with anyio.create_task_group() as tasks:
                     await tasks.start(mesh.listen, address)
                     for node, other in self._addresses.items():
-                        if node > self._node:
+                        if node > self.node:
                             tasks.start_soon(mesh.dial, other)
                     tasks.start_soon(self.runtime.run)
                     task_status.started()
@@ -212,6 +218,20 @@
     await store.write(header, state)
 
 
+# Guards against another host that stops the group with a level it cannot understand.
+def test_no_other_host_may_raise_the_level(tmp_path):
+    async def run():
+        async with running_group(tmp_path, (1, 1, 1)) as (hosts, _):
+            leader = next(one for one in hosts.values() if one.leads)
+            follower = next(one for one in hosts.values() if not one.leads)
+            proposal = Propose(encode_message(RaiseFeatureLevel(9)))
+            reply = await follower.mesh.request(leader.node, proposal, TIMEOUT_S)
+            assert isinstance(reply, Refused)
+            await wait_for(lambda: levels_of(hosts) == [1, 1, 1])
+
+    anyio.run(run)
+
+
 # Guards against a replica that skips a command and differs from the others, or ends
 # with a traceback in place of one clear line.
 @pytest.mark.parametrize(
