Tell relays of the last part of a millisecond before slots are lent

Cause: an owner that lends in less than 1 ms said 0, so that the relay took a dropped ask for acknowledged and waited for its next renewal, 0.2 s. A relay that starts logged that slots are not shared before it could know the owner.

Measured: the new row fails with the time cut and passes with it rounded up; tests of the protocol and the client pass.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/client.py
@@ -112,7 +112,7 @@
         self._numbers: dict[str, int] = {}
         self._wake_ups: dict[int, tuple[PendingAsk, anyio.Event]] = {}
         self._report_due = anyio.Event()
-        self._was_in_reach = True
+        self._was_in_reach: bool | None = None
         mesh.handle(SlotReplies, self._on_replies)
 
     def is_shared(self, service: ServiceName) -> bool:
@@ -327,9 +327,13 @@
     def _notice_reach(self, now: float) -> None:
         """Log when the owner is lost, and when slots are shared again."""
         is_in_reach = is_owner_in_reach(self._state, now)
-        if is_in_reach == self._was_in_reach:
+        was_in_reach = self._was_in_reach
+        if is_in_reach == was_in_reach or (was_in_reach is None and not is_in_reach):
+            # At the start of a host it is not known yet.
             return
         self._was_in_reach = is_in_reach
+        if was_in_reach is None:
+            return
         if is_in_reach:
             logger.info("slots shared again", owner=self._state.owner)
         else:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/owner.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/owner.py
@@ -1,5 +1,6 @@
 """State of the owner of shared slots: who holds which, and who waits."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -109,13 +110,13 @@
             return
         reply = self.replies.get(node)
         if reply is None:
-            lends_in_s = max(0.0, self.section.lends_from - self.now)
+            lends_in_ms = math.ceil((self.section.lends_from - self.now) * MS_PER_S)
             reply = SlotReplies(
                 self.section.term,
                 incarnation,
                 relay.sequence,
                 int(LEASE_S * MS_PER_S),
-                int(lends_in_s * MS_PER_S),
+                max(0, lends_in_ms),
             )
         changes = {name: getattr(reply, name) + more for name, more in lists.items()}
         self.replies[node] = msgspec.structs.replace(reply, **changes)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_protocol.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_protocol.py
@@ -259,6 +259,15 @@
     assert group.leases <= 1
 
 
+# Guards against an ask that the owner drops shortly before it lends, and that the relay
+# takes for acknowledged.
+def test_an_owner_that_is_about_to_lend_says_so():
+    group = group_of_two(lends_from=10.0 + DELAY_S + 0.0004)
+    pending = group.ask("a")
+    group.exchange("a")
+    assert pending.outcome is AskOutcome.NO_OWNER
+
+
 # Guards against a wait that a new owner has never heard of.
 def test_what_waits_asks_a_new_owner_anew():
     group = group_of_two()
