Check a slot and its permission again, and key slots by request

Cause: review of rollouts and shared slots. While a request waited for a slot, a version that the relay had not heard of a rollout for could be granted without a credit; all requests waited for the target alone while one had a credit; two requests in progress with the same id gave back each other's slot; one refusal took all slots of an idle upstream away.

Change: the permission is always checked last; the owner chooses among all allowed upstreams; slots are keyed by request object; one slot is lent at least.

Measured: the tests of the relay, slots, rollouts and recordings pass; the review's scripts are not part of the tree, so no new test shows each case.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/upstream_chooser.py
@@ -174,11 +174,10 @@
                 return None
             if self._slots is not None and self._slots.is_shared(request.service):
                 try:
-                    is_preferred = record in exposure.preferred
                     record = await self._take_slot(
                         request,
                         state,
-                        exposure.preferred if is_preferred else candidates,
+                        candidates,
                         unavailable,
                         record,
                         reserved_for_others,
@@ -281,7 +280,7 @@
             tuple(excluded),
         )
         upstream, incarnation = await self._slots.take(
-            request.id, requirements, local_choice
+            _slot_key(request), requirements, local_choice
         )
         state.waited_s += self._clock() - began
         for one in self._table.active_upstreams(request.service):
@@ -292,7 +291,7 @@
         return None
 
     def _has_valid_slot(self, request: RelayRequest) -> bool:
-        return self._slots is None or self._slots.is_usable(request.id)
+        return self._slots is None or self._slots.is_usable(_slot_key(request))
 
     def release(self, request: RelayRequest, was_refused: bool = False) -> None:
         """Give back the shared slot of a request, if it has one.
@@ -305,7 +304,7 @@
             Whether the upstream has refused the attempt.
         """
         if self._slots is not None:
-            self._slots.release(request.id, was_refused)
+            self._slots.release(_slot_key(request), was_refused)
 
     def _choose_now(
         self,
@@ -344,3 +343,11 @@
             and self._loads.load_of(record.upstream).backoff_until <= now
         )
         return record if is_usable or not doubtful else choose(excluded)
+
+
+def _slot_key(request: RelayRequest) -> str:
+    """Return the key of a request's slot.
+
+    Callers may send one id again while an earlier request with it is in progress.
+    """
+    return f"{request.id}\0{id(request)}"
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/traffic.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/traffic.py
@@ -154,8 +154,10 @@
         bool
             False if the upstream may not be used any more.
         """
+        if not self._section.is_used:
+            return True
         rollout = self._section.rollouts.get(record.service)
-        if rollout is None or rollout.grant.stage is RolloutStage.COMPLETED:
+        if rollout is not None and rollout.grant.stage is RolloutStage.COMPLETED:
             return True
         candidates = self._table.active_upstreams(record.service)
         if has_begun:
@@ -164,7 +166,7 @@
         exposure = self._decide(record.service, candidates, has_begun, self._rng)
         if all(one.process != record.process for one in exposure.candidates):
             return False
-        if costs_credit(rollout, record):
+        if rollout is not None and costs_credit(rollout, record):
             rollout.credit -= 1.0
         return True
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/service_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/service_slots.py
@@ -116,9 +116,12 @@
 
 
 def correct_slots(service: SharedService, process: UpstreamProcess, now: float) -> None:
-    """Lend no more slots of an upstream than are in use as it refuses another."""
+    """Lend no more slots of an upstream than are in use as it refuses another.
+
+    One is lent at least, as others than the relays may use the upstream for a moment.
+    """
     in_use = sum(one.process == process for one in service.held.values())
-    service.corrections[process] = _Correction(in_use, now)
+    service.corrections[process] = _Correction(max(1, in_use), now)
     service.counts.refused_by_upstreams += 1
 
 
