--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_chooser_with_slots.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/tests/test_chooser_with_slots.py
@@ -73,7 +73,14 @@
         pass
 
 
-def choose(slots, tried=(), paused=(), backing_off=(), **state_fields):
+def make_request():
+    now = monotonic_clock()
+    route = SimpleNamespace(rank=2, target_ms=218.0)
+    head = RequestHead(b"GET", b"/", [])
+    return RelayRequest("r", head, b"", route, "s", None, now, now + 2.7)
+
+
+def choose(slots, tried=(), paused=(), backing_off=(), request=None, **state_fields):
     table, loads, pauses = RegistryTable(), LoadSection(), UpstreamPauses()
     now = monotonic_clock()
     for name in NAMES:
@@ -98,9 +105,7 @@
         RolloutTraffic(RolloutSection(), table, Metrics(), monotonic_clock, Random(1)),
         slots,
     )
-    route = SimpleNamespace(rank=2, target_ms=218.0)
-    head = RequestHead(b"GET", b"/", [])
-    request = RelayRequest("r", head, b"", route, "s", None, now, now + 2.7)
+    request = request or make_request()
     state = RelayRequestState(request.fingerprint, **state_fields)
     state.tried_processes.update((name, 1) for name in tried)
     record = anyio.run(chooser.choose, request, state)
@@ -146,3 +151,21 @@
     slots = ScriptedSlots(shared=False)
     assert choose(slots)[0] in NAMES
     assert slots.asked == []
+
+
+# Guards against a caller that sends one id again while its first request runs: the end
+# of one attempt gave back the slot of the other.
+def test_requests_with_the_same_id_have_slots_of_their_own():
+    slots = ScriptedSlots("a", "b")
+    keys = []
+
+    async def take(key, requirements, local_choice):
+        keys.append(key)
+        return (slots.grants.pop(0), 1)
+
+    slots.take = take
+    first, second = make_request(), make_request()
+    assert first.id == second.id
+    choose(slots, request=first)
+    choose(slots, request=second)
+    assert len(set(keys)) == 2
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/tests/test_exposure.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/rollouts/tests/test_exposure.py
@@ -153,6 +153,15 @@
     assert section.rollouts["s"].credit == 0.0
 
 
+# Guards against an attempt without a credit at the target of a rollout that the relay
+# has not heard of, chosen by the owner of shared slots.
+def test_a_version_of_a_rollout_not_heard_of_is_not_taken():
+    section = RolloutSection(is_used=True, confirmed={"s": frozenset({"v1"})})
+    traffic, _ = traffic_with(section, record("v1"), record("v2"))
+    assert traffic.take(record("v1"), False)
+    assert not traffic.take(record("v2"), False)
+
+
 # Guards against an old upstream that gets a new request after the switch.
 def test_a_choice_made_before_the_switch_is_not_used_after_it():
     section = section_with(SWITCHING)
