--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_protocol.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_slot_protocol.py
@@ -129,7 +129,7 @@
 
 
 # Holder, whether it is heard of again within the lease, and when another gets its slot.
-# Guards against a slot that a host which is gone keeps for ever, and against one that
+# Guards against a slot that is lost with a host that has died, and against one that
 # is lent while its holder may still use it.
 @pytest.mark.parametrize("returns_after_s", [0.5, None])
 def test_the_slot_of_a_silent_holder_returns_with_its_lease(returns_after_s):
@@ -375,7 +375,7 @@
     assert few.outcome is AskOutcome.WAITING
 
 
-# Guards against a wait for an owner that is gone, that no longer leads, or that is
+# Guards against a wait for an owner that has died, that no longer leads, or that is
 # another host.
 @pytest.mark.parametrize("cause", ["silent", "not the owner", "unknown owner"])
 def test_a_relay_chooses_by_itself_without_the_owner(cause):
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_waiting_line.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/slots/tests/test_waiting_line.py
@@ -43,7 +43,7 @@
     ("target", [{"target_ms": 300}, {"target_ms": 200}, {}], [1, 0, 2]),
     ("run", [{}, {"run_ms": 500}, {"run_ms": 900}], [2, 1, 0]),
     ("late", [{"rank": 0, "waited_ms": 300, "target_ms": 218}, {"rank": 2}], [1, 0]),
-    # No run can meet this target, so that it makes nobody late for good.
+    # No run can meet this target, so it must not put the request behind all others.
     ("target below run", [{"target_ms": 40, "run_ms": 45, "left_ms": 90}, {}], [0, 1]),
 ]
 
