--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -224,6 +224,8 @@
         file = self.folder / f"{self.name}.yaml"
         template = (ROOT / "deploy" / "host.yaml").read_text()
         file.write_text(render(template, self.settings))
+        # True only when the whole system starts for the first time.
+        self.settings["bootstrap"] = False
         kept = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -634,11 +636,15 @@
     async def run() -> int:
         trouble = os.environ.get("TROUBLE", "1") != "0"
         out = Path(sys.argv[1]).resolve()
+        # So that an interrupted case ends the processes that it has started.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         group = Group(out, **getattr(main, "sizes", {}))
         try:
             async with asyncio.timeout(timeout_s):
                 held = await main(group, trouble)
-        except (CannotRunError, TimeoutError) as error:
+        except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
             group.say(f"cannot run: {error!r}")
             return 2
         finally:
