--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,7 +25,7 @@
 CONNECTIONS_PER_RELAY = 5
 WORK_S = 0.3
 RUNNERS = 3
-RELEASE_S = 35.0
+RELEASE_S = 60.0
 #: A release replaces runners one at a time. `gap_s` is 0.4 for two at a time in the
 #: day of letter 9; the new one starts at the beginning of the gap, the old one drains
 #: in the middle.
