Refuse records that no process can use, and let no task end for one

Cause: numbers of a heartbeat were bounded from below only. The registry stored a record before it computed its digest, for which MessagePack takes no integer beyond 64 bits, so that the record stayed and went to the other hosts with the whole table. On a relay the table is merged in a background task, which nothing guarded, and the end of a task ended the process.

Change: bounds on the numbers and texts of heartbeats, departures and configurations; a check of each record where it is merged, which skips an unusable one; the digest before the store; background tasks that are logged, counted and run again. The same cause on related paths: messages that cannot be encoded, watchers of links, errors of a dialled link, errors of accept, ports beyond 65535, digits that are no decimal ones, token counts that are negative or endless, and requests that fail inside a relay.

It works since a record outside of the bounds is neither stored nor sent on, and since whatever still fails in a task leaves the process to its requests.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/__init__.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/__init__.py
@@ -24,6 +24,7 @@
     Exchange,
     ServerLimits,
     ServerState,
+    find_lost_connection,
     serve_http,
 )
 
@@ -42,6 +43,7 @@
     "connect_directly",
     "fetch",
     "find_header",
+    "find_lost_connection",
     "open_stream",
     "serve_http",
 ]
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -14,6 +14,7 @@
 from cranberryfield.core.http1.message import RequestHead, ResponseHead, find_header
 from cranberryfield.core.http1.sockets import enable_dead_peer_detection
 from cranberryfield.core.ids import NodeId
+from cranberryfield.core.numbers import parse_count
 
 __all__ = [
     "BrokenExchangeError",
@@ -27,6 +28,7 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+MAX_PORT = 65_535
 #: Maximum number of informational responses before a response.
 MAX_INFORMATIONAL_RESPONSES = 16
 #: Idle time for which a connection is reused if the server sends no
@@ -245,8 +247,9 @@
 def _parse_keep_alive(value: str) -> float:
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
-        if name.strip().lower() == "timeout" and seconds.strip().isdigit():
-            return float(seconds)
+        timeout_s = parse_count(seconds.strip())
+        if name.strip().lower() == "timeout" and timeout_s is not None:
+            return float(timeout_s)
     return DEFAULT_KEEP_ALIVE_S
 
 
@@ -271,9 +274,12 @@
         If it cannot be opened in time.
     """
     host, _, port = address.rpartition(":")
+    port_number = parse_count(port)
+    if port_number is None or port_number > MAX_PORT:
+        raise NotSentError(f"{address} is not an address")
     try:
         with anyio.fail_after(timeout_s):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await anyio.connect_tcp(host, port_number)
     except (OSError, TimeoutError, ValueError) as error:
         is_refused = isinstance(error.__cause__, ConnectionRefusedError)
         raise NotSentError(f"cannot connect to {address}", is_refused) from error
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -7,12 +7,19 @@
 import anyio
 import h11
 import structlog
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from cranberryfield.core.http1.message import RequestHead, find_header
 from cranberryfield.core.http1.sockets import enable_dead_peer_detection
 
-__all__ = ["Exchange", "Handler", "ServerLimits", "ServerState", "serve_http"]
+__all__ = [
+    "Exchange",
+    "Handler",
+    "ServerLimits",
+    "ServerState",
+    "find_lost_connection",
+    "serve_http",
+]
 
 READ_BYTES = 65_536
 #: Bytes of pipelined requests buffered while a request is handled.
@@ -21,6 +28,8 @@
 BACKLOG = 1024
 #: Timeout for one write to a caller that does not read, in seconds.
 WRITE_TIMEOUT_S = 10.0
+#: Pause after an error of the listener, in seconds.
+ACCEPT_RETRY_S = 0.05
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
@@ -207,7 +216,7 @@
                 enable_dead_peer_detection(stream.extra(SocketAttribute.raw_socket))
                 await _Connection(stream, handler, state).run()
             except Exception as error:
-                if (lost := _find_lost_connection(error)) is not None:
+                if (lost := find_lost_connection(error)) is not None:
                     cause = lost.__cause__ or lost
                     logger.info("caller's connection lost", cause=repr(cause))
                     return
@@ -218,17 +227,37 @@
         listener,
         anyio.create_task_group() as accepting,
     ):
-        accepting.start_soon(listener.serve, serve_connection, connections)
+        for one in listener.listeners:
+            accepting.start_soon(_accept, one, serve_connection, connections)
         task_status.started()
         await state.stop_event.wait()
         accepting.cancel_scope.cancel()
 
 
+async def _accept(
+    listener: SocketListener,
+    serve_connection: Callable[[SocketStream], Awaitable[None]],
+    connections: TaskGroup,
+) -> None:
+    """Accept connections until cancelled.
+
+    An error of one connection, or a lack of descriptors, is not the listener's end.
+    """
+    while True:
+        try:
+            stream = await listener.accept()
+        except OSError as error:
+            logger.warning("connection not accepted", cause=repr(error))
+            await anyio.sleep(ACCEPT_RETRY_S)
+            continue
+        connections.start_soon(serve_connection, stream)
+
+
 def _printable(head: RequestHead) -> str:
     return head.target.decode("latin-1")
 
 
-def _find_lost_connection(error: Exception) -> Exception | None:
+def find_lost_connection(error: Exception) -> Exception | None:
     """Return the loss of the connection if `error` is nothing else, else None.
 
     Task groups wrap the errors of their tasks.
@@ -237,7 +266,7 @@
         return error
     if not isinstance(error, ExceptionGroup):
         return None
-    lost = [_find_lost_connection(one) for one in error.exceptions]
+    lost = [find_lost_connection(one) for one in error.exceptions]
     return None if None in lost else lost[0]
 
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/link.py
@@ -4,6 +4,7 @@
 from itertools import count
 
 import anyio
+import cbor2
 import structlog
 from websockets.asyncio.client import ClientConnection
 from websockets.asyncio.server import ServerConnection
@@ -280,13 +281,33 @@
                         batch.append(self._outgoing_receiver.receive_nowait())
                     except anyio.WouldBlock:
                         break
-                frame = encode_frame(tuple(batch))
+                frame = self._encode(batch)
                 self.bytes_sent += len(frame)
                 self.envelopes += len(batch)
                 await self._connection.send(frame)
         except (ConnectionClosed, anyio.EndOfStream):
             await self._connection.close()
 
+    def _encode(self, batch: list[Envelope]) -> bytes:
+        """Encode a batch, without the envelopes that cannot be encoded."""
+        try:
+            return encode_frame(tuple(batch))
+        except (TypeError, ValueError, ArithmeticError, cbor2.CBORError):
+            encodable = [one for one in batch if self._is_encodable(one)]
+            return encode_frame(tuple(encodable))
+
+    def _is_encodable(self, envelope: Envelope) -> bool:
+        try:
+            encode_frame((envelope,))
+        except (TypeError, ValueError, ArithmeticError, cbor2.CBORError):
+            logger.exception(
+                "message cannot be encoded",
+                peer=self._peer.node,
+                message=type(envelope.message).__name__,
+            )
+            return False
+        return True
+
     async def close(self, reason: str) -> None:
         """Close the connection; `reason` is for the log."""
         self._open = False
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -282,6 +282,8 @@
             await self._connect(address, closes_when_idle=True)
         except (OSError, WebSocketException, CranberryfieldError) as error:
             logger.debug("outgoing link failed", address=address, error=str(error))
+        except Exception:
+            logger.exception("outgoing link failed", address=address)
         finally:
             if node is not None:
                 self._queued_while_opening.pop(node, None)
@@ -336,6 +338,9 @@
                 delay_s = REDIAL_MIN_S
             except (OSError, WebSocketException, CranberryfieldError) as error:
                 logger.debug("outgoing link failed", address=address, error=str(error))
+            except Exception:
+                # One message must not end the process; the next link may work.
+                logger.exception("outgoing link failed", address=address)
             await anyio.sleep(delay_s)
             delay_s = min(delay_s * 2, REDIAL_MAX_S)
 
@@ -445,7 +450,11 @@
 
     def _notify_link_watchers(self, peer: Hello, is_open: bool) -> None:
         for watcher in self._link_watchers:
-            watcher(peer, is_open)
+            try:
+                watcher(peer, is_open)
+            except Exception:
+                # The other watchers must know too, and the link stays.
+                logger.exception("watcher of links failed", peer=peer.node)
 
     def _dispatch(self, link: Link, envelope: Envelope) -> None:
         self._dispatcher.dispatch(link, envelope, self._tasks)
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/tunnels.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/tunnels.py
@@ -169,7 +169,14 @@
             if isinstance(reply, TunnelReply)
             else TunnelFailure.UNAVAILABLE
         )
-    except (OSError, WebSocketException, CranberryfieldError) as error:
+    except (
+        OSError,
+        ValueError,
+        OverflowError,
+        WebSocketException,
+        CranberryfieldError,
+    ) as error:
+        # An address of another process may be none.
         if connection is not None:
             connection.transport.abort()
         raise TunnelError(TunnelFailure.UNAVAILABLE) from error
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -39,6 +39,7 @@
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.supervision import start_supervised
 from cranberryfield.daemon.cluster.autoscaler import UpstreamAutoscaler
 from cranberryfield.daemon.cluster.cloud_calls import FencingTokenIssuer, UsageReporter
 from cranberryfield.daemon.cluster.protocol_adapter import (
@@ -105,6 +106,8 @@
         Sends commands and queries to the leader.
     leader_tasks : tuple
         Background tasks that only act while this host leads.
+    metrics : Metrics
+        Counts failures of background tasks.
     rollouts : RolloutCoordinator, optional
         Moves rollouts forward while this host leads; None if there are none.
     """
@@ -121,6 +124,7 @@
         version_store: VersionStore,
         proposer: Proposer,
         leader_tasks: tuple[UsageReporter | UpstreamAutoscaler | SlotServer, ...],
+        metrics: Metrics,
         rollouts: RolloutCoordinator | None = None,
     ):
         self._address = address
@@ -133,6 +137,7 @@
         self._version_store = version_store
         self._proposer = proposer
         self._leader_tasks = leader_tasks
+        self._metrics = metrics
         self._rollouts = rollouts
         self._server_state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
         self._operations = ControlOperations(
@@ -249,22 +254,28 @@
             version_store,
             proposer,
             leader_tasks,
+            metrics,
             rollouts,
         )
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
+            # Not supervised: a replica whose step has failed must not go on with the
+            # state that the step left.
             tasks.start_soon(self._runtime.run)
-            tasks.start_soon(self._publisher.run)
-            tasks.start_soon(self._exchange.run)
-            tasks.start_soon(self._suspect_store.run)
-            tasks.start_soon(self._streams.run)
-            tasks.start_soon(self._version_store.run)
+            background = {
+                "registry": self._publisher.run,
+                "suspects": self._exchange.run,
+                "stored suspects": self._suspect_store.run,
+                "streams": self._streams.run,
+                "stored versions": self._version_store.run,
+            }
             for task in self._leader_tasks:
-                tasks.start_soon(task.run)
+                background[type(task).__name__] = task.run
             if self._rollouts is not None:
-                tasks.start_soon(self._rollouts.run)
+                background["rollouts"] = self._rollouts.run
+            start_supervised(tasks, background, self._metrics)
             address = split_address(self._address)
             tasks.start_soon(
                 serve_http, address, self._handle_control_request, self._server_state
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -20,6 +20,7 @@
 from cranberryfield.core.mesh import ControlDirectory, Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.supervision import start_supervised
 from cranberryfield.daemon.cluster.protocol_adapter import ProtocolAdapter
 
 if TYPE_CHECKING:
@@ -104,8 +105,11 @@
 ) -> None:
     async with anyio.create_task_group() as tasks:
         await tasks.start(mesh.listen, config.mesh)
-        tasks.start_soon(directory.run)
-        tasks.start_soon(LoopMonitor(metrics).run)
+        background = {
+            "control hosts": directory.run,
+            "loop monitor": LoopMonitor(metrics).run,
+        }
+        start_supervised(tasks, background, metrics)
         if config.metrics is not None:
             address = split_address(config.metrics)
             tasks.start_soon(
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -22,12 +22,14 @@
     Exchange,
     ServerLimits,
     ServerState,
+    find_lost_connection,
     serve_http,
 )
 from cranberryfield.core.ids import NodeId, ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.membership import UpstreamRecord
 from cranberryfield.core.metrics import Metrics
+from cranberryfield.core.supervision import start_supervised
 from cranberryfield.daemon.cluster.protocol_adapter import ProtocolAdapter
 from cranberryfield.entry.deployment import (
     DeploymentFollower,
@@ -145,6 +147,8 @@
         Knows other relays.
     tunnels : TunnelExit
         Connects the tunnels of other relays.
+    metrics : Metrics
+        Counts failures of background tasks.
     clock : Clock
         Monotonic time that counts suspensions.
     rng : random.Random
@@ -169,6 +173,7 @@
         connector: PathConnector,
         finder: RelayFinder,
         tunnels: TunnelExit,
+        metrics: Metrics,
         clock: Clock,
         rng: Random,
         rollout_reporter: RolloutReporter | None = None,
@@ -186,6 +191,7 @@
         self._connector = connector
         self._finder = finder
         self._tunnels = tunnels
+        self._metrics = metrics
         self._clock = clock
         self._rng = rng
         self._rollout_reporter = rollout_reporter
@@ -368,6 +374,7 @@
             connector,
             RelayFinder(relays, mesh, names, clock, rng),
             TunnelExit(table, paths, pauses, mesh, clock),
+            metrics,
             clock,
             rng,
             rollout_reporter,
@@ -388,18 +395,21 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follower.run)
-            tasks.start_soon(self._replica.run)
-            tasks.start_soon(self._exchange.run)
-            tasks.start_soon(self._relay.run)
-            tasks.start_soon(self._reporter.run)
-            tasks.start_soon(self._connector.run)
-            tasks.start_soon(self._finder.run)
+            background = {
+                "deployment": self._follower.run,
+                "registry": self._replica.run,
+                "suspects": self._exchange.run,
+                "relay": self._relay.run,
+                "reports": self._reporter.run,
+                "paths": self._connector.run,
+                "other relays": self._finder.run,
+                "idle connections": self._close_idle_connections,
+            }
             if self._rollout_reporter is not None:
-                tasks.start_soon(self._rollout_reporter.run)
+                background["rollouts"] = self._rollout_reporter.run
             if self._slots is not None:
-                tasks.start_soon(self._slots.run)
-            tasks.start_soon(self._close_idle_connections)
+                background["slots"] = self._slots.run
+            start_supervised(tasks, background, self._metrics)
             readiness = split_address(self._config.relay.readiness)
             tasks.start_soon(
                 serve_http, readiness, self._answer_readiness, ServerState()
@@ -446,7 +456,25 @@
             )
             await self._adapter.answer_error(exchange, error)
             return
-        await self._relay.handle(request, exchange)
+        try:
+            await self._relay.handle(request, exchange)
+        except Exception as error:
+            if find_lost_connection(error) is not None:
+                raise
+            logger.exception("request failed", request=request.id)
+            await self._answer_failure(exchange)
+
+    async def _answer_failure(self, exchange: Exchange) -> None:
+        """End a request that a fault of this program has stopped; it may have run."""
+        if exchange.response_started:
+            exchange.abort()
+            return
+        error = UnavailableError(
+            ErrorKind.UPSTREAM_FAILED,
+            "the request failed on this host",
+            was_run=WasRun.UNKNOWN,
+        )
+        await self._adapter.answer_error(exchange, error)
 
     def _read_request(self, exchange: Exchange) -> RelayRequest:
         now = self._clock()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
@@ -4,6 +4,7 @@
 import structlog
 
 from cranberryfield.core.clock import Clock
+from cranberryfield.core.errors import CallerError, ErrorKind
 from cranberryfield.core.ids import NodeId, UpstreamId
 from cranberryfield.core.loop_monitor import timed_step
 from cranberryfield.core.mesh import Mesh
@@ -13,6 +14,10 @@
     UpstreamRecord,
     UpstreamUpdate,
 )
+from cranberryfield.entry.registry.record_checks import (
+    find_record_fault,
+    usable_records,
+)
 from cranberryfield.entry.registry.table import (
     RegistryTable,
     accept_record,
@@ -62,7 +67,17 @@
         mesh.watch_links(self._on_link)
 
     def announce(self, record: UpstreamRecord) -> None:
-        """Record an announcement received by this host and publish changes."""
+        """Record an announcement received by this host and publish changes.
+
+        Raises
+        ------
+        CallerError
+            Of kind ``bad_request`` if the record names no upstream to use.
+        """
+        fault = find_record_fault(record)
+        if fault is not None:
+            detail = f"the announcement of {record.upstream} cannot be used: {fault}"
+            raise CallerError(ErrorKind.BAD_REQUEST, detail)
         self._renewed.add(record.upstream)
         if accept_record(self._table, record, self._clock()):
             logger.info(
@@ -138,8 +153,8 @@
     def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
         now = self._clock()
         is_from_relay = sender not in self._control_hosts()
-        for record, age_ms in zip(update.records, update.ages_ms, strict=True):
-            is_new = accept_record(self._table, record, now - age_ms / MS_PER_S)
+        for record, heard_at in usable_records(sender, update, now):
+            is_new = accept_record(self._table, record, heard_at)
             # A control host publishes what it has heard to all hosts itself.
             if is_new and is_from_relay:
                 logger.info(
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/replica.py
@@ -15,6 +15,8 @@
     UpstreamRecord,
     UpstreamUpdate,
 )
+from cranberryfield.core.numbers import MAX_INTEGER
+from cranberryfield.entry.registry.record_checks import usable_records
 from cranberryfield.entry.registry.table import (
     RegistryTable,
     accept_record,
@@ -131,7 +133,10 @@
             for upstream in forget_unknown(self._table, known, self._clock()):
                 logger.info("upstream forgotten", upstream=upstream)
         else:
-            silent = {one: ms / MS_PER_S for one, ms in update.silent_ms.items()}
+            silent = {
+                one: min(ms, MAX_INTEGER) / MS_PER_S
+                for one, ms in update.silent_ms.items()
+            }
             record_heard(self._table, silent, self._clock())
 
     def _tell_leaving(self, node: NodeId, update: UpstreamUpdate) -> None:
@@ -151,8 +156,8 @@
 
     def _on_update(self, sender: NodeId, update: UpstreamUpdate) -> None:
         now = self._clock()
-        for record, age_ms in zip(update.records, update.ages_ms, strict=True):
-            if not accept_record(self._table, record, now - age_ms / MS_PER_S):
+        for record, heard_at in usable_records(sender, update, now):
+            if not accept_record(self._table, record, heard_at):
                 continue
             logger.info(
                 "upstream known",
@@ -162,7 +167,7 @@
                 software_version=record.software_version,
                 leaving=record.leaving,
                 told_by=sender,
-                age_ms=age_ms,
+                age_ms=round((now - heard_at) * MS_PER_S),
             )
             for watcher in self._watchers:
                 watcher(record)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/table.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/table.py
@@ -123,8 +123,10 @@
     def set_entry(self, entry: RegistryEntry) -> None:
         """Add or replace the entry of an upstream."""
         record = entry.record
+        # First, as an entry must not be stored with the digest of another record.
+        digest = _digest_record(record)
         self.entries[record.upstream] = entry
-        self._replace_digest(record.upstream, _digest_record(record))
+        self._replace_digest(record.upstream, digest)
         known = self.newest_at.get(record.address, record.incarnation)
         self.newest_at[record.address] = max(known, record.incarnation)
         self.latest_heard_at = max(self.latest_heard_at, entry.heard_at)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/runtime.py
@@ -15,6 +15,7 @@
 from cranberryfield.core.proposals import Proposer
 from cranberryfield.core.settings import effective_settings
 from cranberryfield.core.settings.follow import SettingsSection, may_serve
+from cranberryfield.core.supervision import start_supervised
 from cranberryfield.entry.admission import AdmissionGate
 from cranberryfield.entry.admission.slots import make_slot_counter
 from cranberryfield.entry.callers import CallerApi
@@ -347,14 +348,18 @@
     async def run(self) -> None:
         """Run the background tasks of the role until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._gossip.run)
-            tasks.start_soon(self._leases.run)
+            background = {
+                "gossip": self._gossip.run,
+                "leases": self._leases.run,
+                "settings": self._follower.run,
+                "claims": self._claims.run,
+                "request records": self._coordinator.run,
+                "loop monitor": self._monitor.run,
+            }
+            start_supervised(tasks, background)
+            # Each has a client that it closes at its end, so neither can run again.
             tasks.start_soon(self._prober.run)
             tasks.start_soon(self._cache_events.run)
-            tasks.start_soon(self._follower.run)
-            tasks.start_soon(self._claims.run)
-            tasks.start_soon(self._coordinator.run)
-            tasks.start_soon(self._monitor.run)
 
     async def close(self) -> None:
         """Announce that this host is leaving and close connections to upstreams."""
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -106,6 +106,13 @@
         (encoded_with(["version"], "7"), "cannot be read"),
         (encoded_with(["version"], None), "cannot be read"),
         (encoded_with(["routes", 0, "route_type"], "other"), "cannot be read"),
+        (encoded_with(["version"], 1 << 64), "cannot be read"),
+        (encoded_with(["routes", 0, "timeout_ms"], 10**400), "cannot be read"),
+        (encoded_with(["routes", 0, "max_attempts"], 1 << 64), "cannot be read"),
+        (encoded_with(["services", 0, "engine", "slots"], 1 << 64), "cannot be read"),
+        (encoded_with(["limits", "idle_timeout_ms"], 10**400), "cannot be read"),
+        (encoded_with(["limits", "max_body_bytes"], -1), "cannot be read"),
+        (encoded_with(["tenants", 0, "burst"], 10**400), "cannot be read"),
         (encoded_with(["routes", 0, "timeout_ms"], 0), "timeout"),
         (
             encoded_with(["routes", 0, "backends", 0, "service"], "s9"),
@@ -192,6 +199,20 @@
         {"born": 1.5},
         {"zone": 3},
         {"version": 3},
+        {"born": 1 << 64},
+        {"born": 0x9C41D07BE2A35F68_9C41D07BE2A35F68},
+        # In microseconds.
+        {"born": 1786193390232000},
+        {"born": -1},
+        {"seq": 1 << 64},
+        {"slots": 1 << 64},
+        {"leaves_ms": 1e30},
+        {"leaves_ms": -1.0},
+        {"leaves_ms": "soon"},
+        {"service": "s" * 300},
+        {"zone": "z" * 300},
+        {"version": "v" * 300},
+        {"preemptible": 1},
     ],
 )
 def test_a_heartbeat_with_an_invalid_field_is_rejected(fields):
@@ -218,3 +239,9 @@
 )
 def test_a_departure_may_name_an_incarnation(body, expected):
     assert parse_departure(body) == expected
+
+
+@pytest.mark.parametrize("born", [1 << 64, -1, 1786193390232000, "now"])
+def test_a_departure_of_an_impossible_incarnation_is_rejected(born):
+    with pytest.raises(CallerError):
+        parse_departure(msgspec.json.encode({"born": born}))
--- a/tests/adapter/test_requests.py
+++ b/tests/adapter/test_requests.py
@@ -103,7 +103,10 @@
     assert parse(Deadline_Ms=value).deadline == pytest.approx(NOW + remaining_s)
 
 
-@pytest.mark.parametrize("value", [None, "", "many", "1,", "a:b", "a:,:9"])
+@pytest.mark.parametrize(
+    "value",
+    [None, "", "many", "1,", "a:b", "a:,:9", "a:\xb2", "-5,-5", f"a:{'9' * 4500}"],
+)
 def test_invalid_token_counts_and_prefixes_are_ignored(value):
     parsed = parse(Token_Usage=value, Prefix_Hash=value)
     assert (parsed.prompt_tokens, parsed.output_tokens, parsed.prompt_parts) == (
