End tunnelled answers only where the upstream has ended

Cause: the end of a tunnel was inferred from the WebSocket closure. The library counts the codes 1000 and 1001 as normal ones; its server sends 1001 when it stops, and 1000 when the function that serves a connection returns, as it did when the upstream was lost while a request was sent to it.

Change: the relay at the end of a tunnel states the end of the upstream's connection, with a reason of its own; every other closure breaks the answer. A connection that another task has closed counts as lost too.

Ruled out: that the upstream's connection is closed and its end passed on.

It works since the statement can only be sent by the code that has read the end of the upstream's connection. Through a relay of an earlier build an answer without a length counts as broken off, as that relay states nothing.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -223,7 +223,11 @@
                 data = await self._stream.receive(READ_BYTES)
             except anyio.EndOfStream:
                 data = b""
-            except (anyio.BrokenResourceError, OSError) as error:
+            except (
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                OSError,
+            ) as error:
                 self._must_close = True
                 raise BrokenExchangeError(
                     "connection lost before the end of the response"
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/tests/test_tunnels.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/tests/test_tunnels.py
@@ -8,9 +8,10 @@
 
 from cranberryfield.core.http1 import open_stream
 from cranberryfield.core.mesh import Mesh, tunnels
+from cranberryfield.core.mesh import mesh as mesh_module
 from cranberryfield.core.mesh.tunnels import TunnelError
 from cranberryfield.core.messages.links import Hello
-from cranberryfield.core.messages.tunnels import TunnelFailure
+from cranberryfield.core.messages.tunnels import TunnelFailure, TunnelReply
 from standins.processes import free_port
 
 KEY = "a-key-of-the-mesh"
@@ -181,3 +182,117 @@
         return caught.value.failure
 
     assert anyio.run(main) is TunnelFailure.UNAVAILABLE
+
+
+async def end_of_tunnel(end):
+    """Open a tunnel to a process that ends it as `end` does; return what is received.
+
+    `end` gets the connection and the scope of the process that listens.
+    """
+    received, listening = anyio.Event(), anyio.CancelScope()
+    mesh = make_mesh("exit")
+    mesh_address = f"127.0.0.1:{free_port()}"
+
+    async def serve(connection, handler):
+        await connection.recv()
+        await connection.send(tunnels._encode(TunnelReply(None)))
+        await connection.send(b"part")
+        await received.wait()
+        await end(connection, listening)
+
+    async def listen(*, task_status=anyio.TASK_STATUS_IGNORED):
+        with listening:
+            await mesh.listen(mesh_address, task_status=task_status)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(mesh_module, "serve_tunnel", serve)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(listen)
+            tunnel = await make_mesh("entry").open_tunnel(mesh_address, "u:1")
+            assert await tunnel.receive() == b"part"
+            received.set()
+            with anyio.fail_after(10):
+                result = await read_all(tunnel)
+            tasks.cancel_scope.cancel()
+            return result
+
+
+def closing(*arguments):
+    async def end(connection, scope):
+        await connection.close(*arguments)
+
+    return end
+
+
+async def stop_process(connection, scope):
+    scope.cancel()
+    await anyio.sleep_forever()
+
+
+async def return_early(connection, scope):
+    pass
+
+
+async def fail(connection, scope):
+    raise KeyError("upstream")
+
+
+async def drop_connection(connection, scope):
+    connection.transport.abort()
+
+
+ENDS = {
+    "upstream has ended": (closing(1000, tunnels.END_REASON), "complete"),
+    "normal closure": (closing(), "broken"),
+    "other reason": (closing(1000, "bye"), "broken"),
+    "going away": (closing(1001), "broken"),
+    "going away, with the reason": (closing(1001, tunnels.END_REASON), "broken"),
+    "internal error": (closing(1011), "broken"),
+    "service restart": (closing(1012), "broken"),
+    "private code": (closing(4000), "broken"),
+    "process stops": (stop_process, "broken"),
+    "handler returns": (return_early, "broken"),
+    "handler fails": (fail, "broken"),
+    "connection is lost": (drop_connection, "broken"),
+}
+
+
+# Guards against MIXED: a part of an answer without a length looked complete, since the
+# process that it led through had stopped.
+@pytest.mark.parametrize(("end", "expected"), ENDS.values(), ids=ENDS)
+def test_only_the_end_of_the_upstream_ends_a_tunnel_in_good_order(end, expected):
+    assert anyio.run(end_of_tunnel, end) == (b"", expected)
+
+
+# Guards against an upstream whose loss is noticed first while a request is sent to it.
+def test_loss_of_the_upstream_while_sending_breaks_the_tunnel():
+    class LostUpstream(anyio.abc.ByteStream):
+        async def send(self, item):
+            raise anyio.BrokenResourceError
+
+        async def receive(self, max_bytes=65536):
+            await anyio.sleep_forever()
+
+        async def send_eof(self):
+            pass
+
+        async def aclose(self):
+            pass
+
+    async def connect(address):
+        return LostUpstream()
+
+    async def main():
+        mesh = make_mesh("exit")
+        mesh.handle_tunnels(connect)
+        mesh_address = f"127.0.0.1:{free_port()}"
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(mesh.listen, mesh_address)
+            tunnel = await make_mesh("entry").open_tunnel(mesh_address, "127.0.0.1:1")
+            await tunnel.send(b"request")
+            with anyio.fail_after(10):
+                end = await read_all(tunnel)
+            tasks.cancel_scope.cancel()
+        return end
+
+    assert anyio.run(main) == (b"", "broken")
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/tunnels.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/tunnels.py
@@ -8,7 +8,6 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import (
     ConnectionClosed,
-    ConnectionClosedOK,
     WebSocketException,
 )
 
@@ -50,8 +49,16 @@
 #: Time in which the first bytes follow the opening of a tunnel, in seconds. Later ones
 #: have been held up, and their sender may have given up.
 FIRST_BYTES_TIMEOUT_S = 1.0
+#: Code and reason with which a tunnel is closed when the upstream has ended its
+#: connection in good order. Every other end is a loss: libraries take further codes
+#: for normal ones, and servers send some of them by themselves.
+END_CLOSE_CODE = 1000
+END_REASON = "end of the upstream's connection"
 BROKEN_CLOSE_CODE = 1011
 
+#: Errors of a connection to an upstream that has not ended in good order.
+LOST_UPSTREAM = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
 logger = structlog.get_logger(__name__)
 
 
@@ -84,6 +91,16 @@
     return encode_frame((Envelope(EnvelopeKind.SEND, 0, message),))
 
 
+def _is_end_of_upstream(error: ConnectionClosed) -> bool:
+    """Return whether the other process has said that the upstream has ended."""
+    received = error.rcvd
+    return (
+        received is not None
+        and received.code == END_CLOSE_CODE
+        and received.reason == END_REASON
+    )
+
+
 class TunnelStream(ByteStream):
     """Byte stream to an upstream through another process.
 
@@ -104,12 +121,20 @@
             raise anyio.BrokenResourceError from error
 
     async def receive(self, max_bytes: int = READ_BYTES) -> bytes:
-        """Receive the next bytes, as many as the other process has read at once."""
+        """Receive the next bytes, as many as the other process has read at once.
+
+        Raises
+        ------
+        anyio.EndOfStream
+            If the upstream has ended its connection in good order.
+        anyio.BrokenResourceError
+            If the tunnel ends in any other way.
+        """
         try:
             return await self._connection.recv(decode=False)
-        except ConnectionClosedOK as error:
-            raise anyio.EndOfStream from error
         except ConnectionClosed as error:
+            if _is_end_of_upstream(error):
+                raise anyio.EndOfStream from error
             raise anyio.BrokenResourceError from error
 
     async def send_eof(self) -> None:
@@ -212,6 +237,8 @@
     try:
         await connection.send(_encode(TunnelReply(None)))
         await _forward(connection, upstream)
+        # Without effect if the tunnel has been closed already.
+        await connection.close(BROKEN_CLOSE_CODE)
     except ConnectionClosed:
         # The other process has closed the tunnel, as its caller has left.
         logger.debug("tunnel closed", address=request.address)
@@ -230,7 +257,7 @@
                 while True:
                     await upstream.send(data)
                     data = await connection.recv(decode=False)
-            except (ConnectionClosed, TimeoutError, anyio.BrokenResourceError, OSError):
+            except (ConnectionClosed, TimeoutError, *LOST_UPSTREAM):
                 tasks.cancel_scope.cancel()
 
         tasks.start_soon(forward_requests)
@@ -238,8 +265,8 @@
             while True:
                 await connection.send(await upstream.receive(READ_BYTES))
         except anyio.EndOfStream:
-            await connection.close()
-        except (anyio.BrokenResourceError, OSError):
+            await connection.close(END_CLOSE_CODE, END_REASON)
+        except LOST_UPSTREAM:
             await connection.close(BROKEN_CLOSE_CODE)
         except ConnectionClosed:
             logger.debug("tunnel closed while a response was sent")
--- a/standins/platform_cluster.py
+++ b/standins/platform_cluster.py
@@ -95,10 +95,19 @@
         Further lines of the settings of each host.
     slots : int
         Slots that runners announce.
+    stop_s : float
+        Time that a process has to stop, in seconds.
     """
 
-    def __init__(self, folder: Path, settings: Sequence[str] = (), slots: int = 8):
+    def __init__(
+        self,
+        folder: Path,
+        settings: Sequence[str] = (),
+        slots: int = 8,
+        stop_s: float = 8.0,
+    ):
         self.folder = folder
+        self._stop_s = stop_s
         self._settings = settings
         self._slots = slots
         self.runner_port = free_port()
@@ -136,7 +145,7 @@
             f"seeds: {msgspec.json.encode(seeds).decode()}",
             "first_start: true",
             f'metrics: "{ip_address}:{self.metrics_port}"',
-            "stop_s: 8",
+            f"stop_s: {self._stop_s}",
             *self._settings,
         ]
         if name in RELAYS:
@@ -347,13 +356,16 @@
 
 @contextmanager
 def running_cluster(
-    folder: Path, settings: Sequence[str] = (), slots: int = 8
+    folder: Path,
+    settings: Sequence[str] = (),
+    slots: int = 8,
+    stop_s: float = 8.0,
 ) -> Iterator[Cluster]:
     """Run a cluster whose relays serve requests and stop it on exit.
 
     See `Cluster` for the parameters.
     """
-    cluster = Cluster(folder, settings, slots)
+    cluster = Cluster(folder, settings, slots, stop_s)
     try:
         cluster.start()
         wait_until(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -13,12 +13,14 @@
     "CRASH_PART",
     "CRASH_WORD",
     "DURATION_HEADER",
+    "INTERVAL_HEADER",
     "LEAVING_SUFFIX",
     "LIMIT_SUFFIX",
     "PAUSE_SUFFIX",
     "REFUSED_WORD",
     "STREAM_EVENTS",
     "STREAM_PATH",
+    "UNFRAMED_HEADER",
     "EchoRunner",
 ]
 
@@ -49,6 +51,10 @@
 STREAM_PATH = "/stream/"
 STREAM_EVENTS = 20
 EVENT_INTERVAL_S = 0.05
+#: Request headers with another time between two events, in milliseconds, and of a
+#: stream whose response has no length and ends with its connection.
+INTERVAL_HEADER = "Event-Ms"
+UNFRAMED_HEADER = "Unframed"
 MISDIRECTED = 421
 REFUSED = 503
 
@@ -87,7 +93,7 @@
         if crashes:
             os._exit(CRASH_EXIT_CODE)
         if self.path.startswith(STREAM_PATH):
-            self._stream(int(headers.get("last-event-id") or 0))
+            self._stream(headers)
             return
         body = json.dumps({"headers": headers, "path": self.path}).encode()
         self.send_response(200)
@@ -105,18 +111,28 @@
 
     do_POST = do_GET  # noqa: N815 - the name that the library calls
 
-    def _stream(self, last_event: int) -> None:
+    def _stream(self, headers: dict[str, str]) -> None:
+        last_event = int(headers.get("last-event-id") or 0)
+        interval_ms = headers.get(INTERVAL_HEADER.lower())
+        interval_s = float(interval_ms) / 1000 if interval_ms else EVENT_INTERVAL_S
+        is_framed = UNFRAMED_HEADER.lower() not in headers
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        if is_framed:
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.send_header("Connection", "close")
         self.send_header("Attempt-Id", self.headers["Attempt-Id"])
         self.send_header("Server-Signature", "signed")
         self.end_headers()
         for number in range(last_event + 1, STREAM_EVENTS + 1):
             event = f"id: {number}\ndata: {self.runner_id}\n\n".encode()
-            self.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
-            time.sleep(EVENT_INTERVAL_S)
-        self.wfile.write(b"0\r\n\r\n")
+            if is_framed:
+                event = b"%x\r\n" % len(event) + event + b"\r\n"
+            self.wfile.write(event)
+            time.sleep(interval_s)
+        if is_framed:
+            self.wfile.write(b"0\r\n\r\n")
 
     def _record(self, headers: dict[str, str], *words: str) -> None:
         request = [headers["attempt-id"], str(headers.get("tenant"))]
