Acknowledge departures when most control hosts know of them

Cause: the departure was noted in the memory of one process and told to others 20 ms later, while the call was acknowledged at once. An upstream does not say it again.

Change: a departure, and a heartbeat of an upstream that leaves, are published at once, and acknowledged when a majority of the control hosts has replied that it knows. If too few reply in time the call gets 503, and the upstream calls another host. A host that does not know the upstream, as it has just started, asks the others first.

Ruled out: that others heard of it and took the upstream back (no log of another host names the departure); an entry in the replicated log, as it needs a leader and a sync of each disk for what the registry keeps in memory.

It works since two hosts may be lost at once, and a majority of five leaves one that knows and tells the relays within a comparison of tables.

--- a/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/messages/membership.py
@@ -106,9 +106,18 @@
 
 
 class AskUpstreams(Message):
-    """Requests the table of upstreams if its digest differs from `digest`."""
+    """Requests the table of upstreams if its digest differs from `digest`.
+
+    Attributes
+    ----------
+    digest : int
+        Digest of the sender's table.
+    upstreams : tuple of UpstreamId
+        Only these are wanted; empty for all.
+    """
 
     digest: int
+    upstreams: tuple[UpstreamId, ...] = ()
 
 
 class Renewal(NestedRecord):
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -170,7 +170,7 @@
         version_store.load()
         runtime = ControlRuntime.from_config(config, mesh, board, clock, rng, names)
         table = board.add(RegistryTable())
-        publisher = RegistryPublisher(table, mesh, clock)
+        publisher = RegistryPublisher(table, mesh, names, clock)
         suspects = board.add(QuarantineSection())
         suspect_store = SuspectStore(data_folder, suspects, clock, wall_clock)
         suspect_store.load()
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/protocol_adapter.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/protocol_adapter.py
@@ -36,10 +36,11 @@
     read_deployment : callable
         Returns the deployment with the highest acknowledged version.
     announce : callable
-        Registers an announcement of an upstream.
+        Registers an announcement of an upstream. If it leaves, most control hosts
+        know it at the end.
     depart : callable
         Marks an upstream as leaving; if an incarnation is given, only that
-        incarnation.
+        incarnation. Most control hosts know it at the end.
     begin_rollout : callable, optional
         Commits the order of a rollout; the leader states when it has begun and which
         versions serve. None if the deployment has no rollouts.
@@ -49,8 +50,8 @@
 
     declare_deployment: Callable[[DeclareDeployment], Awaitable[DeploymentDeclared]]
     read_deployment: Callable[[], Awaitable[DeploymentView]]
-    announce: Callable[[UpstreamRecord], None]
-    depart: Callable[[UpstreamId, int | None], None]
+    announce: Callable[[UpstreamRecord], Awaitable[None]]
+    depart: Callable[[UpstreamId, int | None], Awaitable[None]]
     begin_rollout: Callable[[BeginRollout], Awaitable[RolloutBegun]] | None = None
     read_rollout: Callable[[ServiceName], Awaitable[RolloutView]] | None = None
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/publisher.py
@@ -7,13 +7,14 @@
 from cranberryfield.core.errors import CallerError, ErrorKind
 from cranberryfield.core.ids import NodeId, UpstreamId
 from cranberryfield.core.loop_monitor import timed_step
-from cranberryfield.core.mesh import Mesh
+from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.links import Hello
 from cranberryfield.core.messages.membership import (
     AskUpstreams,
     UpstreamRecord,
     UpstreamUpdate,
 )
+from cranberryfield.entry.registry.confirmation import LeavingConfirmer
 from cranberryfield.entry.registry.record_checks import (
     find_record_fault,
     usable_records,
@@ -51,28 +52,40 @@
         Owned by this object.
     mesh : Mesh
         Links to other processes.
+    names : ControlHostNames
+        Names of the control hosts.
     clock : Clock
         Monotonic time.
     """
 
-    def __init__(self, table: RegistryTable, mesh: Mesh, clock: Clock):
+    def __init__(
+        self,
+        table: RegistryTable,
+        mesh: Mesh,
+        names: ControlHostNames,
+        clock: Clock,
+    ):
         self._table = table
         self._mesh = mesh
         self._clock = clock
         self._changed: set[UpstreamId] = set()
         self._renewed: set[UpstreamId] = set()
         self._wake = anyio.Event()
+        self._confirmer = LeavingConfirmer(table, mesh, names)
         mesh.handle(UpstreamUpdate, self._on_update)
         mesh.handle(AskUpstreams, self._on_ask_upstreams)
         mesh.watch_links(self._on_link)
 
-    def announce(self, record: UpstreamRecord) -> None:
+    async def announce(self, record: UpstreamRecord) -> None:
         """Record an announcement received by this host and publish changes.
 
         Raises
         ------
         CallerError
             Of kind ``bad_request`` if the record names no upstream to use.
+        UnavailableError
+            Of kind ``not_ready`` if the upstream leaves and too few other control
+            hosts are known to have heard of it.
         """
         fault = find_record_fault(record)
         if fault is not None:
@@ -89,14 +102,37 @@
                 sequence=record.sequence,
                 leaving=record.leaving,
             )
-            self._enqueue_change(record.upstream)
+            if record.leaving:
+                self._publish({record.upstream})
+            else:
+                self._enqueue_change(record.upstream)
+        if record.leaving:
+            await self._confirm_leaving(record.upstream)
+
+    async def depart(self, upstream: UpstreamId, incarnation: int | None) -> None:
+        """Record that an upstream is leaving and publish it.
 
-    def depart(self, upstream: UpstreamId, incarnation: int | None) -> None:
-        """Record that an upstream is leaving and publish it."""
+        Raises
+        ------
+        UnavailableError
+            Of kind ``not_ready`` if too few other control hosts are known to have
+            heard of it.
+        """
+        if upstream not in self._table.entries:
+            # This host may have started just now.
+            for sender, update in await self._confirmer.find(upstream):
+                self._on_update(sender, update)
         record = mark_leaving(self._table, upstream, incarnation, self._clock())
         if record is not None:
             logger.info("upstream departed", upstream=upstream)
-            self._enqueue_change(upstream)
+            self._publish({upstream})
+        await self._confirm_leaving(upstream)
+
+    async def _confirm_leaving(self, upstream: UpstreamId) -> None:
+        """Wait until an upstream's departure outlasts the loss of this host."""
+        entry = self._table.entries.get(upstream)
+        if entry is not None and entry.record.leaving:
+            await self._confirmer.confirm(entry.record)
 
     def _enqueue_change(self, upstream: UpstreamId) -> None:
         self._changed.add(upstream)
@@ -115,15 +151,19 @@
             await anyio.sleep(BATCH_DELAY_S)
             self._wake = anyio.Event()
             changed, self._changed = self._changed, set()
-            update = self._make_update(changed)
-            for peer in self._mesh.peers:
-                self._mesh.send(peer.node, update)
+            self._publish(changed)
+
+    def _publish(self, upstreams: set[UpstreamId]) -> None:
+        update = self._make_update(upstreams)
+        for peer in self._mesh.peers:
+            self._mesh.send(peer.node, update)
 
     async def _forget_loop(self) -> None:
         while True:
             await anyio.sleep(FORGET_INTERVAL_S)
             for upstream in forget_silent(self._table, self._clock()):
                 logger.info("upstream forgotten", upstream=upstream)
+            self._confirmer.forget_unknown()
 
     async def _renewal_loop(self) -> None:
         """Report upstreams that announced themselves here to other control hosts."""
@@ -172,6 +212,9 @@
             silent = find_silent(self._table, self._clock())
             silent_ms = {one: int(age_s * MS_PER_S) for one, age_s in silent.items()}
             return UpstreamUpdate((), (), silent_ms)
+        asked = set(message.upstreams)
+        if asked and asked <= self._table.entries.keys():
+            return self._make_update(asked)
         return self._make_update(set(self._table.entries))
 
     def _on_link(self, peer: Hello, is_open: bool) -> None:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_record_checks.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_record_checks.py
@@ -110,10 +110,11 @@
 @pytest.mark.parametrize(("field", "value"), UNUSABLE, ids=unusable_ids())
 def test_control_host_refuses_an_unusable_announcement(field, value):
     mesh, table = DeliveringMesh(), RegistryTable()
-    publisher = RegistryPublisher(table, mesh, lambda: 2.0)
+    names = ControlHostNames.from_list(["c1"])
+    publisher = RegistryPublisher(table, mesh, names, lambda: 2.0)
     with pytest.raises(CallerError):
-        publisher.announce(record(**{field: value}))
-    publisher.announce(SOUND)
+        anyio.run(publisher.announce, record(**{field: value}))
+    anyio.run(publisher.announce, SOUND)
     assert list(table.entries) == ["u2"]
 
 
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_replica.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/registry/tests/test_replica.py
@@ -109,7 +109,8 @@
 @pytest.mark.parametrize(("sender", "is_published"), [("r1", True), ("c2", False)])
 def test_control_host_publishes_what_relays_were_told(sender, is_published):
     mesh, table = RecordingMesh([("r1", "relay"), ("c2", "control")]), RegistryTable()
-    publisher = RegistryPublisher(table, mesh, lambda: 2.0)
+    names = ControlHostNames.from_list(["c1", "c2"])
+    publisher = RegistryPublisher(table, mesh, names, lambda: 2.0)
     accept_record(table, record(), 1.0)
     mesh.deliver(sender, UpstreamUpdate((record(leaving=True),), (0,)))
     assert not table.active_upstreams("s")
--- a/tests/test_relay_stops.py
+++ b/tests/test_relay_stops.py
@@ -110,3 +110,30 @@
     sequence = fleet.sequences[0]
     wait_until(lambda: fleet.sequences[0] > sequence, f"{leaving} announces itself")
     assert served_elsewhere()
+
+
+# Guards against DRAIN: an acknowledged departure was lost with the control host that
+# was killed at once, and requests went on to the runner that was gone.
+@pytest.mark.parametrize("control", ["control-1", "control-3"])
+def test_an_acknowledged_departure_outlasts_its_control_host(cluster, fleet, control):
+    leaving = fleet.runner_ids[1 if control == "control-1" else 2]
+    process = cluster.processes[control]
+    assert cluster.depart(control, leaving)
+    process.kill()
+    try:
+        wait_until(
+            lambda: all(knows_leaving(cluster, relay, leaving) for relay in RELAYS),
+            f"the relays know that {leaving} leaves",
+            timeout_s=10.0,
+        )
+    finally:
+        process.start()
+
+
+def knows_leaving(cluster, relay, upstream):
+    """Return whether the last that a relay has heard of an upstream is its leaving."""
+    lines = cluster.processes[relay].log.read_text().splitlines()
+    told = [
+        one for one in lines if '"upstream known"' in one and f'"{upstream}"' in one
+    ]
+    return '"leaving": true' in told[-1].replace('"leaving":true', '"leaving": true')
