Apply the limits of a deployment as soon as it is in force

Cause: the limits were taken from the deployment while a request was handled, and one that exceeds the former limits is refused before that. Also, the parser of a connection kept the limit of the moment at which it was opened, and an idle connection the timeout of that moment.

Change: the limits are applied when a deployment comes into force, and hold for open connections. Until the first one they are provisional: nothing is denied by them, a larger request gets 503 with Retry-After.

Ruled out: that the deployment does not reach the relay (it logs it in force and serves small requests).

It works since a relay serves only under a deployment, and from that moment on its limits are the only ones.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -30,9 +30,16 @@
 WRITE_TIMEOUT_S = 10.0
 #: Pause after an error of the listener, in seconds.
 ACCEPT_RETRY_S = 0.05
+PROVISIONAL_HEADER_BYTES = 1 << 20
+PROVISIONAL_TIMEOUT_S = 60.0
+#: Retry delay of requests that exceed provisional limits, in seconds.
+PROVISIONAL_RETRY_S = 1
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+NOT_READY = 503
+#: The parser has no limit of its own, as the limits may change while it lives.
+MAX_PARSER_BYTES = 1 << 30
 
 #: Errors of a connection that the peer or the network has ended.
 LOST_CONNECTION = (
@@ -46,12 +53,30 @@
 
 @dataclass(slots=True)
 class ServerLimits:
-    """Limits on the size of requests, in bytes, and read timeouts, in seconds."""
+    """Limits on the size of requests, in bytes, and read timeouts, in seconds.
+
+    Attributes
+    ----------
+    is_provisional : bool
+        Whether the limits in force are not known yet. Nothing is denied by provisional
+        ones: a larger request is refused for now, with 503.
+    """
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 << 20
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    is_provisional: bool = False
+
+    @classmethod
+    def provisional(cls) -> "ServerLimits":
+        """Return limits that protect the process until those in force are known."""
+        return cls(
+            max_header_bytes=PROVISIONAL_HEADER_BYTES,
+            header_timeout_s=PROVISIONAL_TIMEOUT_S,
+            idle_timeout_s=PROVISIONAL_TIMEOUT_S,
+            is_provisional=True,
+        )
 
 
 @dataclass(slots=True)
@@ -277,15 +302,13 @@
         self._stream = stream
         self._handler = handler
         self._state = state
-        self._connection = self._new_parser()
+        self._connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_PARSER_BYTES
+        )
+        self._unparsed_bytes = 0
         self._pipelined = bytearray()
         self._received_eof = False
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._state.limits.max_header_bytes
-        )
-
     async def run(self) -> None:
         """Handle requests until the connection has to be closed."""
         while True:
@@ -308,24 +331,40 @@
         """Wait for data of a request; return False if the connection must close."""
         if self._connection.trailing_data[0] or self._pipelined:
             return True
-        received = False
+        idle_since = anyio.current_time()
+        while True:
+            deadline = idle_since + self._state.limits.idle_timeout_s
+            if anyio.current_time() >= deadline:
+                return False
+            is_over, received = await self._wait_until(deadline)
+            # The limit may have grown in the meantime.
+            if is_over:
+                return received
+
+    async def _wait_until(self, deadline: float) -> tuple[bool, bool]:
+        """Wait for bytes, the end of the connection, a stop of the server, or a time.
+
+        Returns whether it was another end than the time, and whether it was bytes.
+        """
+        is_over = received = False
 
         async def receive() -> None:
-            nonlocal received
+            nonlocal is_over, received
             received = await self._receive()
+            is_over = True
             tasks.cancel_scope.cancel()
 
         async def stop() -> None:
+            nonlocal is_over
             await self._state.stop_event.wait()
+            is_over = True
             tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
-            tasks.cancel_scope.deadline = (
-                anyio.current_time() + self._state.limits.idle_timeout_s
-            )
+            tasks.cancel_scope.deadline = deadline
             tasks.start_soon(receive)
             tasks.start_soon(stop)
-        return received
+        return is_over, received
 
     async def _receive(self) -> bool:
         """Pass received bytes to the parser; return False at end of file."""
@@ -343,6 +382,7 @@
         return True
 
     def _feed(self, data: bytes) -> None:
+        self._unparsed_bytes += len(data)
         self._connection.receive_data(data)
 
     async def _next_event(self):
@@ -353,7 +393,10 @@
                 status = error.error_status_hint or BAD_REQUEST
                 raise _BadRequestError(status, str(error)) from error
             if event is not h11.NEED_DATA:
+                self._unparsed_bytes = 0
                 return event
+            if self._unparsed_bytes > self._state.limits.max_header_bytes:
+                raise self._too_large(HEADERS_TOO_LARGE, "head")
             if self._connection.they_are_waiting_for_100_continue:
                 interim_response = h11.InformationalResponse(
                     status_code=100, headers=[]
@@ -391,31 +434,41 @@
         headers = event.headers.raw_items()
         _refuse_ambiguous_headers(headers)
         size = sum(len(name) + len(value) for name, value in headers)
-        if size + len(event.target) > self._state.limits.max_header_bytes:
-            raise _BadRequestError(
-                HEADERS_TOO_LARGE, "request head exceeds the size limit of the server"
-            )
+        limits = self._state.limits
+        if size + len(event.target) > limits.max_header_bytes:
+            raise self._too_large(HEADERS_TOO_LARGE, "head")
         length = find_header(headers, b"content-length")
-        if length is not None and int(length) > self._state.limits.max_body_bytes:
-            raise _BadRequestError(
-                BODY_TOO_LARGE, "request body exceeds the size limit of the server"
-            )
+        is_too_large = length is not None and int(length) > limits.max_body_bytes
+        if is_too_large and not limits.is_provisional:
+            raise self._too_large(BODY_TOO_LARGE, "body")
         return RequestHead(event.method, event.target, headers)
 
+    def _too_large(self, status: int, part: str) -> _BadRequestError:
+        detail = f"request {part} exceeds the size limit of the server"
+        if self._state.limits.is_provisional:
+            return _BadRequestError(NOT_READY, f"{detail}, which is not known yet")
+        return _BadRequestError(status, detail)
+
     async def _read_body(self) -> bytes:
         parts = []
         size = 0
+        refusal = None
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
+                if refusal is not None:
+                    raise refusal
                 return b"".join(parts)
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._state.limits.max_body_bytes:
-                    raise _BadRequestError(
-                        BODY_TOO_LARGE,
-                        "request body exceeds the size limit of the server",
-                    )
+            if not isinstance(event, h11.Data):
+                continue
+            size += len(event.data)
+            if refusal is None and size > self._state.limits.max_body_bytes:
+                refusal = self._too_large(BODY_TOO_LARGE, "body")
+                if refusal.status != NOT_READY:
+                    raise refusal
+                # Read to its end, as unread bytes would cost the caller the answer.
+                parts.clear()
+            if refusal is None:
                 parts.append(bytes(event.data))
 
     async def _handle(
@@ -458,9 +511,12 @@
         logger.info("request refused", status=error.status, detail=error.detail)
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if error.status == NOT_READY:
+            headers.append((b"Retry-After", str(PROVISIONAL_RETRY_S).encode()))
         response = h11.Response(
             status_code=error.status,
-            headers=[(b"Content-Length", b"0"), (b"Connection", b"close")],
+            headers=headers,
         )
         data = self._connection.send(response) + self._connection.send(
             h11.EndOfMessage()
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -10,6 +10,7 @@
 from cranberryfield.core.clock import Clock, wall_clock
 from cranberryfield.core.config import ClusterConfig
 from cranberryfield.core.config.daemon import split_address
+from cranberryfield.core.deployment import Deployment
 from cranberryfield.core.errors import (
     CranberryfieldError,
     ErrorKind,
@@ -198,7 +199,8 @@
         self._slots = slots
         self._started_at = clock()
         self._stopping = False
-        self._server_state = ServerState()
+        self._server_state = ServerState(ServerLimits.provisional())
+        follower.watch(self._apply_limits)
 
     @classmethod
     def from_config(
@@ -493,13 +495,12 @@
                 retry_after_s=not_ready_retry_s(now - self._started_at, self._rng),
             )
         table = self._deployment.table
-        self._apply_limits()
         request = self._adapter.read_request(exchange, table, self._clock)
         request.is_ordered_by_cost = self._config.least_cost
         return request
 
-    def _apply_limits(self) -> None:
-        limits = self._deployment.table.deployment.limits
+    def _apply_limits(self, deployment: Deployment) -> None:
+        limits = deployment.limits
         self._server_state.limits = ServerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_relay_failures.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_relay_failures.py
@@ -36,7 +36,9 @@
     host = RelayHost(
         None,
         SimpleNamespace(answer_error=answer_error),
-        *[None] * 4,
+        None,
+        SimpleNamespace(watch=lambda watcher: None),
+        *[None] * 2,
         SimpleNamespace(handle=fail),
         *[None] * 5,
         Metrics(),
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/deployment/follower.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/deployment/follower.py
@@ -69,6 +69,7 @@
         self._was_current = False
         self._incoming: IncomingDeployment | None = None
         self._offered = anyio.Event()
+        self._watchers: list[Callable[[Deployment], None]] = []
         mesh.handle(DeploymentView, self._on_deployment_view)
 
     @property
@@ -76,6 +77,10 @@
         """Control host that last confirmed the deployment."""
         return self._leader
 
+    def watch(self, watcher: Callable[[Deployment], None]) -> None:
+        """Call `watcher` with each deployment that comes into force."""
+        self._watchers.append(watcher)
+
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
@@ -142,6 +147,8 @@
             installed = install_deployment(self._section, decode())
         if installed:
             logger.info("deployment in force", version=self._section.version)
+            for watcher in self._watchers:
+                watcher(self._section.table.deployment)
 
     async def _fetch_rest(self, node: NodeId) -> None:
         """Fetch the missing parts of a transfer from a host, and install it.
