Continue a stream only with an answer that is the rest of it

Cause: a stream that breaks off is resumed at the next upstream within the same answer. What that one answered was not checked: a body that is no stream was passed on as it arrived, since the head of the answer had been sent, and the attempt counted as a complete stream; events were passed on whatever their ids.

Change: a continuation has a status of success, the media type and content coding of the beginning, and a first event that follows the last one; no block of events has the head of another answer. Else the attempt is broken. No attempt follows a body that was passed on as it arrived.

It works since whatever follows a beginning has to name itself as its rest, and else no byte of it is sent.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempt_results.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempt_results.py
@@ -1,11 +1,12 @@
 """How an attempt on an upstream ended, and what its caller has got of the response."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from cranberryfield.core.http1 import Response, ResponseHead
 from cranberryfield.entry.relay.request import ResponseMetadata
+from cranberryfield.entry.relay.stream_continuation import EventSequence
 
 __all__ = [
     "SERVER_ERRORS",
@@ -69,10 +70,13 @@
         Sends the response head; called once, before the first event.
     send_events : callable
         Sends complete events.
-    is_head_sent : bool
-        Whether the head was sent.
-    last_event_id : str or None
-        Id of the last event sent.
+    head : ResponseHead or None
+        Head that was sent; None if none was.
+    is_stream : bool
+        Whether events follow that head. Else it is a body that is passed on as it
+        arrives, with which no other answer can go on.
+    sequence : EventSequence
+        Ids of the events that the caller has, of this answer or of an earlier one.
     events_sent : int
         Events sent.
     last_sent_at : float or None
@@ -83,12 +87,23 @@
 
     send_head: Callable[[ResponseHead], Awaitable[None]]
     send_events: Callable[[bytes], Awaitable[None]]
-    is_head_sent: bool = False
-    last_event_id: str | None = None
+    head: ResponseHead | None = None
+    is_stream: bool = False
+    sequence: EventSequence = field(default_factory=EventSequence)
     events_sent: int = 0
     last_sent_at: float | None = None
     longest_pause_s: float = 0.0
 
+    @property
+    def is_head_sent(self) -> bool:
+        """Whether the response has begun."""
+        return self.head is not None
+
+    @property
+    def last_event_id(self) -> str | None:
+        """Id of the last event that the caller has; None if it has none."""
+        return self.sequence.last_id
+
     def record_sent(self, count: int, now: float) -> None:
         """Count sent events and update the longest pause."""
         self.events_sent += count
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -32,6 +32,10 @@
     ResponseMetadata,
     UpstreamCodec,
 )
+from cranberryfield.entry.relay.stream_continuation import (
+    find_foreign_bytes,
+    find_head_fault,
+)
 
 __all__ = ["UpstreamTransport", "call_upstream", "stream_upstream"]
 
@@ -283,7 +287,7 @@
         parts.append(part)
         size += len(part)
         if size > MAX_BUFFERED_BYTES:
-            progress.is_head_sent = True
+            progress.head = exchange.head
             await progress.send_head(exchange.head)
             for kept in parts:
                 await progress.send_events(kept)
@@ -322,7 +326,7 @@
         ``STREAMED`` if the stream was complete; ``ANSWERED`` if the upstream
         responded with an error status instead of a stream.
     """
-    last_event_id = progress.last_event_id or request.last_event_id
+    last_event_id = progress.last_event_id
     try:
         exchange = await _open_exchange(
             transport, request, record, last_event_id, has_alternative
@@ -332,6 +336,10 @@
     except BrokenExchangeError as error:
         return _broken_result(error)
     early_result = _result_from_head(request, exchange)
+    if early_result is None and last_event_id is not None:
+        detail = _find_continuation_fault(progress, exchange.head)
+        if detail is not None:
+            return await _discard_response(transport, record, exchange, detail)
     if early_result is not None or exchange.head.status not in SUCCESS_STATUSES:
         return await _read_response(transport, request, record, exchange, progress)
     is_complete = False
@@ -363,6 +371,39 @@
             await exchange.connection.close()
 
 
+def _find_continuation_fault(
+    progress: StreamProgress, head: ResponseHead
+) -> str | None:
+    """Return why an answer cannot go on with a stream, as far as its head tells."""
+    if head.status in SUCCESS_STATUSES:
+        return find_head_fault(progress.head, head)
+    if progress.is_head_sent:
+        return f"{head.status} instead of the rest of the stream"
+    # The caller takes the stream up again, and can be told of the failure.
+    return None
+
+
+async def _discard_response(
+    transport: UpstreamTransport,
+    record: UpstreamRecord,
+    exchange: _PendingExchange,
+    detail: str,
+) -> RelayAttemptResult:
+    """Read an answer of which no byte may reach the caller."""
+    try:
+        await exchange.connection.read_body(MAX_DISCARDED_BYTES)
+    except BrokenExchangeError:
+        await exchange.connection.close()
+    except BaseException:
+        await exchange.connection.close()
+        raise
+    else:
+        await transport.pool.release(record.address, exchange.connection)
+    return RelayAttemptResult(
+        RelayAttemptOutcome.BROKEN, detail, metadata=exchange.metadata
+    )
+
+
 async def _forward_events(
     request: RelayRequest,
     exchange: _PendingExchange,
@@ -373,6 +414,7 @@
 ) -> None:
     """Forward events; `idle_scope` gets a deadline while a resumable stream is read."""
     buffer = EventBoundaryBuffer()
+    is_first = True
     stalled_at = clock() + STREAM_STALL_TIMEOUT_S
     while True:
         if request.route.resumable:
@@ -391,12 +433,19 @@
             raise BrokenExchangeError("stream sent an event that is too large")
         if not events.count:
             continue
+        fault = find_foreign_bytes(events)
+        if fault is None and is_first:
+            fault = progress.sequence.find_fault(events)
+        if fault is not None:
+            raise BrokenExchangeError(fault)
+        is_first = False
         stalled_at = clock() + STREAM_STALL_TIMEOUT_S
         on_events()
         if not progress.is_head_sent:
-            progress.is_head_sent = True
+            progress.head = exchange.head
+            progress.is_stream = True
             await progress.send_head(exchange.head)
-        progress.last_event_id = events.last_id or progress.last_event_id
+        progress.sequence.record(events)
         progress.record_sent(events.count, clock())
         await progress.send_events(events.data)
     if buffer.has_partial_event:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/event_boundaries.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/event_boundaries.py
@@ -12,9 +12,22 @@
 
 @dataclass(frozen=True, slots=True)
 class CompleteEvents:
-    """Unmodified bytes of complete events, the id of the last one, and a count."""
+    """Unmodified bytes of complete events, ids of the first and last, and a count.
+
+    Attributes
+    ----------
+    data : bytes
+        The events.
+    first_id : str or None
+        Id of the first event; None if it has none.
+    last_id : str or None
+        Id of the last event that has one.
+    count : int
+        Number of events.
+    """
 
     data: bytes
+    first_id: str | None
     last_id: str | None
     count: int
 
@@ -26,7 +39,7 @@
     --------
     >>> buffer = EventBoundaryBuffer()
     >>> buffer.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-    CompleteEvents(data=b'id: 1\ndata: a\n\n', last_id='1', count=1)
+    CompleteEvents(data=b'id: 1\ndata: a\n\n', first_id='1', last_id='1', count=1)
     >>> buffer.has_partial_event
     True
     """
@@ -51,12 +64,13 @@
         self._partial += chunk
         end = self._partial.rfind(_SEPARATOR, start)
         if end < 0:
-            return CompleteEvents(b"", None, 0)
+            return CompleteEvents(b"", None, None, 0)
         end += len(_SEPARATOR)
         complete_events = bytes(self._partial[:end])
         del self._partial[:end]
         return CompleteEvents(
             complete_events,
+            _last_id(complete_events.partition(_SEPARATOR)[0]),
             _last_id(complete_events),
             complete_events.count(_SEPARATOR),
         )
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -63,6 +63,7 @@
     may_rerun,
     may_try_another,
 )
+from cranberryfield.entry.relay.stream_continuation import EventSequence
 from cranberryfield.entry.relay.stream_origins import find_resumed_origin, may_go_on
 from cranberryfield.entry.relay.unavailability import unavailable_error
 from cranberryfield.entry.relay.upstream_chooser import RelayUpstreamChooser
@@ -261,7 +262,7 @@
             )
             state.charged_workspace = request.workspace
         state.admitted_at = self._clock()
-        progress = _stream_progress(exchange)
+        progress = _stream_progress(exchange, request.last_event_id)
         for _ in range(MAX_TOTAL_ATTEMPTS):
             record = await self._select_upstream(request, state)
             if record is None:
@@ -281,10 +282,11 @@
                     await _send_response(exchange, result.response)
                     return f"answered {result.response.status}"
                 state.fallback_response = result.response
-            elif (exchange.response_started and not is_stream) or not may_try_another(
-                request.route, result, state
-            ):
-                break
+            else:
+                # No other answer goes on with a body that is passed on as it arrives.
+                may_go_on = progress.is_stream or not exchange.response_started
+                if not (may_go_on and may_try_another(request.route, result, state)):
+                    break
         if state.fallback_response is not None and not exchange.response_started:
             await _send_response(exchange, state.fallback_response)
             return f"answered {state.fallback_response.status}"
@@ -502,11 +504,12 @@
         await self._send_error(exchange, error)
 
 
-def _stream_progress(exchange: Exchange) -> StreamProgress:
+def _stream_progress(exchange: Exchange, last_event_id: str | None) -> StreamProgress:
     async def send_head(head: ResponseHead) -> None:
         await exchange.start(head.status, remove_hop_by_hop(head.headers))
 
-    return StreamProgress(send_head, exchange.send)
+    sequence = EventSequence(last_event_id)
+    return StreamProgress(send_head, exchange.send, sequence=sequence)
 
 
 async def _send_response(exchange: Exchange, response: Response) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,7 +10,14 @@
 from standins.platform_cluster import CONTROL, RELAYS, Cluster
 from standins.proxy import FaultProxy
 
-__all__ = ["ALL_HOSTS", "CUT_OFF", "Fault", "draw_fault", "lose_power"]
+__all__ = [
+    "ALL_HOSTS",
+    "CUT_OFF",
+    "Fault",
+    "draw_fault",
+    "draw_host_fault",
+    "lose_power",
+]
 
 #: Maximum number of control hosts with a fault at the same time.
 MAX_FAULTY_CONTROL_HOSTS = 1
@@ -155,6 +162,13 @@
     duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
     if rng.random() < 0.4:
         return _draw_link_fault(link, portal, faulty, duration_s, rng)
+    return draw_host_fault(cluster, faulty, duration_s, rng)
+
+
+def draw_host_fault(
+    cluster: Cluster, faulty: set[str], duration_s: float, rng: Random
+) -> Fault | None:
+    """Draw a random fault of a host and inject it; see `draw_fault`."""
     node = rng.choice([*CONTROL, *RELAYS])
     group = CONTROL if node in CONTROL else RELAYS
     max_faulty = MAX_FAULTY_CONTROL_HOSTS if group is CONTROL else len(RELAYS) - 1
