Accept answers only where their request is certain

Cause here: a response without an id was taken for the answer to the present request on any connection, and a second request with one id could go out on the connection that had carried the first one.

Change: a response without an id counts only as the first one of its connection; a connection is not used for an id among the last 64 that it has carried.

Ruled out: refusals with another id (skipped before, 6 cases), and a second attempt of one request at an upstream that has refused it (never chosen).

It works since an answer then names a request that its connection has carried once.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -37,6 +37,8 @@
 #: Subtracted from the server's ``Keep-Alive`` timeout to allow for network
 #: delay, in seconds.
 KEEP_ALIVE_MARGIN_S = 1.0
+#: Requests whose ids a connection remembers.
+MAX_CARRIED_IDS = 64
 #: Maximum number of idle connections to one address.
 MAX_IDLE_PER_ADDRESS = 32
 
@@ -88,6 +90,7 @@
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._must_close = False
         self._exchange_count = 0
+        self._carried_ids: deque[str] = deque(maxlen=MAX_CARRIED_IDS)
         self.idle_since = 0.0
 
     @property
@@ -111,6 +114,14 @@
             and not self._connection.trailing_data[0]
         )
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent lately.
+
+        An answer that the server writes once more could not be told from that to a
+        second request with the id.
+        """
+        return request_id in self._carried_ids
+
     def is_open_at(self, now: float) -> bool:
         """Return whether the server is expected to still accept a request."""
         return now - self.idle_since < self._keep_alive_s and self._has_no_input()
@@ -124,9 +135,20 @@
         poller.register(raw.fileno(), select.POLLIN)
         return not poller.poll(0)
 
-    async def send(self, head: RequestHead, body: bytes) -> None:
+    async def send(
+        self, head: RequestHead, body: bytes, request_id: str | None = None
+    ) -> None:
         """Send a request.
 
+        Parameters
+        ----------
+        head : RequestHead
+            Head of the request.
+        body : bytes
+            Its body.
+        request_id : str, optional
+            Id that answers to it name.
+
         Raises
         ------
         BrokenExchangeError
@@ -135,6 +157,8 @@
         if self._exchange_count:
             self._connection.start_next_cycle()
         self._exchange_count += 1
+        if request_id is not None:
+            self._carried_ids.append(request_id)
         headers = head.headers
         if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
@@ -320,13 +344,17 @@
         default_factory=dict
     )
 
-    async def acquire(self, address: str) -> UpstreamConnection:
+    async def acquire(
+        self, address: str, request_id: str | None = None
+    ) -> UpstreamConnection:
         """Return an idle connection, or open a new one.
 
         Parameters
         ----------
         address : str
             ``IP:PORT``.
+        request_id : str, optional
+            Id of the request; a connection that has carried it is not returned.
 
         Returns
         -------
@@ -339,11 +367,19 @@
             If no connection can be opened within `connect_timeout_s`.
         """
         idle = self._idle_connections.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_open_at(self.clock()):
-                return connection
-            await connection.close()
+        kept = []
+        try:
+            while idle:
+                connection = idle.pop()
+                if not connection.is_open_at(self.clock()):
+                    await connection.close()
+                elif request_id is not None and connection.has_carried(request_id):
+                    kept.append(connection)
+                else:
+                    return connection
+        finally:
+            if kept:
+                idle.extend(reversed(kept))
         return await self.open(address)
 
     async def open(self, address: str) -> UpstreamConnection:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -109,7 +109,7 @@
     last_event_id: str | None,
     has_alternative: bool,
 ) -> _PendingExchange:
-    connection = await transport.pool.acquire(record.address)
+    connection = await transport.pool.acquire(record.address, request.id)
     try:
         if transport.may_send is not None and not transport.may_send(record):
             raise NotSentError("the version may not be used any more")
@@ -119,12 +119,15 @@
             request, record, max(1, time_left_ms), last_event_id
         )
         head = RequestHead(request.head.method, request.head.target, headers)
-        await connection.send(head, request.body)
+        await connection.send(head, request.body, request.id)
         for _ in range(MAX_STALE_RESPONSES + 1):
             response_head = await _read_head(
                 connection, time_left_ms / MS_PER_S, has_alternative
             )
             metadata = transport.codec.decode(response_head)
+            if metadata.request_id is None and connection.is_reused:
+                # It may answer an earlier request of the connection.
+                raise BrokenExchangeError("response without an id after earlier ones")
             if metadata.request_id in (None, request.id):
                 if not metadata.is_misdirected:
                     transport.on_answer(record, metadata, sent_at, connection.via)
