Confirm software versions of streams with most control hosts

In virtual time three other orders of events joined versions: a version known to a minority of the control hosts, an attempt at another version that nobody could be told of, and upstreams that begin to state versions while a relay is cut off.

Cause: relays told control hosts of versions and attempts without waiting for an answer, and believed the answers of a minority.

Change: a majority confirms each version once for each relay, and each attempt of a stream at another version, before it is sent; a majority has to answer where a stream is taken up (design 0084).

It works since any two majorities have a host in common.

--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -321,6 +321,12 @@
     ) -> UpstreamRecord | None:
         """Return the upstream of the next attempt; None if there may be none."""
         record = await self._chooser.choose(request, state)
+        while record is not None and not await self._may_begin_at(
+            record, request, state
+        ):
+            state.tried_processes.add(record.process)
+            self._give_back(record, request, state)
+            record = await self._chooser.choose(request, state)
         if record is None:
             if not state.tried_processes:
                 tokens_to_prefill = request.prompt_tokens
@@ -333,12 +339,31 @@
         if may_run and state.sent_attempts:
             may_run = spend_windowed_retry(self._budget, request.service, self._clock())
         if not may_run:
-            self._quarantine.release(state.fingerprint, record.upstream)
-            self._limiter.put_back(record)
-            self._chooser.release(request)
+            self._give_back(record, request, state)
             return None
         return record
 
+    def _give_back(
+        self, record: UpstreamRecord, request: RelayRequest, state: RelayRequestState
+    ) -> None:
+        """Give up an upstream that was chosen, before anything is sent there."""
+        self._quarantine.release(state.fingerprint, record.upstream)
+        self._limiter.put_back(record)
+        self._chooser.release(request)
+
+    async def _may_begin_at(
+        self, record: UpstreamRecord, request: RelayRequest, state: RelayRequestState
+    ) -> bool:
+        """Record where a stream begins, if it does; return whether it may."""
+        if not request.route.resumable or state.origin is not None:
+            return True
+        origin = StreamOrigin(record.service, record.software_version)
+        if not await self._streams.may_begin(origin):
+            return False
+        # Before the run, so that it is known when the caller has the first event.
+        self._streams.record(request.id, origin, request.deadline)
+        return await self._streams.may_change(request.id)
+
     def _refuse_if_quarantined(self, state: RelayRequestState) -> None:
         was_run = WasRun.YES if state.may_have_run else WasRun.NO
         error = self._quarantine.refusal(state, was_run)
@@ -362,10 +387,6 @@
         load.own_attempts[request.id] = attempt
         load.record_prompt_parts(tuple(part.id for part in request.prompt_parts))
 
-        if request.route.resumable and state.origin is None:
-            # Before the run, so that it is known when the caller has the first event.
-            origin = StreamOrigin(record.service, record.software_version)
-            self._streams.record(request.id, origin, request.deadline)
         started_at = self._clock()
         run = ObservedRun(state.fingerprint, state.prompt_parts, record, started_at)
         rollout_run = self._rollouts.begin(record, request.route.name)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/stream_origins.py
@@ -10,7 +10,6 @@
 from cranberryfield.entry.registry import RegistryTable
 from cranberryfield.entry.relay.request import RelayRequest
 from cranberryfield.entry.streams import (
-    FoundOrigin,
     StreamDirectory,
     StreamOrigin,
     known_versions,
@@ -55,18 +54,20 @@
     service = request.service
     longest_s = request.route.timeout_ms / MS_PER_S
     versions = known_versions(table, service)
-    answer = FoundOrigin(None, True)
-    # Without an id, only the versions are of use, if there are any.
-    if request.first_request or any(versions) or directory.states_versions(service):
-        answer = await directory.find(request.first_request or "", service, longest_s)
+    # This host may not know yet that upstreams state versions.
+    answer = await directory.find(request.first_request or "", service, longest_s)
     found, evidence = answer.origin, answer.evidence
     origin = None
     if not answer.is_contradicted:
         origin = resumed_origin(
-            found, service, versions | evidence.versions, evidence.is_complete
+            found,
+            service,
+            versions | evidence.versions,
+            evidence.is_complete,
+            evidence.has_majority or evidence.is_alone,
         )
     may_learn = False
-    if origin is None and found is not None:
+    if origin is None and found is not None and evidence.has_majority:
         detail = f"the stream was begun by {found.service}, which the route has left"
     elif origin is None:
         detail = "the software version that began the stream is not known"
@@ -81,10 +82,8 @@
         # Control hosts that have not answered, or told of no upstream yet, may do so
         # soon; else coming back is no use.
         is_only = len(versions | evidence.versions) == 1
-        may_learn = (
-            not versions
-            or bool(request.first_request and not answer.was_answered)
-            or (is_only and not evidence.has_majority)
+        may_learn = not versions or (
+            not evidence.has_majority and bool(is_only or request.first_request)
         )
     elif origin.software_version in evidence.in_service - versions:
         detail = "upstreams of the version that began the stream are not known yet"
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/directory.py
@@ -47,9 +47,8 @@
 COPIES = 2
 #: Time for control hosts to answer, in seconds. It is taken from the caller's time.
 ASK_TIMEOUT_S = 0.3
-#: Time for further answers once one control host knows the stream, in seconds. Another
-#: one may know of a later attempt.
-FURTHER_ANSWERS_S = 0.1
+#: Time after a question without enough answers until it is asked again, in seconds.
+UNCONFIRMED_S = 0.3
 FORGET_INTERVAL_S = 5.0
 #: Time after the end of a request for which its stream may still be asked for, as
 #: clocks of hosts differ, in seconds.
@@ -70,7 +69,9 @@
     """Tells control hosts what began each stream, and asks them.
 
     Two control hosts are told of each stream before it runs, and all of them of each
-    version, unless the upstreams of the service state no versions.
+    version, unless the upstreams of the service state no versions. What a majority has
+    to know before is confirmed: each version, and each attempt of a stream at another
+    version than the attempt before.
 
     Parameters
     ----------
@@ -106,6 +107,8 @@
         self._pending: dict[NodeId, tuple[_Receivers, Iterator[bytes]]] = {}
         self._wake = anyio.Event()
         self._watchers: list[Callable[[], None]] = []
+        self._confirmed: set[tuple[ServiceName, str]] = set()
+        self._unconfirmed_until: dict[tuple[ServiceName, str], float] = {}
         mesh.handle(StreamOrigins, self._on_origins)
         mesh.handle(AskStreamOrigin, self._on_ask)
         mesh.watch_links(self._on_link)
@@ -164,6 +167,76 @@
         receivers = self._control_hosts if has_changed else self._holders
         self._tell([request], receivers)
 
+    async def may_begin(self, origin: StreamOrigin) -> bool:
+        """Return whether streams may be sent to a version.
+
+        A majority of the control hosts has to know it. Another relay would else find
+        that there is one version only, and go on with the streams at that one.
+
+        Parameters
+        ----------
+        origin : StreamOrigin
+            Service and software version of an upstream.
+        """
+        service, version = key = (origin.service, origin.software_version)
+        self._note_version(service, version)
+        if not version or key in self._confirmed:
+            return True
+        if self._unconfirmed_until.get(key, float("-inf")) > self._clock():
+            return False
+
+        def knows(answer: StreamOrigins) -> bool:
+            return _says_nothing(answer) or any(
+                one.software_version == version for one in answer.versions
+            )
+
+        if await self._is_confirmed(AskStreamOrigin(b"", service), knows):
+            self._confirmed.add(key)
+            self._unconfirmed_until.pop(key, None)
+            return True
+        self._unconfirmed_until[key] = self._clock() + UNCONFIRMED_S
+        logger.warning("version not confirmed", service=service, version=version)
+        return False
+
+    async def may_change(self, request_id: str) -> bool:
+        """Return whether an attempt may be sent at another version than the one before.
+
+        Call it after `record`. A majority of the control hosts has to know of the
+        attempt, as some know of the earlier one.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+        """
+        request = _digest(request_id)
+        known = self._section.origins.get(request)
+        if known is None or not known.attempt:
+            return True
+        if not states_versions(self._served, known.origin.service):
+            return True
+
+        def knows(answer: StreamOrigins) -> bool:
+            return _says_nothing(answer) or any(
+                mark.attempt >= known.attempt for mark in answer.origins
+            )
+
+        question = AskStreamOrigin(request, known.origin.service)
+        if await self._is_confirmed(question, knows):
+            return True
+        logger.warning("attempt at another version not confirmed", request=request_id)
+        return False
+
+    async def _is_confirmed(
+        self, question: AskStreamOrigin, counts: Callable[[StreamOrigins], bool]
+    ) -> bool:
+        """Return whether the answers of most control hosts count."""
+        total = len(self._names.known())
+        if not total:
+            return True
+        answers = await self._ask(question, counts)
+        return 2 * len(answers) > total
+
     def states_versions(self, service: ServiceName) -> bool:
         """Return whether any upstream of a service has stated its version."""
         return states_versions(self._served, service)
@@ -315,13 +388,24 @@
         request = _digest(request_id) if request_id else b""
         own = find_origin(self._section, request)
         if own is not None:
-            return FoundOrigin(own, True)
+            return FoundOrigin.of_own(own)
+        answers = await self._ask(
+            AskStreamOrigin(request, service), lambda answer: True
+        )
+        return FoundOrigin.from_answers(answers, len(self._names.known()), longest_s)
+
+    async def _ask(
+        self, question: AskStreamOrigin, counts: Callable[[StreamOrigins], bool]
+    ) -> list[StreamOrigins]:
+        """Return the answers that count, of a majority or of all in reach.
+
+        Any majority has a host that knows of the last attempt of a stream.
+        """
         answers: list[StreamOrigins] = []
         async with anyio.create_task_group() as tasks:
 
             async def ask(node: NodeId) -> None:
                 try:
-                    question = AskStreamOrigin(request, service)
                     reply = await self._mesh.request(node, question, ASK_TIMEOUT_S)
                 except CranberryfieldError as error:
                     logger.info(
@@ -330,15 +414,18 @@
                         detail=error.detail,
                     )
                     return
+                if not counts(reply):
+                    return
                 answers.append(reply)
-                if reply.origins:
-                    scope = tasks.cancel_scope
-                    latest = anyio.current_time() + FURTHER_ANSWERS_S
-                    scope.deadline = min(scope.deadline, latest)
+                total = max(
+                    len(self._names.known()), *(one.control_hosts for one in answers)
+                )
+                if 2 * len(answers) > total:
+                    tasks.cancel_scope.cancel()
 
-            for node in self._control_hosts(request):
+            for node in self._control_hosts(question.request):
                 tasks.start_soon(ask, node)
-        return FoundOrigin.from_answers(answers, len(self._names.known()), longest_s)
+        return answers
 
     def _on_origins(self, sender: NodeId, message: StreamOrigins) -> None:
         now = self._clock()
@@ -370,6 +457,11 @@
         )
 
 
+def _says_nothing(answer: StreamOrigins) -> bool:
+    """Return whether the sender's build states neither versions nor attempts."""
+    return answer.reach_ms < 0
+
+
 def _make_mark(request: bytes, known: KnownOrigin, now: float) -> StreamOriginMark:
     return StreamOriginMark(
         request,
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/found_origin.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/found_origin.py
@@ -33,6 +33,11 @@
     is_contradicted: bool = False
     evidence: VersionEvidence = field(default=VersionEvidence(), compare=False)
 
+    @classmethod
+    def of_own(cls, origin: StreamOrigin) -> "FoundOrigin":
+        """Return the origin of a stream that this host has begun itself."""
+        return cls(origin, True, evidence=VersionEvidence(has_majority=True))
+
     @classmethod
     def from_answers(
         cls, answers: list[StreamOrigins], control_hosts: int, longest_s: float
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/section.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/section.py
@@ -124,6 +124,7 @@
     service: ServiceName,
     versions: Iterable[str],
     is_complete: bool,
+    has_majority: bool = True,
 ) -> StreamOrigin | None:
     """Return what began a stream that a caller takes up again.
 
@@ -137,6 +138,9 @@
         Software versions that have served it for as long as a stream may be taken up.
     is_complete : bool
         Whether no other version can have served it in that time.
+    has_majority : bool
+        Whether a majority of the control hosts has answered. Others may not know of a
+        later attempt, or that upstreams state versions now.
 
     Returns
     -------
@@ -161,7 +165,11 @@
     True
     >>> resumed_origin(None, "drafts", {""}, False) == StreamOrigin("drafts", "")
     True
+    >>> resumed_origin(begun, "drafts", {"v1"}, True, has_majority=False) is None
+    True
     """
+    if not has_majority:
+        return None
     if found is not None:
         return found if found.service == service else None
     versions = set(versions)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/streams/served_versions.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/streams/served_versions.py
@@ -163,12 +163,15 @@
     is_complete : bool
         Whether a majority of them knows all versions for as long as a stream may be
         taken up.
+    is_alone : bool
+        Whether no control host is known, so that there is nobody to ask.
     """
 
     versions: frozenset[str] = frozenset()
     in_service: frozenset[str] = frozenset()
     has_majority: bool = False
     is_complete: bool = False
+    is_alone: bool = False
 
 
 def combine_answers(
@@ -176,10 +179,10 @@
 ) -> VersionEvidence:
     """Combine the answers of control hosts.
 
-    A relay tells all control hosts in reach of a version before it sends a stream
-    there, and serves only while a majority is in touch. So any majority has one that
-    knows. An answer of a build that states no reach counts as complete, as that build
-    relies on the announcements that it passes on.
+    A relay sends streams to a version only once a majority of the control hosts has
+    said that it knows the version. So any majority has one that knows. An answer of a
+    build that states no reach counts as complete, as that build relies on the
+    announcements that it passes on.
 
     Parameters
     ----------
@@ -209,4 +212,5 @@
         frozenset(one.software_version for one in stated if one.is_in_service),
         2 * len(answers) > total,
         2 * len(complete) > total,
+        not total,
     )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -266,3 +266,56 @@
     except OSError:
         return False
     return True
+
+
+# Guards against ORDER: a relay that had stood still while upstreams of another version
+# joined took streams up that had begun there.
+@pytest.mark.parametrize("names_first", [True, False], ids=["named", "unnamed"])
+def test_a_relay_that_stood_still_joins_no_versions(cluster, names_first):
+    name = f"still-{names_first}"
+    with RunnerFleet(cluster, 2, prefix=f"{name}-a") as before:
+        wait_until(lambda: is_served(cluster, before, RELAYS[1]), RELAYS[1])
+        cluster.processes[RELAYS[1]].freeze()
+        try:
+            with RunnerFleet(cluster, 2, versions=["v9"], prefix=f"{name}-b") as joined:
+                streams = begin_at(cluster, RELAYS[0], name, joined)
+                cluster.processes[RELAYS[1]].thaw()
+                for request, events in streams.items():
+                    extra = {"Resumes": request} if names_first else {}
+                    status, rest = read_stream(
+                        cluster,
+                        RELAYS[1],
+                        f"{request}-again",
+                        **{"Last-Event-Id": str(events[-1][0]), **extra},
+                    )
+                    assert status in (OK, REFUSED)
+                    assert {one for _, one in rest} <= set(joined.runner_ids)
+                wait_until(
+                    lambda: take_up_some(cluster, streams, joined),
+                    f"{RELAYS[1]} goes on with a stream",
+                )
+        finally:
+            cluster.processes[RELAYS[1]].thaw()
+
+
+def begin_at(cluster, relay, name, fleet):
+    """Begin streams at a relay; return the first events of some at a fleet."""
+    streams = {}
+
+    def begin_another():
+        request = f"{name}-{time.monotonic_ns()}"
+        deadline = {"Deadline-Ms": str(LONG_DEADLINE_MS)}
+        status, events = read_stream(cluster, relay, request, 2, **deadline)
+        if status == OK and events[0][1] in fleet.runner_ids:
+            streams[request] = events
+        return len(streams) >= RUNNERS
+
+    wait_until(begin_another, f"{relay} begins streams at {fleet.runner_ids}")
+    return streams
+
+
+def take_up_some(cluster, streams, fleet):
+    """Return whether a stream goes on at the fleet at which it began."""
+    request, events = next(iter(streams.items()))
+    status, rest = take_up(cluster, RELAYS[1], request, events)
+    return status == OK and rest[0][1] in fleet.runner_ids
