Change the pool of connections only in steps that do not wait

Cause: the pool was changed connection by connection, with a wait at each, while other tasks use it. A KeyError ended the process when one task closed expired connections and another all of them; connections were also lost unclosed, and queues changed while they were iterated over.

Change: each operation takes the connections out in one step and then closes them; a cancelled task leaves none behind.

It works since no other task runs within a step.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -2,7 +2,7 @@
 
 import select
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -366,21 +366,38 @@
         NotSentError
             If no connection can be opened within `connect_timeout_s`.
         """
-        idle = self._idle_connections.get(address)
-        kept = []
+        connection, expired = self._take(address, request_id)
         try:
-            while idle:
-                connection = idle.pop()
-                if not connection.is_open_at(self.clock()):
-                    await connection.close()
-                elif request_id is not None and connection.has_carried(request_id):
-                    kept.append(connection)
-                else:
-                    return connection
-        finally:
-            if kept:
-                idle.extend(reversed(kept))
-        return await self.open(address)
+            await _close_each(expired)
+        except BaseException:
+            if connection is not None:
+                await connection.close()
+            raise
+        return connection if connection is not None else await self.open(address)
+
+    def _take(
+        self, address: str, request_id: str | None
+    ) -> tuple[UpstreamConnection | None, list[UpstreamConnection]]:
+        """Take the newest usable connection out of the pool, and expired ones.
+
+        As every change of the pool it has no step that waits, since other tasks use
+        the pool meanwhile.
+        """
+        idle = self._idle_connections.get(address, deque())
+        now = self.clock()
+        taken, carried, expired = None, [], []
+        while idle and taken is None:
+            connection = idle.pop()
+            if not connection.is_open_at(now):
+                expired.append(connection)
+            elif request_id is not None and connection.has_carried(request_id):
+                carried.append(connection)
+            else:
+                taken = connection
+        idle.extend(reversed(carried))
+        if not idle:
+            self._idle_connections.pop(address, None)
+        return taken, expired
 
     async def open(self, address: str) -> UpstreamConnection:
         """Open a new connection."""
@@ -415,26 +432,30 @@
 
     async def close_address(self, address: str) -> None:
         """Close all idle connections to an address."""
-        for connection in self._idle_connections.pop(address, ()):
-            await connection.close()
+        await _close_each(self._idle_connections.pop(address, ()))
 
     async def close_all(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle_connections):
-            await self.close_address(address)
+        taken, self._idle_connections = self._idle_connections, {}
+        await _close_each(one for idle in taken.values() for one in idle)
 
     async def close_expired(self) -> None:
         """Close the idle connections that the servers closed or soon will."""
         now = self.clock()
+        expired: list[UpstreamConnection] = []
         for address, idle in list(self._idle_connections.items()):
             kept = deque()
-            while idle:
-                connection = idle.popleft()
-                if connection.is_open_at(now):
-                    kept.append(connection)
-                else:
-                    await connection.close()
+            for connection in idle:
+                (kept if connection.is_open_at(now) else expired).append(connection)
             if kept:
                 self._idle_connections[address] = kept
             else:
                 del self._idle_connections[address]
+        await _close_each(expired)
+
+
+async def _close_each(connections: Iterable[UpstreamConnection]) -> None:
+    """Close connections that nothing else refers to; all of them in any case."""
+    with anyio.CancelScope(shield=True):
+        for connection in connections:
+            await connection.close()
