--- a/packages/cranberryfield-control/src/cranberryfield/control/consensus/follower_replication.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/consensus/follower_replication.py
@@ -141,6 +141,15 @@
     if request.last_index <= replica.commit_index:
         replica.incoming_snapshot = None
         return [*actions, _snapshot_reply(replica, sender, request, request.size, True)]
+    if replica.log.term_at(request.last_index) == request.last_term:
+        # The log has all entries of the snapshot. Later ones may be acknowledged, and
+        # must not be dropped.
+        replica.incoming_snapshot = None
+        return [
+            *actions,
+            *commit_up_to(replica, request.last_index),
+            _snapshot_reply(replica, sender, request, request.size, True),
+        ]
     incoming = replica.incoming_snapshot
     if incoming is None or incoming.last_index != request.last_index:
         incoming = replica.incoming_snapshot = IncomingSnapshot(request.last_index)
