Plan for engines without slots, and compare host names without case

Listed by the review as seen: a deployment with `slots` 0 for an engine ended each leader in turn, and two routes whose host names differ only in case were acknowledged although relays take them for one host.

Cause: a division by the slots in the autoscaler; a comparison of host names with their case.

--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/runners.py
@@ -125,7 +125,8 @@
     )
     engine_requests = engine.places * capacity.max_slot_utilisation
     engines_for_prefill = demand.prefill_tokens_per_s / engine_tokens_per_s
-    engines_for_requests = demand.in_flight / engine_requests
+    # Without slots an engine runs nothing, and no number of them serves the requests.
+    engines_for_requests = demand.in_flight / engine_requests if engine_requests else 0
     return max(1, ceil(max(engines_for_prefill, engines_for_requests)))
 
 
--- a/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/capacity/tests/test_runners.py
@@ -8,10 +8,14 @@
     RECLAIMABLE,
     Pool,
     PoolState,
+    RunnerCapacity,
+    ServiceDemand,
     plan_runners,
+    runners_needed,
 )
-from cranberryfield.core.deployment import ScalingSpec
+from cranberryfield.core.deployment import EngineCapacity, ScalingSpec
 
+DEMAND = ServiceDemand("drafts", 120_000.0, 20.0)
 PRICES = {"a": 1.0, "b": 0.8, "c": 1.25, "d": 0.9}
 SPEC = ScalingSpec(1, 5, 4.0, 0.18, PRICES)
 ALL_EXHAUSTED = {
@@ -148,3 +152,25 @@
     }
     plan_runners(ScalingSpec(1, 200, 4.0, ratio, prices), pools, 930)
     assert len(computed) <= 150
+
+
+# Guards against leaders that end one after the other, since a deployment is in force
+# whose engines have no slots.
+@pytest.mark.parametrize("places", [0, 1, 32])
+@pytest.mark.parametrize("kv_tokens", [0, 600_000])
+def test_need_is_finite_for_engines_of_any_size(places, kv_tokens):
+    engine = EngineCapacity(places, kv_tokens)
+    assert 1 <= runners_needed(DEMAND, engine, RunnerCapacity()) < 100
+
+
+@pytest.mark.parametrize("prices", [{}, {"a": 0.0}, {"a": -1.0, "b": 1e15}, PRICES])
+@pytest.mark.parametrize(("least", "most"), [(0, 0), (5, 1), (1, 2**53 - 1)])
+@pytest.mark.parametrize("ratio", [-1.0, 0.0, 0.15, 1e15])
+def test_a_plan_is_made_for_bounds_and_prices_of_any_size(prices, least, most, ratio):
+    spec = ScalingSpec(least, most, 4.0, ratio, prices)
+    for need in (1, 300):
+        assert set(plan_runners(spec, {}, need, 20)) <= {
+            Pool(centre, machine_class)
+            for centre in prices
+            for machine_class in (ON_DEMAND, RECLAIMABLE)
+        }
--- a/packages/cranberryfield-core/src/cranberryfield/core/deployment/validation.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/deployment/validation.py
@@ -48,7 +48,8 @@
 
 
 def _find_duplicate_routes(deployment: Deployment) -> list[str]:
-    paths = Counter((route.host, route.prefix) for route in deployment.routes)
+    # Host names are compared without their case (RFC 9110, section 4.2.3).
+    paths = Counter((route.host.lower(), route.prefix) for route in deployment.routes)
     return [
         f"{count} routes have host {host} and prefix {prefix}"
         for (host, prefix), count in paths.items()
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -120,6 +120,10 @@
         ),
         (encoded_with(["routes", 0, "backends"], []), "add up to 0"),
         (encoded_with(["routes"], [ROUTE, ROUTE]), "2 routes"),
+        (
+            encoded_with(["routes"], [ROUTE, {**ROUTE, "hostname": "A.Example"}]),
+            "2 routes",
+        ),
         (
             encoded_with(
                 ["tenants"],
