Let no engine of the trial interface end a host

Change: the failure of one engine is logged and leaves the others; the tasks beside the replica are supervised as the other background tasks are.

--- a/packages/cranberryfield-control/src/cranberryfield/control/orders/sender.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/orders/sender.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import structlog
 from anyio.abc import TaskGroup
 
 from cranberryfield.control.consensus import ReplicaRole
@@ -26,6 +27,8 @@
 IDLE_POLL_INTERVAL_S = 0.2
 RETRY_DELAY_S = 0.5
 
+logger = structlog.get_logger(__name__)
+
 
 class OrderSender:
     """Sends the committed orders to engines while this replica is the leader.
@@ -86,5 +89,9 @@
                 await self._propose(encode_message(command))
             else:
                 await anyio.sleep(RETRY_DELAY_S)
+        except Exception:
+            # It is due again as long as it is not confirmed.
+            logger.exception("order failed", upstream=due_order.upstream)
+            await anyio.sleep(RETRY_DELAY_S)
         finally:
             self._in_flight.discard(due_order.upstream)
--- a/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
+++ b/packages/cranberryfield-control/src/cranberryfield/control/runtime.py
@@ -78,6 +78,7 @@
 )
 from cranberryfield.core.process_start import PROCESS_STARTED_AT
 from cranberryfield.core.settings.follow import SettingsSection
+from cranberryfield.core.supervision import start_supervised
 
 __all__ = ["ControlRuntime", "ControlSection"]
 
@@ -226,11 +227,16 @@
         """Process events and proposals until cancelled."""
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._bootstrap.run)
-                tasks.start_soon(self._level_raiser.run)
-                tasks.start_soon(self._compactor.run)
-                tasks.start_soon(self._settings_publisher.run)
-                tasks.start_soon(self._order_sender.run)
+                background = {
+                    "bootstrap": self._bootstrap.run,
+                    "feature level": self._level_raiser.run,
+                    "compaction": self._compactor.run,
+                    "settings": self._settings_publisher.run,
+                    "orders": self._order_sender.run,
+                }
+                start_supervised(tasks, background)
+                # The steps of the replica are not supervised: after a failure its state
+                # cannot be relied on.
                 while True:
                     await self._wait_for_work()
                     actions = self._step_all()
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/membership/probing.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/membership/probing.py
@@ -3,6 +3,7 @@
 import anyio
 import httpx
 import msgspec
+import structlog
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.ids import UpstreamId
@@ -21,6 +22,8 @@
 STATUS_OK = 200
 MAX_RESPONSE_BYTES = 4096
 
+logger = structlog.get_logger(__name__)
+
 
 class ProbeResponse(msgspec.Struct, frozen=True):
     """Response of an upstream to ``GET /load``.
@@ -164,5 +167,8 @@
                     self._leases.publish_departure(departure)
         except (httpx.HTTPError, msgspec.MsgspecError):
             return
+        except Exception:
+            # What one upstream says of itself must not end the probes of others.
+            logger.exception("probe failed", upstream=record.upstream)
         finally:
             self._probing.discard(record.upstream)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/routing/cache_events.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/routing/cache_events.py
@@ -3,6 +3,7 @@
 import anyio
 import httpx
 import msgspec
+import structlog
 
 from cranberryfield.core.ids import UpstreamId
 from cranberryfield.entry.membership import UpstreamsSection
@@ -24,6 +25,8 @@
 MAX_LINE_BYTES = 1 << 16
 _TIMEOUT = httpx.Timeout(2.0, read=30.0)
 
+logger = structlog.get_logger(__name__)
+
 
 class CacheEventReader:
     """Reads the cache events of the upstreams that this host follows.
@@ -96,6 +99,9 @@
                         await self._apply_lines(upstream, response)
             except (httpx.HTTPError, msgspec.MsgspecError):
                 pass
+            except Exception:
+                # What one upstream sends must not end the reading from others.
+                logger.exception("cache events failed", upstream=upstream)
         if self._readers.get(upstream) is scope:
             del self._readers[upstream]
 
