Write answers that have begun although their deadline passes

Cause: a request runs in a scope that ends at its deadline. If the deadline passes while the event loop is busy, the next wait of the task is cancelled, and that is the write of the answer: its head had been made, so that no other answer could follow, and not a byte had left.

Change: a whole answer, the head of a stream and its end are written in a scope of their own, for at most 10 s. Events are cut off by the deadline as before, visibly.

Ruled out: that the runners or the callers close (callers read the end of the connection, and the requests ran).

It works since making the head and writing it are one step for every caller of Exchange.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -8,6 +8,7 @@
 import h11
 import structlog
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.lowlevel import checkpoint
 
 from cranberryfield.core.http1.message import RequestHead, find_header
 from cranberryfield.core.http1.sockets import enable_dead_peer_detection
@@ -167,11 +168,11 @@
         if body:
             data += self._connection.send(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage())
-        await self._write(data)
+        await self._write_through(data)
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response whose body length is not known yet."""
-        await self._write(self._head_bytes(status, headers))
+        await self._write_through(self._head_bytes(status, headers))
 
     async def send(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -179,7 +180,7 @@
 
     async def finish(self) -> None:
         """Send the end of the response body."""
-        await self._write(self._connection.send(h11.EndOfMessage()))
+        await self._write_through(self._connection.send(h11.EndOfMessage()))
 
     def abort(self) -> None:
         """Close the connection without sending the end of the body."""
@@ -190,6 +191,19 @@
             headers = [*headers, (b"Connection", b"close")]
         return self._connection.send(h11.Response(status_code=status, headers=headers))
 
+    async def _write_through(self, data: bytes) -> None:
+        """Write data although the deadline of the request may pass meanwhile.
+
+        Once the head of a response has been made no other can follow, so that the
+        connection would be closed without an answer.
+        """
+        deadline = anyio.current_time() + WRITE_TIMEOUT_S
+        with anyio.CancelScope(deadline=deadline, shield=True) as scope:
+            await self._stream.send(data)
+        if scope.cancelled_caught:
+            self._scope.cancel()
+            await checkpoint()
+
     async def _write(self, data: bytes) -> None:
         # To move one deadline costs a fraction of a scope of its own for each write.
         self._scope.deadline = anyio.current_time() + WRITE_TIMEOUT_S
