Show the KeyError of the pool in its test

The test of the pool had open connections to each address, so that at it failed by changed queues, but not by the KeyError that ended relays.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/tests/test_pool.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/tests/test_pool.py
@@ -11,6 +11,8 @@
 ADDRESSES = ("10.0.0.1:80", "10.0.0.2:80")
 EXPIRED, OPEN = 5.0, 50.0
 NOW = 10.0
+MIXED = (EXPIRED, OPEN, EXPIRED, OPEN, EXPIRED)
+ALL_EXPIRED = (EXPIRED,) * 3
 
 
 class IdleConnection:
@@ -44,9 +46,9 @@
     async def _refuse(self, address):
         raise NotSentError("no new connections")
 
-    async def fill(self):
+    async def fill(self, kinds=MIXED):
         for address in ADDRESSES:
-            for open_until in (EXPIRED, OPEN, EXPIRED, OPEN, EXPIRED):
+            for open_until in kinds:
                 await self.keep(address, open_until)
 
     async def keep(self, address=ADDRESSES[0], open_until=OPEN):
@@ -94,10 +96,11 @@
 @pytest.mark.parametrize(
     "steps", ORDERS, ids=["-".join(one.__name__ for one in order) for order in ORDERS]
 )
-def test_each_connection_is_idle_in_use_or_closed_once(steps):
+@pytest.mark.parametrize("kinds", [MIXED, ALL_EXPIRED], ids=["mixed", "expired"])
+def test_each_connection_is_idle_in_use_or_closed_once(steps, kinds):
     async def main():
         pool = Pool()
-        await pool.fill()
+        await pool.fill(kinds)
         async with anyio.create_task_group() as tasks:
             for step in steps:
                 tasks.start_soon(step, pool)
