--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 __all__ = [
+    "ANSWER_HEADER",
     "CRASH_BODY",
     "CRASH_PART",
     "CRASH_WORD",
@@ -55,6 +56,8 @@
 #: stream whose response has no length and ends with its connection.
 INTERVAL_HEADER = "Event-Ms"
 UNFRAMED_HEADER = "Unframed"
+#: Request header with the size of the body of the answer, in bytes.
+ANSWER_HEADER = "Answer-Bytes"
 MISDIRECTED = 421
 REFUSED = 503
 
@@ -96,6 +99,8 @@
             self._stream(headers)
             return
         body = json.dumps({"headers": headers, "path": self.path}).encode()
+        if ANSWER_HEADER.lower() in headers:
+            body = b"a" * int(headers[ANSWER_HEADER.lower()])
         self.send_response(200)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,6 +1,7 @@
 """Management of child processes on loopback."""
 
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -78,6 +79,8 @@
         Folder of the output file.
     inherited : tuple of int
         File descriptors that the child inherits.
+    max_descriptors : int, optional
+        Number of descriptors that the child may open; by default as this process.
     """
 
     def __init__(
@@ -86,7 +89,9 @@
         arguments: list[str],
         folder: Path,
         inherited: tuple[int, ...] = (),
+        max_descriptors: int | None = None,
     ):
+        self.max_descriptors = max_descriptors
         self._name = name
         self._arguments = arguments
         self._inherited = inherited
@@ -130,6 +135,10 @@
                 pass_fds=self._inherited,
                 env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
             )
+        if self.max_descriptors is not None:
+            # The interpreter takes longer to start than this call.
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.prlimit(self._child.pid, resource.RLIMIT_NOFILE, limits)
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
