--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -14,6 +14,7 @@
 
 PIECE_BYTES = 1 << 18
 READ_BYTES = 1 << 16
+OPENED_AT_ONCE = 20
 MEASURE_INTERVAL_S = 0.01
 SELECT_TIMEOUT_S = 0.01
 #: Time without a sent byte or a new connection after which the crowd waits for the
@@ -167,7 +168,8 @@
             self.breach = f"descriptors: {usage}"
 
     def _open_missing(self) -> None:
-        while self._missing:
+        """Open connections, few at a time so that no listener's queue overflows."""
+        for _ in range(min(self._missing, OPENED_AT_ONCE)):
             connection = socket.socket()
             connection.setblocking(False)
             code = connection.connect_ex(self.address)
