Read from callers' connections no more than is asked for

A caller that sent requests ahead and left its answers took the memory of a process: 151 MiB and 34 MiB in the kernel within a second from 100 connections at the ready address, where its crowd was ended.

Cause: a transport of asyncio reads from the moment at which a connection is accepted, and a stream of anyio pauses it only after a wait for bytes. Where bytes arrive faster than they are parsed no read ever waits, so that the queue of the stream grows while the handler waits for the caller to take an answer. Ruled out by the sizes of the parser's buffer (16 to 80 KiB) and of the buffered requests (64 KiB).

Accepted sockets are read directly now, 16 KiB of a head or 64 KiB of a body at a time, so that what is not asked for stays in the kernel. As unread bytes cost the caller a refusal when the connection is closed, a refused one is read on for a second, 16 MiB at most, also under provisional limits. A refusal that its caller does not read ends by the same time; it had no time-out.

The test of errors of the listener makes the accept of the socket fail now, as there is no stream of anyio to fail; what it checks is the same.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -1,17 +1,21 @@
 """HTTP/1.1 server that calls a handler for each complete request."""
 
-import math
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
 import h11
 import structlog
-from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
-from anyio.lowlevel import checkpoint
+from anyio.abc import SocketAttribute
 
 from cranberryfield.core.http1.message import RequestHead, find_header
+from cranberryfield.core.http1.response_writer import (
+    WRITE_BYTES,
+    ResponseWriter,
+)
 from cranberryfield.core.http1.sockets import enable_dead_peer_detection
+from cranberryfield.core.http1.streams import AcceptedStream
 
 __all__ = [
     "Exchange",
@@ -22,19 +26,23 @@
     "serve_http",
 ]
 
-READ_BYTES = 65_536
+#: Bytes that are read at once, of a head and of a body.
+HEAD_READ_BYTES = 16_384
+BODY_READ_BYTES = 65_536
 #: Bytes of pipelined requests buffered while a request is handled.
-MAX_PIPELINED_BYTES = 65_536
+MAX_PIPELINED_BYTES = 16_384
 #: Connections that the kernel queues until they are accepted.
 BACKLOG = 1024
-#: Timeout for one write to a caller that does not read, in seconds.
-WRITE_TIMEOUT_S = 10.0
+#: Time for which what follows a refused request is read, in seconds, and the number of
+#: bytes. A connection that is closed with unread bytes may cost the caller the answer.
+LINGER_S = 1.0
+MAX_LINGER_BYTES = 16 << 20
 #: Pause after an error of the listener, in seconds.
 ACCEPT_RETRY_S = 0.05
 PROVISIONAL_HEADER_BYTES = 1 << 20
 PROVISIONAL_TIMEOUT_S = 60.0
-#: Retry delay of requests that exceed provisional limits, in seconds.
-PROVISIONAL_RETRY_S = 1
+#: Retry delay of requests that are refused for now, in seconds.
+RETRY_S = 1
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
@@ -113,13 +121,10 @@
         Body of the request, decoded from any transfer coding.
     connection : h11.Connection
         Protocol state of the connection.
-    stream : anyio.abc.SocketStream
-        Socket of the connection.
+    writer : ResponseWriter
+        Writes to the connection.
     must_close : bool
         Whether the response carries ``Connection: close``.
-    scope : anyio.CancelScope
-        Scope in which the handler runs. It is cancelled if the caller does not take
-        a part of the response for `WRITE_TIMEOUT_S`.
     """
 
     def __init__(
@@ -127,16 +132,14 @@
         head: RequestHead,
         body: bytes,
         connection: h11.Connection,
-        stream: SocketStream,
+        writer: ResponseWriter,
         must_close: bool,
-        scope: anyio.CancelScope,
     ):
         self._head = head
         self._body = body
         self._connection = connection
-        self._stream = stream
+        self._writer = writer
         self._must_close = must_close
-        self._scope = scope
         self._broken = False
 
     @property
@@ -168,19 +171,19 @@
         if body:
             data += self._connection.send(h11.Data(data=body))
         data += self._connection.send(h11.EndOfMessage())
-        await self._write_through(data)
+        await self._writer.write_through(data)
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response whose body length is not known yet."""
-        await self._write_through(self._head_bytes(status, headers))
+        await self._writer.write_through(self._head_bytes(status, headers))
 
     async def send(self, data: bytes) -> None:
         """Send a part of the response body."""
-        await self._write(self._connection.send(h11.Data(data=data)))
+        await self._writer.write(self._connection.send(h11.Data(data=data)))
 
     async def finish(self) -> None:
         """Send the end of the response body."""
-        await self._write_through(self._connection.send(h11.EndOfMessage()))
+        await self._writer.write_through(self._connection.send(h11.EndOfMessage()))
 
     def abort(self) -> None:
         """Close the connection without sending the end of the body."""
@@ -191,25 +194,6 @@
             headers = [*headers, (b"Connection", b"close")]
         return self._connection.send(h11.Response(status_code=status, headers=headers))
 
-    async def _write_through(self, data: bytes) -> None:
-        """Write data although the deadline of the request may pass meanwhile.
-
-        Once the head of a response has been made no other can follow, so that the
-        connection would be closed without an answer.
-        """
-        deadline = anyio.current_time() + WRITE_TIMEOUT_S
-        with anyio.CancelScope(deadline=deadline, shield=True) as scope:
-            await self._stream.send(data)
-        if scope.cancelled_caught:
-            self._scope.cancel()
-            await checkpoint()
-
-    async def _write(self, data: bytes) -> None:
-        # To move one deadline costs a fraction of a scope of its own for each write.
-        self._scope.deadline = anyio.current_time() + WRITE_TIMEOUT_S
-        await self._stream.send(data)
-        self._scope.deadline = math.inf
-
 
 #: Responds to one request; is cancelled if the caller disconnects.
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -248,48 +232,61 @@
     listener = await anyio.create_tcp_listener(
         local_host=host, local_port=port, backlog=BACKLOG
     )
+    sockets = [one.extra(SocketAttribute.raw_socket) for one in listener.listeners]
 
-    async def serve_connection(stream: SocketStream) -> None:
-        async with stream:
-            try:
-                enable_dead_peer_detection(stream.extra(SocketAttribute.raw_socket))
-                await _Connection(stream, handler, state).run()
-            except Exception as error:
-                if (lost := find_lost_connection(error)) is not None:
-                    cause = lost.__cause__ or lost
-                    logger.info("caller's connection lost", cause=repr(cause))
-                    return
-                logger.exception("connection closed after an unhandled exception")
+    async def serve_connection(connection: _Connection) -> None:
+        try:
+            await connection.run()
+        except Exception as error:
+            if (lost := find_lost_connection(error)) is not None:
+                cause = lost.__cause__ or lost
+                logger.info("caller's connection lost", cause=repr(cause))
+                return
+            logger.exception("connection closed after an unhandled exception")
+        finally:
+            connection.close()
 
     async with (
         anyio.create_task_group() as connections,
         listener,
         anyio.create_task_group() as accepting,
     ):
-        for one in listener.listeners:
-            accepting.start_soon(_accept, one, serve_connection, connections)
+
+        def start(raw: socket.socket) -> None:
+            enable_dead_peer_detection(raw)
+            connection = _Connection(AcceptedStream(raw), handler, state)
+            connections.start_soon(serve_connection, connection)
+
+        for one in sockets:
+            accepting.start_soon(_accept, one, start)
         task_status.started()
         await state.stop_event.wait()
         accepting.cancel_scope.cancel()
 
 
 async def _accept(
-    listener: SocketListener,
-    serve_connection: Callable[[SocketStream], Awaitable[None]],
-    connections: TaskGroup,
+    listener: socket.socket, start: Callable[[socket.socket], None]
 ) -> None:
     """Accept connections until cancelled.
 
     An error of one connection, or a lack of descriptors, is not the listener's end.
     """
     while True:
+        await anyio.wait_readable(listener)
         try:
-            stream = await listener.accept()
+            start(accept_connection(listener))
+        except BlockingIOError:
+            continue
         except OSError as error:
             logger.warning("connection not accepted", cause=repr(error))
             await anyio.sleep(ACCEPT_RETRY_S)
-            continue
-        connections.start_soon(serve_connection, stream)
+
+
+def accept_connection(listener: socket.socket) -> socket.socket:
+    """Accept one connection; its socket does not block."""
+    raw, _ = listener.accept()
+    raw.setblocking(False)
+    return raw
 
 
 def _printable(head: RequestHead) -> str:
@@ -312,7 +309,7 @@
 class _Connection:
     """Server side of one connection, which handles its requests in order."""
 
-    def __init__(self, stream: SocketStream, handler: Handler, state: ServerState):
+    def __init__(self, stream: AcceptedStream, handler: Handler, state: ServerState):
         self._stream = stream
         self._handler = handler
         self._state = state
@@ -323,6 +320,10 @@
         self._pipelined = bytearray()
         self._received_eof = False
 
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
     async def run(self) -> None:
         """Handle requests until the connection has to be closed."""
         while True:
@@ -380,7 +381,7 @@
             tasks.start_soon(stop)
         return is_over, received
 
-    async def _receive(self) -> bool:
+    async def _receive(self, max_bytes: int = HEAD_READ_BYTES) -> bool:
         """Pass received bytes to the parser; return False at end of file."""
         if self._pipelined:
             data, self._pipelined = bytes(self._pipelined), bytearray()
@@ -388,7 +389,7 @@
             return False
         else:
             try:
-                data = await self._stream.receive(READ_BYTES)
+                data = await self._stream.receive(max_bytes)
             except anyio.EndOfStream:
                 self._received_eof = True
                 return False
@@ -399,7 +400,7 @@
         self._unparsed_bytes += len(data)
         self._connection.receive_data(data)
 
-    async def _next_event(self):
+    async def _next_event(self, read_bytes: int = HEAD_READ_BYTES):
         while True:
             try:
                 event = self._connection.next_event()
@@ -415,8 +416,9 @@
                 interim_response = h11.InformationalResponse(
                     status_code=100, headers=[]
                 )
-                await self._stream.send(self._connection.send(interim_response))
-            if not await self._receive():
+                if not self._stream.send_now(self._connection.send(interim_response)):
+                    await self._stream.flush(WRITE_BYTES)
+            if not await self._receive(read_bytes):
                 raise anyio.EndOfStream
 
     async def _serve_request(self) -> bool:
@@ -452,8 +454,7 @@
         if size + len(event.target) > limits.max_header_bytes:
             raise self._too_large(HEADERS_TOO_LARGE, "head")
         length = find_header(headers, b"content-length")
-        is_too_large = length is not None and int(length) > limits.max_body_bytes
-        if is_too_large and not limits.is_provisional:
+        if length is not None and int(length) > limits.max_body_bytes:
             raise self._too_large(BODY_TOO_LARGE, "body")
         return RequestHead(event.method, event.target, headers)
 
@@ -466,24 +467,16 @@
     async def _read_body(self) -> bytes:
         parts = []
         size = 0
-        refusal = None
         while True:
-            event = await self._next_event()
+            event = await self._next_event(BODY_READ_BYTES)
             if isinstance(event, h11.EndOfMessage):
-                if refusal is not None:
-                    raise refusal
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
                 continue
             size += len(event.data)
-            if refusal is None and size > self._state.limits.max_body_bytes:
-                refusal = self._too_large(BODY_TOO_LARGE, "body")
-                if refusal.status != NOT_READY:
-                    raise refusal
-                # Read to its end, as unread bytes would cost the caller the answer.
-                parts.clear()
-            if refusal is None:
-                parts.append(bytes(event.data))
+            if size > self._state.limits.max_body_bytes:
+                raise self._too_large(BODY_TOO_LARGE, "body")
+            parts.append(bytes(event.data))
 
     async def _handle(
         self, head: RequestHead, body: bytes, must_close: bool
@@ -495,8 +488,9 @@
         async def watch_for_disconnect() -> None:
             nonlocal disconnected
             while len(self._pipelined) < MAX_PIPELINED_BYTES:
+                left_bytes = MAX_PIPELINED_BYTES - len(self._pipelined)
                 try:
-                    data = await self._stream.receive(READ_BYTES)
+                    data = await self._stream.receive(left_bytes)
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     disconnected = True
                     tasks.cancel_scope.cancel()
@@ -508,9 +502,8 @@
                 head,
                 body,
                 self._connection,
-                self._stream,
+                ResponseWriter(self._stream, tasks.cancel_scope),
                 must_close,
-                tasks.cancel_scope,
             )
             tasks.start_soon(watch_for_disconnect)
             await self._handler(exchange)
@@ -525,17 +518,30 @@
         logger.info("request refused", status=error.status, detail=error.detail)
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        with anyio.move_on_after(LINGER_S):
+            if not self._stream.send_now(self._refusal(error.status)):
+                await self._stream.flush(WRITE_BYTES)
+            self._stream.end_sending()
+            await self._discard_rest()
+
+    def _refusal(self, status: int) -> bytes:
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-        if error.status == NOT_READY:
-            headers.append((b"Retry-After", str(PROVISIONAL_RETRY_S).encode()))
-        response = h11.Response(
-            status_code=error.status,
-            headers=headers,
-        )
-        data = self._connection.send(response) + self._connection.send(
+        if status == NOT_READY:
+            headers.append((b"Retry-After", str(RETRY_S).encode()))
+        response = h11.Response(status_code=status, headers=headers)
+        return self._connection.send(response) + self._connection.send(
             h11.EndOfMessage()
         )
-        await self._stream.send(data)
+
+    async def _discard_rest(self) -> None:
+        """Read what the caller goes on sending, so that it gets the refusal."""
+        discarded_bytes = 0
+        while discarded_bytes < MAX_LINGER_BYTES:
+            try:
+                data = await self._stream.receive(BODY_READ_BYTES)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            discarded_bytes += len(data)
 
 
 def _refuse_ambiguous_headers(headers: list[tuple[bytes, bytes]]) -> None:
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/tests/test_listener_errors.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/tests/test_listener_errors.py
@@ -21,22 +21,13 @@
 @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENETDOWN, errno.ECONNABORTED])
 def test_an_error_of_the_listener_does_not_end_it(monkeypatch, number):
     address = ("127.0.0.1", free_port())
-    create_tcp_listener = anyio.create_tcp_listener
+    accept = server_module.accept_connection
     failures = [OSError(number, "refused by the kernel")] * 2
 
-    async def create(**options):
-        listener = await create_tcp_listener(**options)
-        for one in listener.listeners:
-            one.accept = failing_at_first(one.accept)
-        return listener
-
-    def failing_at_first(accept):
-        async def accept_later():
-            if failures:
-                raise failures.pop()
-            return await accept()
-
-        return accept_later
+    def fail_at_first(listener):
+        if failures:
+            raise failures.pop()
+        return accept(listener)
 
     async def answer(exchange):
         await exchange.respond(200, [], b"served")
@@ -52,7 +43,7 @@
             tasks.cancel_scope.cancel()
         return head.status
 
-    monkeypatch.setattr(server_module.anyio, "create_tcp_listener", create)
+    monkeypatch.setattr(server_module, "accept_connection", fail_at_first)
     assert anyio.run(main) == 200
     assert not failures
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/tests/test_lost_connections.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/tests/test_lost_connections.py
@@ -8,7 +8,7 @@
 from anyio.abc import SocketAttribute
 from structlog.testing import capture_logs
 
-from cranberryfield.core.http1 import ServerState, serve_http, server
+from cranberryfield.core.http1 import ServerState, response_writer, serve_http
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 #: Larger than the buffers of a connection, so that its sender waits.
@@ -74,7 +74,7 @@
 
 # Guards against a caller that holds a handler, and what it sends, by not reading.
 def test_a_caller_that_does_not_read_ends_its_handler(monkeypatch):
-    monkeypatch.setattr(server, "WRITE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(response_writer, "WRITE_TIMEOUT_S", 0.2)
     ended = []
 
     async def answer(exchange):
@@ -101,7 +101,7 @@
 
 
 def test_a_slow_caller_gets_the_whole_response(monkeypatch):
-    monkeypatch.setattr(server, "WRITE_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(response_writer, "WRITE_TIMEOUT_S", 0.5)
     body = LARGE[: 4 << 20]
     received = 0
 
