--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -1,5 +1,6 @@
 """Builds and runs one host of a cluster."""
 
+import math
 import signal
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -10,7 +11,7 @@
 import structlog
 
 from cranberryfield.core.blackboard import Blackboard
-from cranberryfield.core.clock import boot_time_clock
+from cranberryfield.core.clock import Clock, boot_time_clock
 from cranberryfield.core.config import ClusterConfig
 from cranberryfield.core.config.daemon import split_address
 from cranberryfield.core.features import SUPPORTED_LEVEL
@@ -30,6 +31,8 @@
 __all__ = ["run_cluster_host"]
 
 NS_PER_MS = 1_000_000
+#: Time for which rendered metrics are served again, in seconds.
+METRICS_MAX_AGE_S = 0.25
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 logger = structlog.get_logger(__name__)
@@ -113,7 +116,10 @@
         if config.metrics is not None:
             address = split_address(config.metrics)
             tasks.start_soon(
-                serve_http, address, _metrics_handler(metrics, mesh), ServerState()
+                serve_http,
+                address,
+                _metrics_handler(metrics, mesh, boot_time_clock),
+                ServerState(),
             )
         for role in roles:
             tasks.start_soon(role.run)
@@ -132,19 +138,25 @@
 
 
 def _metrics_handler(
-    metrics: Metrics, mesh: Mesh
+    metrics: Metrics, mesh: Mesh, clock: Clock
 ) -> Callable[[Exchange], Awaitable[None]]:
     counted = 0
+    rendered = b""
+    rendered_at = -math.inf
 
     async def answer(exchange: Exchange) -> None:
-        nonlocal counted
-        from cranberryfield.core.metrics.prometheus import render_metrics
-
-        skipped = mesh.skipped_messages
-        metrics.count("messages_skipped", skipped - counted)
-        counted = skipped
+        nonlocal counted, rendered, rendered_at
+        # To render takes as long as some ten requests, whoever asks for it.
+        if clock() - rendered_at >= METRICS_MAX_AGE_S:
+            from cranberryfield.core.metrics.prometheus import render_metrics
+
+            skipped = mesh.skipped_messages
+            metrics.count("messages_skipped", skipped - counted)
+            counted = skipped
+            rendered = render_metrics(metrics)
+            rendered_at = clock()
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
-        await exchange.respond(200, headers, render_metrics(metrics))
+        await exchange.respond(200, headers, rendered)
 
     return answer
 
