Limit the kernel's buffers of callers' and upstreams' connections

Cause: the kernel grows the buffers of a connection whose reader is slow, to 32 MiB here, for the caller's and for the upstream's, whose answer the relay does not read on meanwhile; 117 of the 173 MiB were such bytes. Both are 32 KiB now, which accepted sockets inherit from their listener.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -12,7 +12,10 @@
 
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.http1.message import RequestHead, ResponseHead, find_header
-from cranberryfield.core.http1.sockets import enable_dead_peer_detection
+from cranberryfield.core.http1.sockets import (
+    enable_dead_peer_detection,
+    limit_kernel_buffers,
+)
 from cranberryfield.core.ids import NodeId
 from cranberryfield.core.numbers import parse_count
 
@@ -311,7 +314,9 @@
     except (OSError, TimeoutError, ValueError) as error:
         is_refused = isinstance(error.__cause__, ConnectionRefusedError)
         raise NotSentError(f"cannot connect to {address}", is_refused) from error
-    enable_dead_peer_detection(stream.extra(SocketAttribute.raw_socket))
+    raw = stream.extra(SocketAttribute.raw_socket)
+    enable_dead_peer_detection(raw)
+    limit_kernel_buffers(raw)
     return stream
 
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -14,7 +14,10 @@
     WRITE_BYTES,
     ResponseWriter,
 )
-from cranberryfield.core.http1.sockets import enable_dead_peer_detection
+from cranberryfield.core.http1.sockets import (
+    enable_dead_peer_detection,
+    limit_kernel_buffers,
+)
 from cranberryfield.core.http1.streams import AcceptedStream
 
 __all__ = [
@@ -233,6 +236,9 @@
         local_host=host, local_port=port, backlog=BACKLOG
     )
     sockets = [one.extra(SocketAttribute.raw_socket) for one in listener.listeners]
+    for one in sockets:
+        # Accepted sockets inherit the limits.
+        limit_kernel_buffers(one)
 
     async def serve_connection(connection: _Connection) -> None:
         try:
