Bound the bytes of requests and responses over all connections

Bodies within the limits, of callers that never finished them, took 150 MiB and 17 MiB in the kernel from 45 connections to a relay, and 224 MiB at a control host, whose body limit is 32 MiB; heads under the provisional limit of 1 MiB did the same. Each request was within its limit, but nothing bounded their sum.

All listeners of a process share a budget of bytes now: a fifth of memory_mb, which is a new setting, or max_held_mb. Counted are heads, with the objects of their fields, the bytes of bodies that have arrived, and those of responses that wait for the caller. Bytes that are only announced are not, as a caller could take the budget without sending any. When it is used up, the connection that holds most while this process waits for its caller gives way; if none holds more, the request that needs the bytes is refused: 503 with a Retry-After, since it has not been run. A request that is alone is never refused. Bodies are read into one buffer, since a list of their parts takes many times the bytes of small ones. Requests to the ready and metrics addresses may have 16 KiB.

--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/admission.py
@@ -0,0 +1,133 @@
+"""Bounds on what all connections of a process hold together.
+
+Which connection yields is decided here: the one that holds most while this process
+waits for its peer. A request that has been read whole is never given up for another.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = [
+    "BudgetExceededError",
+    "ByteBudget",
+    "ByteHolding",
+    "ShedReason",
+]
+
+
+class ShedReason(Enum):
+    """What a limit on all connections has cost a caller."""
+
+    REQUEST_REFUSED = "request_refused"
+    RESPONSE_DROPPED = "response_dropped"
+
+
+class BudgetExceededError(Exception):
+    """Raised if bytes cannot be held within the budget."""
+
+
+@dataclass(slots=True, eq=False)
+class ByteHolding:
+    """Bytes that one connection holds.
+
+    Attributes
+    ----------
+    budget : ByteBudget
+        The budget that they count towards.
+    evict : callable, optional
+        Makes the connection give up its bytes; set while it waits for its peer.
+    """
+
+    budget: "ByteBudget"
+    evict: Callable[[], None] | None = None
+    _size: int = 0
+    _is_evicted: bool = False
+
+    @property
+    def size(self) -> int:
+        """Number of bytes."""
+        return self._size
+
+    def resize(self, size: int) -> None:
+        """Change the number of bytes.
+
+        Raises
+        ------
+        BudgetExceededError
+            If they are too many, or the holding was evicted.
+        """
+        self.budget.resize(self, size)
+
+
+class ByteBudget:
+    """Number of bytes that all connections may hold together.
+
+    A holding that is alone is never refused: limits on single requests apply to it.
+
+    Parameters
+    ----------
+    max_bytes : int
+        The number.
+
+    Examples
+    --------
+    >>> budget = ByteBudget(100)
+    >>> first, second = ByteHolding(budget), ByteHolding(budget)
+    >>> first.resize(90)
+    >>> try:
+    ...     second.resize(20)
+    ... except BudgetExceededError:
+    ...     print("refused")
+    refused
+    >>> first.evict = lambda: print("evicted")
+    >>> second.resize(20)
+    evicted
+    >>> budget.held_bytes
+    20
+    """
+
+    def __init__(self, max_bytes: int):
+        self._max_bytes = max_bytes
+        self._held_bytes = 0
+        self._holdings: dict[ByteHolding, None] = {}
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that are held."""
+        return self._held_bytes
+
+    def resize(self, holding: ByteHolding, size: int) -> None:
+        """Change the size of a holding; see `ByteHolding.resize`."""
+        if holding._is_evicted and size:
+            raise BudgetExceededError(f"{self._max_bytes} bytes")
+        growth = size - holding._size
+        while (
+            growth > 0
+            and self._held_bytes + growth > self._max_bytes
+            and self._held_bytes > holding._size
+        ):
+            largest = self._find_evictable(holding, size)
+            if largest is None:
+                raise BudgetExceededError(f"{self._max_bytes} bytes")
+            self._set(largest, 0)
+            largest._is_evicted = True
+            largest.evict()
+        self._set(holding, size)
+
+    def _find_evictable(self, holding: ByteHolding, size: int) -> ByteHolding | None:
+        """Return the largest other holding that can be evicted and is over `size`."""
+        evictable = (
+            one
+            for one in self._holdings
+            if one is not holding and one.evict is not None and one._size > size
+        )
+        return max(evictable, key=lambda one: one._size, default=None)
+
+    def _set(self, holding: ByteHolding, size: int) -> None:
+        self._held_bytes += size - holding._size
+        holding._size = size
+        if size:
+            self._holdings[holding] = None
+        else:
+            self._holdings.pop(holding, None)
--- a/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
@@ -127,6 +127,11 @@
         Whether relays choose what to delay or refuse by what it costs callers.
     announce_interval_ms : float
         Time between two announcements of an upstream, in milliseconds.
+    memory_mb : float
+        Memory that the process may use, in MiB.
+    max_held_mb : float, optional
+        Memory for bodies of requests and for responses that wait for their caller, in
+        MiB; by default a share of the memory.
     group : str
         Name of the installation; links from other groups are refused.
     mesh_key : str
@@ -163,6 +168,8 @@
     shared_slots: bool = False
     least_cost: bool = False
     announce_interval_ms: PositiveFloat = 1_200.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=64)] = 160.0
+    max_held_mb: PositiveFloat | None = None
     group: Name = "cranberryfield"
     log_level: LogLevel = LogLevel.INFO
 
--- /dev/null
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
@@ -0,0 +1,94 @@
+"""Limits on bytes that follow from the machine of a process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cranberryfield.core.admission import (
+    ByteBudget,
+    ShedReason,
+)
+from cranberryfield.core.clock import Clock
+from cranberryfield.core.config.cluster import ClusterConfig
+from cranberryfield.core.http1.server import ServerLimits, ServerState
+from cranberryfield.core.log_throttle import LogThrottle
+from cranberryfield.core.metrics import Metrics
+
+__all__ = ["ListenerFactory", "ProcessLimits"]
+
+#: Part of the memory for requests, and for responses that wait for their caller.
+HELD_PART = 1 / 5
+#: Size of a request to a listener that only programs of the operators call, in bytes.
+TOOL_BODY_BYTES = 16_384
+BYTES_PER_MB = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """Limits of one process.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Bytes of requests, and of responses that wait for their caller.
+    """
+
+    held_bytes: int
+
+    @classmethod
+    def from_config(cls, config: ClusterConfig) -> "ProcessLimits":
+        """Derive the limits that are not set from the memory.
+
+        Parameters
+        ----------
+        config : ClusterConfig
+            The checked settings.
+        """
+        held_bytes = int(HELD_PART * config.memory_mb * BYTES_PER_MB)
+        if config.max_held_mb is not None:
+            held_bytes = int(config.max_held_mb * BYTES_PER_MB)
+        return cls(held_bytes)
+
+
+class ListenerFactory:
+    """Makes the states of the listeners of one process, which share its limits.
+
+    Parameters
+    ----------
+    limits : ProcessLimits
+        The limits.
+    metrics : Metrics
+        Counts what they cost callers.
+    clock : Clock
+        Monotonic time.
+    """
+
+    def __init__(self, limits: ProcessLimits, metrics: Metrics, clock: Clock):
+        self._limits = limits
+        self._metrics = metrics
+        self._throttle = LogThrottle(clock)
+        self._budget = ByteBudget(limits.held_bytes)
+
+    def for_callers(self, limits: ServerLimits, listener: str) -> ServerState:
+        """Return the state of a listener for callers, or for operators."""
+        return ServerState(
+            limits,
+            budget=self._budget,
+            on_shed=self._reporter(listener),
+        )
+
+    def for_tools(self, listener: str) -> ServerState:
+        """Return the state of a listener for requests without a body."""
+        return ServerState(
+            ServerLimits(max_body_bytes=TOOL_BODY_BYTES),
+            budget=self._budget,
+            on_shed=self._reporter(listener),
+        )
+
+    def _reporter(self, listener: str) -> Callable[[ShedReason], None]:
+        def report(reason: ShedReason) -> None:
+            self._metrics.count(f"shed_{reason.value}")
+            self._throttle.warn(
+                "load of callers shed", reason=reason.value, listener=listener
+            )
+
+        return report
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/response_writer.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/response_writer.py
@@ -9,6 +9,7 @@
     checkpoint_if_cancelled,
 )
 
+from cranberryfield.core.http1.peer_wait import PeerWait
 from cranberryfield.core.http1.streams import AcceptedStream
 
 __all__ = ["WRITE_BYTES", "ResponseWriter"]
@@ -25,13 +26,18 @@
     ----------
     stream : AcceptedStream
         The connection.
+    waiting : PeerWait
+        Told when the caller has to read before more can be written.
     scope : anyio.CancelScope
         Scope in which the handler runs. It is cancelled if the caller does not take
         a part of the response for `WRITE_TIMEOUT_S`.
     """
 
-    def __init__(self, stream: AcceptedStream, scope: anyio.CancelScope):
+    def __init__(
+        self, stream: AcceptedStream, waiting: PeerWait, scope: anyio.CancelScope
+    ):
         self._stream = stream
+        self._waiting = waiting
         self._scope = scope
 
     async def write_through(self, data: bytes) -> None:
@@ -59,6 +65,7 @@
             self._scope.deadline = math.inf
 
     async def _flush(self, scope: anyio.CancelScope) -> None:
-        while self._stream.unsent_bytes:
-            scope.deadline = anyio.current_time() + WRITE_TIMEOUT_S
-            await self._stream.flush(WRITE_BYTES)
+        with self._waiting.for_response(self._stream.unsent_bytes, scope):
+            while self._stream.unsent_bytes:
+                scope.deadline = anyio.current_time() + WRITE_TIMEOUT_S
+                await self._stream.flush(WRITE_BYTES)
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -9,11 +10,14 @@
 import structlog
 from anyio.abc import SocketAttribute
 
-from cranberryfield.core.http1.message import RequestHead, find_header
-from cranberryfield.core.http1.response_writer import (
-    WRITE_BYTES,
-    ResponseWriter,
+from cranberryfield.core.admission import (
+    BudgetExceededError,
+    ByteBudget,
+    ShedReason,
 )
+from cranberryfield.core.http1.message import RequestHead, find_header
+from cranberryfield.core.http1.peer_wait import PeerWait
+from cranberryfield.core.http1.response_writer import WRITE_BYTES, ResponseWriter
 from cranberryfield.core.http1.sockets import (
     enable_dead_peer_detection,
     limit_kernel_buffers,
@@ -34,6 +38,8 @@
 BODY_READ_BYTES = 65_536
 #: Bytes of pipelined requests buffered while a request is handled.
 MAX_PIPELINED_BYTES = 16_384
+#: Memory of one header field beside its bytes, as the parser and a request keep it.
+FIELD_OVERHEAD_BYTES = 300
 #: Connections that the kernel queues until they are accepted.
 BACKLOG = 1024
 #: Time for which what follows a refused request is read, in seconds, and the number of
@@ -46,6 +52,8 @@
 PROVISIONAL_TIMEOUT_S = 60.0
 #: Retry delay of requests that are refused for now, in seconds.
 RETRY_S = 1
+#: Bound of a server that is given none, for tests and small tools.
+DEFAULT_MAX_HELD_BYTES = 64 << 20
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
@@ -105,12 +113,20 @@
         Set to stop accepting connections and to close the idle ones.
     active_requests : int
         Number of requests that are being read or handled.
+    budget : ByteBudget
+        Bytes that its connections, and those of other listeners, may hold.
+    on_shed : callable
+        Called when a limit on all connections costs a caller something.
     """
 
     limits: ServerLimits = field(default_factory=ServerLimits)
     connection_close: bool = False
     stop_event: anyio.Event = field(default_factory=anyio.Event)
     active_requests: int = 0
+    budget: ByteBudget = field(
+        default_factory=lambda: ByteBudget(DEFAULT_MAX_HELD_BYTES)
+    )
+    on_shed: Callable[[ShedReason], None] = lambda reason: None
 
 
 class Exchange:
@@ -325,13 +341,30 @@
         self._unparsed_bytes = 0
         self._pipelined = bytearray()
         self._received_eof = False
+        #: Whether a request has begun that has not been read whole.
+        self._is_reading = False
+        self._waiting = PeerWait(state.budget, state.on_shed)
+        self._scope = anyio.CancelScope()
 
     def close(self) -> None:
         """Close the connection."""
+        self._waiting.close()
         self._stream.close()
 
     async def run(self) -> None:
         """Handle requests until the connection has to be closed."""
+        with self._scope:
+            await self._serve_requests()
+        if self._waiting.evicted_for is not None and self._is_reading:
+            self._refuse_now()
+
+    def _refuse_now(self) -> None:
+        """Send a refusal, as far as the kernel takes it at once."""
+        if self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            with suppress(anyio.BrokenResourceError):
+                self._stream.send_now(self._refusal(NOT_READY))
+
+    async def _serve_requests(self) -> None:
         while True:
             try:
                 has_data = await self._wait_for_bytes()
@@ -350,8 +383,10 @@
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for data of a request; return False if the connection must close."""
+        self._waiting.hold_request(0)
         if self._connection.trailing_data[0] or self._pipelined:
             return True
+        self._waiting.for_request(self._scope)
         idle_since = anyio.current_time()
         while True:
             deadline = idle_since + self._state.limits.idle_timeout_s
@@ -418,6 +453,8 @@
                 return event
             if self._unparsed_bytes > self._state.limits.max_header_bytes:
                 raise self._too_large(HEADERS_TOO_LARGE, "head")
+            if self._unparsed_bytes > HEAD_READ_BYTES:
+                self._waiting.hold_unparsed(self._unparsed_bytes)
             if self._connection.they_are_waiting_for_100_continue:
                 interim_response = h11.InformationalResponse(
                     status_code=100, headers=[]
@@ -429,6 +466,8 @@
 
     async def _serve_request(self) -> bool:
         """Read and handle one request; return whether another one may follow."""
+        self._waiting.for_request(self._scope)
+        self._is_reading = True
         try:
             with anyio.fail_after(self._state.limits.header_timeout_s):
                 head = await self._read_head()
@@ -436,6 +475,13 @@
                 body = await self._read_body()
         except (TimeoutError, anyio.EndOfStream):
             return False
+        except BudgetExceededError as error:
+            self._state.on_shed(ShedReason.REQUEST_REFUSED)
+            raise _BadRequestError(
+                NOT_READY, "too many bytes of requests are held"
+            ) from error
+        self._is_reading = False
+        self._waiting.end()
         must_close = self._state.connection_close
         exchange = await self._handle(head, body, must_close)
         if exchange is None:
@@ -462,6 +508,7 @@
         length = find_header(headers, b"content-length")
         if length is not None and int(length) > limits.max_body_bytes:
             raise self._too_large(BODY_TOO_LARGE, "body")
+        self._waiting.hold_request(size + FIELD_OVERHEAD_BYTES * len(headers))
         return RequestHead(event.method, event.target, headers)
 
     def _too_large(self, status: int, part: str) -> _BadRequestError:
@@ -471,18 +518,19 @@
         return _BadRequestError(status, detail)
 
     async def _read_body(self) -> bytes:
-        parts = []
-        size = 0
+        held_bytes = self._waiting.holding.size
+        # One buffer, as a list of small parts would take many times their bytes.
+        body = bytearray()
         while True:
             event = await self._next_event(BODY_READ_BYTES)
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 continue
-            size += len(event.data)
-            if size > self._state.limits.max_body_bytes:
+            if len(body) + len(event.data) > self._state.limits.max_body_bytes:
                 raise self._too_large(BODY_TOO_LARGE, "body")
-            parts.append(bytes(event.data))
+            body += event.data
+            self._waiting.hold_request(held_bytes + len(body))
 
     async def _handle(
         self, head: RequestHead, body: bytes, must_close: bool
@@ -508,7 +556,7 @@
                 head,
                 body,
                 self._connection,
-                ResponseWriter(self._stream, tasks.cancel_scope),
+                ResponseWriter(self._stream, self._waiting, tasks.cancel_scope),
                 must_close,
             )
             tasks.start_soon(watch_for_disconnect)
@@ -524,6 +572,8 @@
         logger.info("request refused", status=error.status, detail=error.detail)
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self._waiting.hold_request(0)
+        self._waiting.for_request(self._scope)
         with anyio.move_on_after(LINGER_S):
             if not self._stream.send_now(self._refusal(error.status)):
                 await self._stream.flush(WRITE_BYTES)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/control.py
@@ -19,9 +19,9 @@
     ConnectionPool,
     Exchange,
     ServerLimits,
-    ServerState,
     serve_http,
 )
+from cranberryfield.core.http1.listeners import ListenerFactory
 from cranberryfield.core.ids import ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.deployment import (
@@ -108,6 +108,8 @@
         Background tasks that only act while this host leads.
     metrics : Metrics
         Counts failures of background tasks.
+    listeners : ListenerFactory
+        Makes the state of the listener.
     rollouts : RolloutCoordinator, optional
         Moves rollouts forward while this host leads; None if there are none.
     """
@@ -125,6 +127,7 @@
         proposer: Proposer,
         leader_tasks: tuple[UsageReporter | UpstreamAutoscaler | SlotServer, ...],
         metrics: Metrics,
+        listeners: ListenerFactory,
         rollouts: RolloutCoordinator | None = None,
     ):
         self._address = address
@@ -139,7 +142,9 @@
         self._leader_tasks = leader_tasks
         self._metrics = metrics
         self._rollouts = rollouts
-        self._server_state = ServerState(ServerLimits(max_body_bytes=MAX_BODY_BYTES))
+        self._server_state = listeners.for_callers(
+            ServerLimits(max_body_bytes=MAX_BODY_BYTES), "operators"
+        )
         self._operations = ControlOperations(
             self._declare_deployment,
             self._read_deployment,
@@ -160,6 +165,7 @@
         clock: Clock,
         rng: Random,
         metrics: Metrics,
+        listeners: ListenerFactory,
     ) -> "ControlHost":
         """Build the role; see `ControlRuntime.from_config`."""
         board.add(SettingsSection())
@@ -255,6 +261,7 @@
             proposer,
             leader_tasks,
             metrics,
+            listeners,
             rollouts,
         )
 
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -15,7 +15,8 @@
 from cranberryfield.core.config import ClusterConfig
 from cranberryfield.core.config.daemon import split_address
 from cranberryfield.core.features import SUPPORTED_LEVEL
-from cranberryfield.core.http1 import Exchange, ServerState, serve_http
+from cranberryfield.core.http1 import Exchange, serve_http
+from cranberryfield.core.http1.listeners import ListenerFactory, ProcessLimits
 from cranberryfield.core.ids import Incarnation
 from cranberryfield.core.loop_monitor import LoopMonitor
 from cranberryfield.core.mesh import ControlDirectory, Mesh
@@ -75,6 +76,7 @@
     directory = ControlDirectory(
         mesh, config.mesh_seeds, config.first_start, clock, rng
     )
+    listeners = ListenerFactory(ProcessLimits.from_config(config), metrics, clock)
     roles = []
     # A host imports only the roles that it has, as imports are most of its start.
     if config.control is not None:
@@ -82,7 +84,15 @@
 
         roles.append(
             ControlHost.from_config(
-                config, adapter, mesh, board, directory.names, clock, rng, metrics
+                config,
+                adapter,
+                mesh,
+                board,
+                directory.names,
+                clock,
+                rng,
+                metrics,
+                listeners,
             )
         )
     if config.relay is not None:
@@ -90,12 +100,20 @@
 
         roles.append(
             RelayHost.from_config(
-                config, adapter, mesh, board, metrics, directory.names, clock, rng
+                config,
+                adapter,
+                mesh,
+                board,
+                metrics,
+                directory.names,
+                clock,
+                rng,
+                listeners,
             )
         )
     # Installed before the roles start, as signals may arrive during the start.
     with anyio.open_signal_receiver(*SIGNALS) as signals:
-        await _run_roles(config, mesh, directory, roles, metrics, signals)
+        await _run_roles(config, mesh, directory, roles, metrics, listeners, signals)
 
 
 async def _run_roles(
@@ -104,6 +122,7 @@
     directory: ControlDirectory,
     roles: "list[ControlHost | RelayHost]",
     metrics: Metrics,
+    listeners: ListenerFactory,
     signals: AsyncIterator[signal.Signals],
 ) -> None:
     async with anyio.create_task_group() as tasks:
@@ -119,7 +138,7 @@
                 serve_http,
                 address,
                 _metrics_handler(metrics, mesh, boot_time_clock),
-                ServerState(),
+                listeners.for_tools("metrics"),
             )
         for role in roles:
             tasks.start_soon(role.run)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/relay.py
@@ -22,10 +22,10 @@
     ConnectionPool,
     Exchange,
     ServerLimits,
-    ServerState,
     find_lost_connection,
     serve_http,
 )
+from cranberryfield.core.http1.listeners import ListenerFactory
 from cranberryfield.core.ids import NodeId, ServiceName
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.membership import UpstreamRecord
@@ -154,6 +154,8 @@
         Monotonic time that counts suspensions.
     rng : random.Random
         Source of the jitter in retry delays.
+    listeners : ListenerFactory
+        Makes the states of the listeners.
     rollout_reporter : RolloutReporter, optional
         Reports to the leader about rollouts; not given if the deployment has none.
     slots : SlotClient, optional
@@ -177,6 +179,7 @@
         metrics: Metrics,
         clock: Clock,
         rng: Random,
+        listeners: ListenerFactory,
         rollout_reporter: RolloutReporter | None = None,
         slots: SlotClient | None = None,
     ):
@@ -199,7 +202,10 @@
         self._slots = slots
         self._started_at = clock()
         self._stopping = False
-        self._server_state = ServerState(ServerLimits.provisional())
+        self._server_state = listeners.for_callers(
+            ServerLimits.provisional(), "callers"
+        )
+        self._readiness_state = listeners.for_tools("readiness")
         follower.watch(self._apply_limits)
 
     @classmethod
@@ -213,6 +219,7 @@
         names: ControlHostNames,
         clock: Clock,
         rng: Random,
+        listeners: ListenerFactory,
     ) -> "RelayHost":
         """Build the role.
 
@@ -234,6 +241,8 @@
             Monotonic time that counts suspensions.
         rng : random.Random
             Seeded generator.
+        listeners : ListenerFactory
+            Makes the states of the listeners.
 
         Returns
         -------
@@ -379,6 +388,7 @@
             metrics,
             clock,
             rng,
+            listeners,
             rollout_reporter,
             slots,
         )
@@ -414,7 +424,7 @@
             start_supervised(tasks, background, self._metrics)
             readiness = split_address(self._config.relay.readiness)
             tasks.start_soon(
-                serve_http, readiness, self._answer_readiness, ServerState()
+                serve_http, readiness, self._answer_readiness, self._readiness_state
             )
             callers = split_address(self._config.relay.callers)
             tasks.start_soon(
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_relay_failures.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_relay_failures.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cranberryfield.core.errors import ErrorKind, WasRun
+from cranberryfield.core.http1.listeners import ListenerFactory, ProcessLimits
 from cranberryfield.core.metrics import Metrics
 from cranberryfield.daemon.cluster.relay import RelayHost
 
@@ -44,6 +45,7 @@
         Metrics(),
         lambda: 0.0,
         Random(1),
+        ListenerFactory(ProcessLimits(1 << 20), Metrics(), lambda: 0.0),
     )
     host._read_request = lambda exchange: SimpleNamespace(id="r1")
     exchange = RecordingExchange(response_started)
