Send large bodies to upstreams in parts

Eight bodies of 4 MiB that were being handled, as many as the budget allows, took a relay to 160 MiB (bodies-whole): the bytes of the request were put together with its head, and the transport kept a copy of what the upstream had not taken yet, so that a body was there three times and more. A body of more than 64 KiB is sent in such parts now.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -30,6 +30,8 @@
 ]
 
 READ_BYTES = 65_536
+#: Bytes of a request that are sent at once.
+SEND_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_PORT = 65_535
 #: Maximum number of informational responses before a response.
@@ -168,10 +170,17 @@
         request = h11.Request(method=head.method, target=head.target, headers=headers)
         data = self._connection.send(request)
         if body:
-            data += self._connection.send(h11.Data(data=body))
-        data += self._connection.send(h11.EndOfMessage())
+            self._connection.send(h11.Data(data=body))
+        # Has no bytes, as the request has a length.
+        self._connection.send(h11.EndOfMessage())
         try:
+            if len(body) <= SEND_BYTES:
+                await self._stream.send(data + body)
+                return
+            # In parts, since a stream copies what it cannot send at once.
             await self._stream.send(data)
+            for start in range(0, len(body), SEND_BYTES):
+                await self._stream.send(body[start : start + SEND_BYTES])
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             raise BrokenExchangeError(
                 "connection closed while sending the request"
