Bound the connections of each listener

Callers that opened 450 connections, and kept them open without a request, in a part of one, or after an answer, took 468 of a relay's 500 descriptors, of which the users' page leaves 300; a relay without descriptors reaches no upstream and no other host. Nothing bounded the connections of a listener.

The listener for callers, and that for operators, has half of max_descriptors now (a new setting; without it the limit of the process) less 200 for files, but not more than 2.5 for each MiB of memory_mb, or max_connections; the ready and metrics listeners have 32. A new connection takes the place of the one that has kept this process waiting for its caller for longest: without a request, in the middle of one, or with an answer that is not taken. If all others are being served the new one gets 503 with a Retry-After and is closed, as nothing of it has been read.

To refuse new connections at the limit instead would let callers that stay lock out the others.

--- a/packages/cranberryfield-core/src/cranberryfield/core/admission.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/admission.py
@@ -1,17 +1,20 @@
 """Bounds on what all connections of a process hold together.
 
-Which connection yields is decided here: the one that holds most while this process
-waits for its peer. A request that has been read whole is never given up for another.
+Which connection yields is decided here: the one that has kept this process waiting for
+longest, or that holds most while it does so. A request that has been read whole is
+never given up for another one.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 __all__ = [
+    "AdmittedConnection",
     "BudgetExceededError",
     "ByteBudget",
     "ByteHolding",
+    "ConnectionTable",
     "ShedReason",
 ]
 
@@ -19,6 +22,8 @@
 class ShedReason(Enum):
     """What a limit on all connections has cost a caller."""
 
+    CONNECTION_REFUSED = "connection_refused"
+    CONNECTION_CLOSED = "connection_closed"
     REQUEST_REFUSED = "request_refused"
     RESPONSE_DROPPED = "response_dropped"
 
@@ -131,3 +136,83 @@
             self._holdings[holding] = None
         else:
             self._holdings.pop(holding, None)
+
+
+@dataclass(slots=True, eq=False)
+class AdmittedConnection:
+    """An open connection.
+
+    Attributes
+    ----------
+    evict : callable
+        Closes the connection.
+    """
+
+    evict: Callable[[], None]
+
+
+@dataclass(slots=True)
+class ConnectionTable:
+    """Open connections of one listener.
+
+    Attributes
+    ----------
+    max_connections : int
+        Number of connections that may be open.
+
+    Examples
+    --------
+    >>> table = ConnectionTable(1)
+    >>> idle = AdmittedConnection(lambda: print("closed"))
+    >>> table.admit(idle)
+    True
+    >>> table.mark_waiting(idle)
+    >>> busy = AdmittedConnection(lambda: print("closed"))
+    >>> table.admit(busy)
+    closed
+    True
+    >>> table.admit(AdmittedConnection(lambda: None))
+    False
+    """
+
+    max_connections: int
+    _open: set[AdmittedConnection] = field(default_factory=set)
+    #: Those that wait for their peer, the one that does so for longest first.
+    _waiting: dict[AdmittedConnection, None] = field(default_factory=dict)
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    def admit(self, connection: AdmittedConnection) -> bool:
+        """Add a connection, in the place of one that waits if there are too many.
+
+        Returns
+        -------
+        bool
+            False if all others are in use.
+        """
+        if len(self._open) >= self.max_connections:
+            longest = next(iter(self._waiting), None)
+            if longest is None:
+                return False
+            self.remove(longest)
+            longest.evict()
+        self._open.add(connection)
+        return True
+
+    def remove(self, connection: AdmittedConnection) -> None:
+        """Remove a connection that is closed; without effect on others."""
+        self._open.discard(connection)
+        self._waiting.pop(connection, None)
+
+    def mark_waiting(self, connection: AdmittedConnection) -> None:
+        """Record that a connection waits for its peer from now on."""
+        self._waiting.pop(connection, None)
+        if connection in self._open:
+            self._waiting[connection] = None
+
+    def mark_working(self, connection: AdmittedConnection) -> None:
+        """Record that a connection has a request that is being handled."""
+        self._waiting.pop(connection, None)
--- a/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/cluster.py
@@ -129,6 +129,11 @@
         Time between two announcements of an upstream, in milliseconds.
     memory_mb : float
         Memory that the process may use, in MiB.
+    max_descriptors : int, optional
+        Descriptors that the process may open; by default its limit at the start.
+    max_connections : int, optional
+        Connections of callers that may be open; by default a share of the descriptors
+        and of the memory.
     max_held_mb : float, optional
         Memory for bodies of requests and for responses that wait for their caller, in
         MiB; by default a share of the memory.
@@ -169,6 +174,8 @@
     least_cost: bool = False
     announce_interval_ms: PositiveFloat = 1_200.0
     memory_mb: Annotated[float, msgspec.Meta(ge=64)] = 160.0
+    max_descriptors: Annotated[int, msgspec.Meta(ge=256)] | None = None
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] | None = None
     max_held_mb: PositiveFloat | None = None
     group: Name = "cranberryfield"
     log_level: LogLevel = LogLevel.INFO
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
@@ -1,10 +1,12 @@
-"""Limits on bytes that follow from the machine of a process."""
+"""Limits on connections and bytes that follow from the machine of a process."""
 
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from cranberryfield.core.admission import (
     ByteBudget,
+    ConnectionTable,
     ShedReason,
 )
 from cranberryfield.core.clock import Clock
@@ -15,9 +17,19 @@
 
 __all__ = ["ListenerFactory", "ProcessLimits"]
 
+#: Descriptors that are kept for files.
+RESERVED_DESCRIPTORS = 200
+#: Parts of the other descriptors for connections of callers, and for those of other
+#: processes that have not shown the key yet.
+CALLERS_PART = 1 / 2
+LINKS_PART = 1 / 4
+#: Connections of callers for each MiB of memory.
+CONNECTIONS_PER_MB = 2.5
 #: Part of the memory for requests, and for responses that wait for their caller.
 HELD_PART = 1 / 5
-#: Size of a request to a listener that only programs of the operators call, in bytes.
+#: Connections to a listener that only programs of the operators call, and the size of
+#: a request on them, in bytes.
+TOOL_CONNECTIONS = 32
 TOOL_BODY_BYTES = 16_384
 BYTES_PER_MB = 1 << 20
 
@@ -28,25 +40,42 @@
 
     Attributes
     ----------
+    caller_connections : int
+        Connections to the listener for callers, or for operators and upstreams.
+    link_connections : int
+        Connections of other processes that have not shown the key yet.
     held_bytes : int
         Bytes of requests, and of responses that wait for their caller.
     """
 
+    caller_connections: int
+    link_connections: int
     held_bytes: int
 
     @classmethod
     def from_config(cls, config: ClusterConfig) -> "ProcessLimits":
-        """Derive the limits that are not set from the memory.
+        """Derive the limits that are not set from memory and descriptors.
 
         Parameters
         ----------
         config : ClusterConfig
             The checked settings.
         """
+        descriptors = config.max_descriptors
+        if descriptors is None:
+            descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        usable = descriptors - RESERVED_DESCRIPTORS
+        connections = min(
+            int(CALLERS_PART * usable), int(CONNECTIONS_PER_MB * config.memory_mb)
+        )
         held_bytes = int(HELD_PART * config.memory_mb * BYTES_PER_MB)
         if config.max_held_mb is not None:
             held_bytes = int(config.max_held_mb * BYTES_PER_MB)
-        return cls(held_bytes)
+        return cls(
+            config.max_connections or max(1, connections),
+            max(1, int(LINKS_PART * usable)),
+            held_bytes,
+        )
 
 
 class ListenerFactory:
@@ -72,6 +101,7 @@
         """Return the state of a listener for callers, or for operators."""
         return ServerState(
             limits,
+            table=ConnectionTable(self._limits.caller_connections),
             budget=self._budget,
             on_shed=self._reporter(listener),
         )
@@ -80,6 +110,9 @@
         """Return the state of a listener for requests without a body."""
         return ServerState(
             ServerLimits(max_body_bytes=TOOL_BODY_BYTES),
+            table=ConnectionTable(
+                min(TOOL_CONNECTIONS, self._limits.caller_connections)
+            ),
             budget=self._budget,
             on_shed=self._reporter(listener),
         )
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/peer_wait.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/peer_wait.py
@@ -6,9 +6,11 @@
 import anyio
 
 from cranberryfield.core.admission import (
+    AdmittedConnection,
     BudgetExceededError,
     ByteBudget,
     ByteHolding,
+    ConnectionTable,
     ShedReason,
 )
 
@@ -16,12 +18,14 @@
 
 
 class PeerWait:
-    """Tells the budget whether a connection waits for its peer.
+    """Tells the table and the budget whether a connection waits for its peer.
 
     Parameters
     ----------
     budget : ByteBudget
         Bytes that all connections may hold.
+    table : ConnectionTable
+        Connections of the listener.
     on_shed : callable
         Called when a limit on all connections costs this one something.
     """
@@ -29,18 +33,28 @@
     def __init__(
         self,
         budget: ByteBudget,
+        table: ConnectionTable,
         on_shed: Callable[[ShedReason], None],
     ):
+        self._table = table
         self._on_shed = on_shed
         self._scope: anyio.CancelScope | None = None
         self._request_bytes = 0
         self.holding = ByteHolding(budget)
+        self.admitted = AdmittedConnection(
+            lambda: self._evict(ShedReason.CONNECTION_CLOSED)
+        )
         self.evicted_for: ShedReason | None = None
 
     def for_request(self, scope: anyio.CancelScope) -> None:
         """Wait for bytes of a request from now on."""
         self._scope = scope
         self.holding.evict = self._evict_request
+        self._table.mark_waiting(self.admitted)
+
+    def record_progress(self) -> None:
+        """Record that the peer has sent or taken something."""
+        self._table.mark_waiting(self.admitted)
 
     def hold_request(self, size: int) -> None:
         """Hold a number of bytes of the present request."""
@@ -55,12 +69,14 @@
     def end(self) -> None:
         """Wait no more, as a request has been read whole."""
         self.holding.evict = None
+        self._table.mark_working(self.admitted)
 
     @contextmanager
     def for_response(self, size: int, scope: anyio.CancelScope) -> Iterator[None]:
         """Wait until the peer has taken bytes of a response."""
         self._scope = scope
         self.holding.evict = self._evict_response
+        self._table.mark_waiting(self.admitted)
         try:
             self.holding.resize(self._request_bytes + size)
         except BudgetExceededError:
@@ -75,6 +91,7 @@
     def close(self) -> None:
         """Give up what the connection holds."""
         self.holding.resize(0)
+        self._table.remove(self.admitted)
 
     def _evict_request(self) -> None:
         self._evict(ShedReason.REQUEST_REFUSED)
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/response_writer.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/response_writer.py
@@ -69,3 +69,4 @@
             while self._stream.unsent_bytes:
                 scope.deadline = anyio.current_time() + WRITE_TIMEOUT_S
                 await self._stream.flush(WRITE_BYTES)
+                self._waiting.record_progress()
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -13,6 +13,7 @@
 from cranberryfield.core.admission import (
     BudgetExceededError,
     ByteBudget,
+    ConnectionTable,
     ShedReason,
 )
 from cranberryfield.core.http1.message import RequestHead, find_header
@@ -52,7 +53,8 @@
 PROVISIONAL_TIMEOUT_S = 60.0
 #: Retry delay of requests that are refused for now, in seconds.
 RETRY_S = 1
-#: Bound of a server that is given none, for tests and small tools.
+#: Bounds of a server that is given none, for tests and small tools.
+DEFAULT_MAX_CONNECTIONS = 1_024
 DEFAULT_MAX_HELD_BYTES = 64 << 20
 BAD_REQUEST = 400
 BODY_TOO_LARGE = 413
@@ -113,6 +115,8 @@
         Set to stop accepting connections and to close the idle ones.
     active_requests : int
         Number of requests that are being read or handled.
+    table : ConnectionTable
+        Open connections of the listener.
     budget : ByteBudget
         Bytes that its connections, and those of other listeners, may hold.
     on_shed : callable
@@ -123,6 +127,9 @@
     connection_close: bool = False
     stop_event: anyio.Event = field(default_factory=anyio.Event)
     active_requests: int = 0
+    table: ConnectionTable = field(
+        default_factory=lambda: ConnectionTable(DEFAULT_MAX_CONNECTIONS)
+    )
     budget: ByteBudget = field(
         default_factory=lambda: ByteBudget(DEFAULT_MAX_HELD_BYTES)
     )
@@ -275,9 +282,9 @@
     ):
 
         def start(raw: socket.socket) -> None:
-            enable_dead_peer_detection(raw)
-            connection = _Connection(AcceptedStream(raw), handler, state)
-            connections.start_soon(serve_connection, connection)
+            connection = _Connection.admit(raw, handler, state)
+            if connection is not None:
+                connections.start_soon(serve_connection, connection)
 
         for one in sockets:
             accepting.start_soon(_accept, one, start)
@@ -343,9 +350,24 @@
         self._received_eof = False
         #: Whether a request has begun that has not been read whole.
         self._is_reading = False
-        self._waiting = PeerWait(state.budget, state.on_shed)
+        self._waiting = PeerWait(state.budget, state.table, state.on_shed)
         self._scope = anyio.CancelScope()
 
+    @classmethod
+    def admit(
+        cls, raw: socket.socket, handler: Handler, state: ServerState
+    ) -> "_Connection | None":
+        """Return the connection of an accepted socket; None if there are too many."""
+        enable_dead_peer_detection(raw)
+        connection = cls(AcceptedStream(raw), handler, state)
+        if state.table.admit(connection._waiting.admitted):
+            connection._waiting.for_request(connection._scope)
+            return connection
+        state.on_shed(ShedReason.CONNECTION_REFUSED)
+        connection._refuse_now()
+        connection._stream.close()
+        return None
+
     def close(self) -> None:
         """Close the connection."""
         self._waiting.close()
@@ -429,6 +451,7 @@
         elif self._received_eof:
             return False
         else:
+            self._waiting.record_progress()
             try:
                 data = await self._stream.receive(max_bytes)
             except anyio.EndOfStream:
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_relay_failures.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/tests/test_relay_failures.py
@@ -45,7 +45,7 @@
         Metrics(),
         lambda: 0.0,
         Random(1),
-        ListenerFactory(ProcessLimits(1 << 20), Metrics(), lambda: 0.0),
+        ListenerFactory(ProcessLimits(8, 8, 1 << 20), Metrics(), lambda: 0.0),
     )
     host._read_request = lambda exchange: SimpleNamespace(id="r1")
     exchange = RecordingExchange(response_started)
