Refuse links without the key before any frame is read

Cause: the key was checked once the handshake was done, and meanwhile the library reads a frame of up to 32 MiB; an idle connection had 10 s for its handshake, and there was no bound on their number. The key is checked in the handshake now, and a wrong one gets 401.

Links of peers with the key are as before.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
@@ -13,6 +13,7 @@
 from cranberryfield.core.config.cluster import ClusterConfig
 from cranberryfield.core.http1.server import ServerLimits, ServerState
 from cranberryfield.core.log_throttle import LogThrottle
+from cranberryfield.core.mesh.handshakes import HandshakeGate
 from cranberryfield.core.metrics import Metrics
 
 __all__ = ["ListenerFactory", "ProcessLimits"]
@@ -117,6 +118,11 @@
             on_shed=self._reporter(listener),
         )
 
+    def for_links(self) -> HandshakeGate:
+        """Return the bound on connections of peers that have not shown the key."""
+        table = ConnectionTable(self._limits.link_connections)
+        return HandshakeGate(table, self._reporter("mesh"))
+
     def _reporter(self, listener: str) -> Callable[[ShedReason], None]:
         def report(reason: ShedReason) -> None:
             self._metrics.count(f"shed_{reason.value}")
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -1,7 +1,7 @@
 """Links of one process: listening, dialling and dispatch of messages."""
 
 from collections.abc import Callable
-from hmac import compare_digest
+from functools import partial
 
 import anyio
 import structlog
@@ -9,7 +9,9 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
+from websockets.http11 import Request, Response
 
+from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.config.daemon import TlsFiles, split_address
 from cranberryfield.core.errors import (
     CranberryfieldError,
@@ -19,12 +21,11 @@
 )
 from cranberryfield.core.features import FeatureLevel
 from cranberryfield.core.ids import NodeId
+from cranberryfield.core.listening import ACCEPTED_AT_ONCE, open_listener
+from cranberryfield.core.log_throttle import LogThrottle
 from cranberryfield.core.mesh.dispatch import Handler, MessageDispatcher
-from cranberryfield.core.mesh.link import (
-    Link,
-    MeteredClientConnection,
-    MeteredServerConnection,
-)
+from cranberryfield.core.mesh.handshakes import GatedServerConnection, HandshakeGate
+from cranberryfield.core.mesh.link import Link, MeteredClientConnection
 from cranberryfield.core.mesh.tls import client_tls, server_tls
 from cranberryfield.core.mesh.tunnels import (
     TUNNEL_PATH,
@@ -63,6 +64,7 @@
 #: Maximum number of messages queued for a peer while its link is being opened.
 MAX_QUEUED_PER_OPENING_LINK = 1000
 OPENING_POLL_S = 0.01
+UNAUTHORIZED = 401
 
 logger = structlog.get_logger(__name__)
 
@@ -78,12 +80,22 @@
         Shared key of the mesh.
     tls : TlsFiles, optional
         Files for mutual TLS.
+    gate : HandshakeGate, optional
+        Bound on connections of peers that have not shown the key yet.
     """
 
-    def __init__(self, hello: Hello, key: str, tls: TlsFiles | None = None):
+    def __init__(
+        self,
+        hello: Hello,
+        key: str,
+        tls: TlsFiles | None = None,
+        gate: HandshakeGate | None = None,
+    ):
         self._hello = hello
         self._key = key
         self._tls = tls
+        self._gate = gate or HandshakeGate()
+        self._throttle = LogThrottle(monotonic_clock)
         self._links: dict[NodeId, list[Link]] = {}
         self._dispatcher = MessageDispatcher(hello.node)
         self._link_watchers: list[Callable[[Hello, bool], None]] = []
@@ -309,14 +321,15 @@
             anyio.create_task_group() as self._tasks,
             serve(
                 self._accept,
-                host,
-                port,
+                sock=open_listener(host, port),
+                backlog=ACCEPTED_AT_ONCE,
                 compression=None,
                 max_size=MAX_FRAME_BYTES,
                 ping_interval=ACCEPTED_PING_INTERVAL_S,
                 ping_timeout=ACCEPTED_PING_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
-                create_connection=MeteredServerConnection,
+                create_connection=partial(GatedServerConnection, gate=self._gate),
+                process_request=self._check_key,
                 ssl=server_tls(self._tls),
             ),
         ):
@@ -362,12 +375,16 @@
             await connection.send(self._encode_greeting())
             await self._serve_link(connection, True, closes_when_idle)
 
-    async def _accept(self, connection) -> None:
-        authorization = connection.request.headers.get("Authorization", "")
-        if not compare_digest(authorization.encode(), f"Bearer {self._key}".encode()):
-            logger.warning("link refused: wrong mesh key")
-            await connection.close(1008, "wrong mesh key")
-            return
+    def _check_key(
+        self, connection: GatedServerConnection, request: Request
+    ) -> Response | None:
+        """Refuse a handshake without the key, before any frame is read."""
+        if connection.check_key(self._key):
+            return None
+        self._throttle.warn("link refused: wrong mesh key")
+        return connection.respond(UNAUTHORIZED, "wrong mesh key\n")
+
+    async def _accept(self, connection: GatedServerConnection) -> None:
         try:
             if connection.request.path == TUNNEL_PATH:
                 await serve_tunnel(connection, self._tunnel_handler)
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -69,14 +69,14 @@
         If the data folder cannot be used.
     """
     board = Blackboard()
-    mesh = Mesh(_make_hello(config), config.mesh_key)
     clock = boot_time_clock
     rng = Random(config.node)
     metrics = Metrics()
+    listeners = ListenerFactory(ProcessLimits.from_config(config), metrics, clock)
+    mesh = Mesh(_make_hello(config), config.mesh_key, gate=listeners.for_links())
     directory = ControlDirectory(
         mesh, config.mesh_seeds, config.first_start, clock, rng
     )
-    listeners = ListenerFactory(ProcessLimits.from_config(config), metrics, clock)
     roles = []
     # A host imports only the roles that it has, as imports are most of its start.
     if config.control is not None:
