Bound what callers of entry hosts hold

Cause: as at relays, nothing bounded the sum over all connections, and a body was kept as the list of its parts. Hypercorn takes part in neither bound, so that its listening socket does: it accepts as many connections as the settings allow, and closes the one that waits for its caller for longest when another one comes. A layer around the application tells it which connections have a request that is being handled, and counts the bytes of bodies; what is too much is refused with 503 and a Retry-After, and says that it was not run, or that this is not known if it has a key. The body is read into one buffer. The settings are those of relays; memory_mb is 300 by default.

--- a/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/config/daemon.py
@@ -98,6 +98,16 @@
         Files for mutual TLS; required if `mesh` is not a loopback address.
     statsd : str, optional
         ``IP:PORT`` of the statsd daemon.
+    memory_mb : float
+        Memory that the process may use, in MiB.
+    max_descriptors : int, optional
+        Descriptors that the process may open; by default its limit at the start.
+    max_connections : int, optional
+        Connections of callers that may be open; by default a share of the descriptors
+        and of the memory.
+    max_held_mb : float, optional
+        Memory for bodies of requests that are read or handled, in MiB; by default a
+        share of the memory.
     log_level : LogLevel
         Lowest level that is logged.
     """
@@ -118,6 +128,10 @@
     data_folder: str | None = None
     tls: TlsFiles | None = None
     statsd: IpAddress | None = None
+    memory_mb: Annotated[float, msgspec.Meta(ge=64)] = 300.0
+    max_descriptors: Annotated[int, msgspec.Meta(ge=256)] | None = None
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    max_held_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
     log_level: LogLevel = LogLevel.INFO
 
     @property
--- a/packages/cranberryfield-core/src/cranberryfield/core/http/bodies.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http/bodies.py
@@ -32,16 +32,15 @@
     CallerError
         Of kind ``body_too_large`` if the body is larger than `limit`.
     """
-    parts = []
-    size = 0
+    # One buffer, as a list of small parts would take many times their bytes.
+    body = bytearray()
     async for chunk in request.stream():
-        size += len(chunk)
-        if size > limit:
+        if len(body) + len(chunk) > limit:
             raise CallerError(
                 ErrorKind.BODY_TOO_LARGE, f"request body is larger than {limit} bytes"
             )
-        parts.append(chunk)
-    return b"".join(parts)
+        body += chunk
+    return bytes(body)
 
 
 async def decode_json(request: HttpRequest, body_type: type[T], limit: int) -> T:
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
@@ -11,6 +11,7 @@
 )
 from cranberryfield.core.clock import Clock
 from cranberryfield.core.config.cluster import ClusterConfig
+from cranberryfield.core.config.daemon import DaemonConfig
 from cranberryfield.core.http1.server import ServerLimits, ServerState
 from cranberryfield.core.log_throttle import LogThrottle
 from cranberryfield.core.mesh.handshakes import HandshakeGate
@@ -54,12 +55,12 @@
     held_bytes: int
 
     @classmethod
-    def from_config(cls, config: ClusterConfig) -> "ProcessLimits":
+    def from_config(cls, config: ClusterConfig | DaemonConfig) -> "ProcessLimits":
         """Derive the limits that are not set from memory and descriptors.
 
         Parameters
         ----------
-        config : ClusterConfig
+        config : ClusterConfig or DaemonConfig
             The checked settings.
         """
         descriptors = config.max_descriptors
@@ -104,7 +105,7 @@
             limits,
             table=ConnectionTable(self._limits.caller_connections),
             budget=self._budget,
-            on_shed=self._reporter(listener),
+            on_shed=self.reporter(listener),
         )
 
     def for_tools(self, listener: str) -> ServerState:
@@ -115,15 +116,27 @@
                 min(TOOL_CONNECTIONS, self._limits.caller_connections)
             ),
             budget=self._budget,
-            on_shed=self._reporter(listener),
+            on_shed=self.reporter(listener),
         )
 
+    @property
+    def budget(self) -> ByteBudget:
+        """Bytes that all connections may hold."""
+        return self._budget
+
+    @property
+    def caller_connections(self) -> int:
+        """Number of connections of callers that may be open."""
+        return self._limits.caller_connections
+
     def for_links(self) -> HandshakeGate:
         """Return the bound on connections of peers that have not shown the key."""
         table = ConnectionTable(self._limits.link_connections)
-        return HandshakeGate(table, self._reporter("mesh"))
+        return HandshakeGate(table, self.reporter("mesh"))
+
+    def reporter(self, listener: str) -> Callable[[ShedReason], None]:
+        """Return the function that counts and logs what a listener sheds."""
 
-    def _reporter(self, listener: str) -> Callable[[ShedReason], None]:
         def report(reason: ShedReason) -> None:
             self._metrics.count(f"shed_{reason.value}")
             self._throttle.warn(
--- a/packages/cranberryfield-core/src/cranberryfield/core/listening.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/listening.py
@@ -2,7 +2,7 @@
 
 import socket
 
-__all__ = ["ACCEPTED_AT_ONCE", "open_listener"]
+__all__ = ["ACCEPTED_AT_ONCE", "ListeningSocket"]
 
 #: Connections that a server of asyncio accepts before it does anything else. Given to
 #: it as the length of the kernel's queue, which it takes as this number too.
@@ -11,15 +11,8 @@
 QUEUED_CONNECTIONS = 1_024
 
 
-class _ListeningSocket(socket.socket):
-    """Socket whose queue is longer than the server that listens on it asks for."""
-
-    def listen(self, backlog: int = 0) -> None:
-        super().listen(max(backlog, QUEUED_CONNECTIONS))
-
-
-def open_listener(host: str, port: int) -> socket.socket:
-    """Return a bound socket that a server of asyncio can listen on.
+class ListeningSocket(socket.socket):
+    """Bound socket whose queue is longer than the server that listens on it asks for.
 
     Parameters
     ----------
@@ -33,13 +26,18 @@
     OSError
         If the address cannot be bound.
     """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = _ListeningSocket(family, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
-    except OSError:
-        listener.close()
-        raise
-    listener.setblocking(False)
-    return listener
+
+    def __init__(self, host: str, port: int):
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        super().__init__(family, socket.SOCK_STREAM)
+        try:
+            self.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.bind((host, port))
+        except OSError:
+            self.close()
+            raise
+        self.setblocking(False)
+
+    def listen(self, backlog: int = 0) -> None:
+        """Listen with a queue of `QUEUED_CONNECTIONS` or `backlog` connections."""
+        super().listen(max(backlog, QUEUED_CONNECTIONS))
--- a/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/mesh/mesh.py
@@ -21,7 +21,7 @@
 )
 from cranberryfield.core.features import FeatureLevel
 from cranberryfield.core.ids import NodeId
-from cranberryfield.core.listening import ACCEPTED_AT_ONCE, open_listener
+from cranberryfield.core.listening import ACCEPTED_AT_ONCE, ListeningSocket
 from cranberryfield.core.log_throttle import LogThrottle
 from cranberryfield.core.mesh.dispatch import Handler, MessageDispatcher
 from cranberryfield.core.mesh.handshakes import GatedServerConnection, HandshakeGate
@@ -321,7 +321,7 @@
             anyio.create_task_group() as self._tasks,
             serve(
                 self._accept,
-                sock=open_listener(host, port),
+                sock=ListeningSocket(host, port),
                 backlog=ACCEPTED_AT_ONCE,
                 compression=None,
                 max_size=MAX_FRAME_BYTES,
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -9,14 +9,17 @@
 import anyio
 import structlog
 from anyio.abc import TaskGroup
-from hypercorn.asyncio import serve
-from hypercorn.config import Config as HypercornConfig
+from hypercorn.config import Config as ServerConfig
 
 from cranberryfield.control.runtime import ControlRuntime
+from cranberryfield.core.admission import ConnectionTable
 from cranberryfield.core.blackboard import Blackboard
 from cranberryfield.core.clock import monotonic_clock
 from cranberryfield.core.config import DaemonConfig, Role
+from cranberryfield.core.config.daemon import split_address
 from cranberryfield.core.features import SUPPORTED_LEVEL
+from cranberryfield.core.http.admission import AdmissionMiddleware, AdmittingListener
+from cranberryfield.core.http1.listeners import ListenerFactory, ProcessLimits
 from cranberryfield.core.ids import Incarnation, NodeId
 from cranberryfield.core.mesh import ControlHostNames, Mesh
 from cranberryfield.core.messages.control import ReadTraffic, TrafficView
@@ -30,6 +33,7 @@
 )
 from cranberryfield.daemon.state_changes import Observation, log_changes
 from cranberryfield.daemon.web import build_web_app
+from cranberryfield.daemon.web_server import serve_web
 from cranberryfield.entry.runtime import EntryRuntime
 
 __all__ = ["run_process"]
@@ -57,15 +61,14 @@
     )
 
 
-def _make_hypercorn_config(config: DaemonConfig) -> HypercornConfig:
-    hypercorn_config = HypercornConfig()
-    hypercorn_config.bind = [config.callers]
-    hypercorn_config.graceful_timeout = MAX_RESPONSE_S
-    hypercorn_config.shutdown_timeout = MAX_RESPONSE_S
-    hypercorn_config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
-    hypercorn_config.accesslog = None
-    hypercorn_config.errorlog = logging.getLogger("hypercorn.error")
-    return hypercorn_config
+def _make_server_config() -> ServerConfig:
+    server_config = ServerConfig()
+    server_config.graceful_timeout = MAX_RESPONSE_S
+    server_config.shutdown_timeout = MAX_RESPONSE_S
+    server_config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    server_config.accesslog = None
+    server_config.errorlog = logging.getLogger("hypercorn.error")
+    return server_config
 
 
 async def run_process(config: DaemonConfig) -> None:
@@ -87,9 +90,11 @@
     """
     board = Blackboard()
     board.add(SettingsSection())
-    mesh = Mesh(_make_hello(config), config.mesh_key, config.tls)
-    mesh.handle(ReadTraffic, lambda sender, message: TrafficView(*mesh.traffic_bytes))
     metrics = Metrics.from_config(config.statsd, config.node)
+    limits = ProcessLimits.from_config(config)
+    listeners = ListenerFactory(limits, metrics, monotonic_clock)
+    mesh = Mesh(_make_hello(config), config.mesh_key, config.tls, listeners.for_links())
+    mesh.handle(ReadTraffic, lambda sender, message: TrafficView(*mesh.traffic_bytes))
     members = tuple(NodeId(member.node) for member in config.control)
     proposer = Proposer(mesh, lambda: members, monotonic_clock)
     rng = Random(config.node)
@@ -118,11 +123,17 @@
         await tasks.start(mesh.listen, config.mesh_listen_address)
         _dial_control_hosts(config, mesh, tasks)
         web = build_web_app(config, board, mesh, metrics, proposer, entry, control)
+        listener = AdmittingListener(
+            *split_address(config.callers),
+            ConnectionTable(listeners.caller_connections),
+            listeners.reporter("callers"),
+        )
+        admitting = AdmissionMiddleware(web, listener, listeners.budget)
         stop = anyio.Event()
         tasks.start_soon(_drain_on_signal, entry, stop)
         tasks.start_soon(log_changes, _make_observer(config, board, mesh, entry))
         logger.info("started", callers=config.callers, mesh=config.mesh)
-        await serve(web, _make_hypercorn_config(config), shutdown_trigger=stop.wait)
+        await serve_web(admitting, _make_server_config(), listener, stop.wait)
         if entry is not None:
             await entry.close()
         logger.info("stopped")
