End a connection of an entry host with its peer

Cause: the task that waits for the time-out of an idle connection, 75 s, is part of the connection, which ends with its last task. The end of the peer's bytes did not end it, so that socket and tasks of each connection stayed for 75 s.

--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/web_server.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/web_server.py
@@ -14,6 +14,17 @@
 __all__ = ["serve_web"]
 
 
+class _WebConnection(TCPServer):
+    """Connection that ends with its peer.
+
+    The library's goes on until the time-out of an idle connection.
+    """
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        await self.idle_task.stop()
+
+
 async def serve_web(
     app: Callable,
     config: Config,
@@ -22,7 +33,7 @@
 ) -> None:
     """Serve until `wait_for_stop` returns, and then until all responses have ended.
 
-    Hypercorn's own function has no place for the listener.
+    Hypercorn's own function has no place for the listener and for the connections.
 
     Parameters
     ----------
@@ -46,7 +57,7 @@
         task = asyncio.current_task()
         connections.add(task)
         task.add_done_callback(connections.discard)
-        await TCPServer(wrapped, loop, config, context, {}, reader, writer)
+        await _WebConnection(wrapped, loop, config, context, {}, reader, writer)
 
     server = await asyncio.start_server(
         serve_connection, sock=listener, backlog=ACCEPTED_AT_ONCE
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -178,6 +178,7 @@
     ("idle", CrowdSpec(450, b"", reconnections=4_000)),
     ("head-begun", CrowdSpec(450, begun(), reconnections=4_000)),
     ("body-begun", CrowdSpec(450, announced(9), reconnections=4_000)),
+    ("come-and-go", CrowdSpec(100, begun(), reconnections=3_000, closes=True)),
 ]
 
 
