Count answers of upstreams that are kept, and copy them less

A relay keeps an answer of up to 512 KiB until it is whole, so that another upstream can be asked if it breaks off. These bytes were in no budget: as many connections as memory_mb allows, 2.5 for each MiB, could hold 1.25 times the memory with them.

Answers that are kept count towards the budget now; one that has no place is forwarded as it arrives, as one beyond 512 KiB is.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/peer_wait.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/peer_wait.py
@@ -62,7 +62,7 @@
         if size != self.holding.size:
             self.holding.resize(size)
 
-    def hold_unparsed(self, size: int) -> None:
+    def hold_beside_request(self, size: int) -> None:
         """Hold a number of bytes beside those of the present request."""
         self.holding.resize(self._request_bytes + size)
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/response_writer.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/response_writer.py
@@ -9,6 +9,7 @@
     checkpoint_if_cancelled,
 )
 
+from cranberryfield.core.admission import BudgetExceededError
 from cranberryfield.core.http1.peer_wait import PeerWait
 from cranberryfield.core.http1.streams import AcceptedStream
 
@@ -40,6 +41,14 @@
         self._waiting = waiting
         self._scope = scope
 
+    def may_keep(self, size: int) -> bool:
+        """Hold bytes of a response until it is written; return whether they may be."""
+        try:
+            self._waiting.hold_beside_request(size)
+        except BudgetExceededError:
+            return False
+        return True
+
     async def write_through(self, data: bytes) -> None:
         """Write data although the deadline of the request may pass meanwhile.
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/server.py
@@ -195,9 +195,15 @@
         framed_headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         data = self._head_bytes(status, framed_headers)
         if body:
-            data += self._connection.send(h11.Data(data=body))
-        data += self._connection.send(h11.EndOfMessage())
+            self._connection.send(h11.Data(data=body))
+        # Has no bytes, as the response has a length.
+        self._connection.send(h11.EndOfMessage())
+        if len(body) <= WRITE_BYTES:
+            await self._writer.write_through(data + body)
+            return
+        # Apart, since together they would be a copy.
         await self._writer.write_through(data)
+        await self._writer.write_through(body)
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of a response whose body length is not known yet."""
@@ -211,6 +217,16 @@
         """Send the end of the response body."""
         await self._writer.write_through(self._connection.send(h11.EndOfMessage()))
 
+    def may_keep(self, size: int) -> bool:
+        """Return whether bytes of a response may be kept until it is sent.
+
+        Parameters
+        ----------
+        size : int
+            Number of bytes, with those that are kept already.
+        """
+        return self._writer.may_keep(size)
+
     def abort(self) -> None:
         """Close the connection without sending the end of the body."""
         self._broken = True
@@ -477,7 +493,7 @@
             if self._unparsed_bytes > self._state.limits.max_header_bytes:
                 raise self._too_large(HEADERS_TOO_LARGE, "head")
             if self._unparsed_bytes > HEAD_READ_BYTES:
-                self._waiting.hold_unparsed(self._unparsed_bytes)
+                self._waiting.hold_beside_request(self._unparsed_bytes)
             if self._connection.they_are_waiting_for_100_continue:
                 interim_response = h11.InformationalResponse(
                     status_code=100, headers=[]
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempt_results.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempt_results.py
@@ -70,6 +70,8 @@
         Sends the response head; called once, before the first event.
     send_events : callable
         Sends complete events.
+    may_keep : callable
+        Returns whether a number of bytes of a response may be kept until it is whole.
     head : ResponseHead or None
         Head that was sent; None if none was.
     is_stream : bool
@@ -87,6 +89,7 @@
 
     send_head: Callable[[ResponseHead], Awaitable[None]]
     send_events: Callable[[bytes], Awaitable[None]]
+    may_keep: Callable[[int], bool] = lambda size: True
     head: ResponseHead | None = None
     is_stream: bool = False
     sequence: EventSequence = field(default_factory=EventSequence)
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/attempts.py
@@ -210,7 +210,8 @@
 ) -> RelayAttemptResult:
     """Send a request and read the complete response.
 
-    A response that is too large to be kept is forwarded as it arrives.
+    A response that is too large to be kept, alone or with those of other requests, is
+    forwarded as it arrives.
 
     Parameters
     ----------
@@ -289,7 +290,7 @@
             continue
         parts.append(part)
         size += len(part)
-        if size > MAX_BUFFERED_BYTES:
+        if size > MAX_BUFFERED_BYTES or not progress.may_keep(size):
             progress.head = exchange.head
             await progress.send_head(exchange.head)
             for kept in parts:
--- a/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
+++ b/packages/cranberryfield-entry/src/cranberryfield/entry/relay/relay.py
@@ -530,7 +530,9 @@
         await exchange.start(head.status, remove_hop_by_hop(head.headers))
 
     sequence = EventSequence(last_event_id)
-    return StreamProgress(send_head, exchange.send, sequence=sequence)
+    return StreamProgress(
+        send_head, exchange.send, exchange.may_keep, sequence=sequence
+    )
 
 
 async def _send_response(exchange: Exchange, response: Response) -> None:
