Remember long ids of callers in little room

Each connection to an upstream remembers 64 ids of requests, and each upstream up to 4096 ids of prompt parts. Callers choose them as long as the limit on heads, 16 KiB and more: 1 MiB a connection, and 64 MiB an upstream. Found by reading, not by a crowd.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/client.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 import anyio
 import h11
@@ -44,6 +45,9 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 #: Requests whose ids a connection remembers.
 MAX_CARRIED_IDS = 64
+#: Length from which on their digest is remembered instead, and its size in bytes.
+MAX_ID_CHARS = 64
+ID_DIGEST_BYTES = 32
 #: Maximum number of idle connections to one address.
 MAX_IDLE_PER_ADDRESS = 32
 
@@ -125,7 +129,7 @@
         An answer that the server writes once more could not be told from that to a
         second request with the id.
         """
-        return request_id in self._carried_ids
+        return _short_id(request_id) in self._carried_ids
 
     def is_open_at(self, now: float) -> bool:
         """Return whether the server is expected to still accept a request."""
@@ -163,7 +167,7 @@
             self._connection.start_next_cycle()
         self._exchange_count += 1
         if request_id is not None:
-            self._carried_ids.append(request_id)
+            self._carried_ids.append(_short_id(request_id))
         headers = head.headers
         if body or head.method not in (b"GET", b"HEAD", b"DELETE"):
             headers = [*headers, (b"Content-Length", str(len(body)).encode())]
@@ -284,6 +288,13 @@
             await anyio.aclose_forcefully(self._stream)
 
 
+def _short_id(request_id: str) -> str:
+    """Return an id of bounded length, as callers choose theirs."""
+    if len(request_id) <= MAX_ID_CHARS:
+        return request_id
+    return blake2b(request_id.encode(), digest_size=ID_DIGEST_BYTES).hexdigest()
+
+
 def _parse_keep_alive(value: str) -> float:
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
