Soak: a few clients that do not behave beside ordinary ones

One crowd at a time at one of the relays: requests sent ahead, unfinished bodies, begun heads, connections that come and go. None sends a request that a runner would get. A relay that holds more than the smallest machine has breaks the run.

--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -10,7 +10,10 @@
 from standins.process_usage import ProcessUsage, measure_usage
 from standins.processes import wait_until
 
-__all__ = ["Crowd", "CrowdSpec"]
+__all__ = ["PROCESS_ENDED", "Crowd", "CrowdSpec"]
+
+#: Breach of a server that has no process any more.
+PROCESS_ENDED = "the process has ended"
 
 PIECE_BYTES = 1 << 18
 READ_BYTES = 1 << 16
@@ -152,7 +155,7 @@
     def _measure(self) -> None:
         usage = measure_usage(self.pid)
         if usage is None:
-            self.breach = "the process has ended"
+            self.breach = PROCESS_ENDED
             return
         if usage.memory_bytes > self.peak.memory_bytes:
             self.peak = ProcessUsage(
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -133,6 +133,8 @@
     cuts : list of (str, float, float)
         Relay, beginning and end of each span in which it was cut off from all runners
         while the other relays had no fault.
+    breaches : list of str
+        Relay, and the bound on its memory or descriptors that it has passed.
     """
 
     sent: list[SentRequest] = field(default_factory=list)
@@ -150,6 +152,7 @@
     refused_times: list[float] = field(default_factory=list)
     relays: int = 1
     cuts: list[tuple[str, float, float]] = field(default_factory=list)
+    breaches: list[str] = field(default_factory=list)
 
 
 def broken_promises(observations: Observations) -> list[str]:
@@ -174,6 +177,7 @@
         )
     for stream in observations.streams:
         broken += _broken_by_stream(stream)
+    broken += observations.breaches
     late = _late_runs(
         sorted(observations.part_crash_times),
         observations.disturbances,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from anyio.from_thread import start_blocking_portal
 
 from cranberryfield.core.errors import ErrorKind
+from standins.crowd import PROCESS_ENDED, Crowd, CrowdSpec
 from standins.platform_cluster import (
     CONTROL,
     RELAYS,
@@ -55,6 +56,27 @@
 #: Software versions of the runners, which take turns.
 VERSIONS = ("v1", "v2")
 STREAM_CALLERS = 2
+#: Crowds of clients that do not behave, one after the other: the listener and the
+#: clients, of which none sends a request that a runner would get. Bounds of the time
+#: for which one stays, in seconds, and of what a relay may hold meanwhile.
+CROWDS = [
+    ("ready", CrowdSpec(5, b"", b"GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n", 8 << 20)),
+    ("callers", CrowdSpec(5, b"", b"GET /x/1 HTTP/1.1\r\nHost: a\r\n\r\n", 1 << 20)),
+    (
+        "callers",
+        CrowdSpec(
+            10,
+            b"POST /x/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n",
+            b"x" * 4_096,
+            3_900_000,
+        ),
+    ),
+    ("callers", CrowdSpec(100, b"POST /x/1 HTTP/1.1\r\n", reconnections=200)),
+    ("callers", CrowdSpec(20, b"GET", closes=True, reconnections=400)),
+]
+MIN_CROWD_S, MAX_CROWD_S = 0.2, 1.5
+MAX_RELAY_BYTES = 160 << 20
+MAX_RELAY_DESCRIPTORS = 1_438
 #: Times that a caller takes a stream up before it gives up.
 MAX_STREAM_ATTEMPTS = 6
 #: Requests that a caller sends over one set of connections.
@@ -215,6 +237,29 @@
             with self.lock:
                 self.observations.streams.append(stream)
 
+    def misbehave(self) -> None:
+        """Have a crowd at one of the relays at a time until the run ends."""
+        rng = Random(f"{self.seed}-crowds")
+        while not self.ended.wait(rng.uniform(0.0, MAX_CROWD_S)):
+            relay = rng.choice(RELAYS)
+            listener, spec = rng.choice(CROWDS)
+            process = self.cluster.processes[relay]
+            port = self.cluster.relay_port
+            if listener == "ready":
+                port = self.cluster.ready_port
+            crowd = Crowd(
+                spec,
+                (self.cluster.ip_addresses[relay], port),
+                process.pid,
+                MAX_RELAY_BYTES,
+                MAX_RELAY_DESCRIPTORS,
+            )
+            with crowd:
+                self.ended.wait(rng.uniform(MIN_CROWD_S, MAX_CROWD_S))
+            # Faults end processes too.
+            if crowd.breach and crowd.breach != PROCESS_ENDED:
+                self.observations.breaches.append(f"{relay}: {crowd.breach}")
+
     def state_limits(self) -> None:
         """Have the runner behind the link state limits until the run ends."""
         rng = Random(f"{self.seed}-limits")
@@ -337,6 +382,7 @@
             )
         )
         threads.append(threading.Thread(target=soak.silence_runners))
+        threads.append(threading.Thread(target=soak.misbehave))
         threads.append(threading.Thread(target=soak.state_limits))
         threads.append(threading.Thread(target=soak.ask_for_pauses))
         for thread in threads:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -57,6 +57,11 @@
     assert bool(broken_promises(observations)) is is_broken
 
 
+def test_a_breach_of_a_bound_is_reported():
+    breach = "relay-1: memory"
+    assert broken_promises(Observations(breaches=[breach])) == [breach]
+
+
 # Times of the runs that ended their runner, a fault of a relay, and whether a promise
 # is broken.
 CRASH_CASES = [
