Count each request of an entry host, and keep limits sound

Each request counts with 16 KiB towards the budget now, and is refused at once if there is none. Of several holders that wait for their callers, equal ones give way too, the oldest first; else many small ones would lock others out.

A process without a limit on descriptors would have allowed one connection; the limit is taken as 2^20 there, and max_connections is held to what the descriptors allow.

--- a/packages/cranberryfield-core/src/cranberryfield/core/admission.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/admission.py
@@ -121,11 +121,14 @@
         self._set(holding, size)
 
     def _find_evictable(self, holding: ByteHolding, size: int) -> ByteHolding | None:
-        """Return the largest other holding that can be evicted and is over `size`."""
+        """Return the largest other holding that can be evicted, of `size` at least.
+
+        Of several the oldest, so that many small ones do not lock others out.
+        """
         evictable = (
             one
             for one in self._holdings
-            if one is not holding and one.evict is not None and one._size > size
+            if one is not holding and one.evict is not None and one._size >= size
         )
         return max(evictable, key=lambda one: one._size, default=None)
 
--- a/packages/cranberryfield-core/src/cranberryfield/core/http/admission.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http/admission.py
@@ -13,6 +13,7 @@
     ShedReason,
 )
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
+from cranberryfield.core.http.problems import problem_response
 from cranberryfield.core.http1.sockets import limit_kernel_buffers
 from cranberryfield.core.listening import ACCEPTED_AT_ONCE, ListeningSocket
 
@@ -20,6 +21,8 @@
 
 KEY_HEADER = b"idempotency-key"
 RETRY_S = 1.0
+#: Memory of a request beside its body, as the server and its task keep it.
+REQUEST_BYTES = 16_384
 #: Sent to a caller for which there is no connection left.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
@@ -167,6 +170,13 @@
             await self._app(scope, receive, send)
             return
         holding = ByteHolding(self._budget)
+        try:
+            # HTTP/2 allows many requests on a connection.
+            holding.resize(REQUEST_BYTES)
+        except BudgetExceededError:
+            self._listener.on_shed(ShedReason.REQUEST_REFUSED)
+            await problem_response(_refusal(scope))(scope, receive, send)
+            return
         is_read = False
 
         async def receive_part() -> dict:
--- a/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http1/listeners.py
@@ -21,6 +21,8 @@
 
 #: Descriptors that are kept for files.
 RESERVED_DESCRIPTORS = 200
+#: Descriptors of a process that has no limit on them.
+MAX_DESCRIPTORS = 1 << 20
 #: Parts of the other descriptors for connections of callers, and for those of other
 #: processes that have not shown the key yet.
 CALLERS_PART = 1 / 2
@@ -66,16 +68,19 @@
         descriptors = config.max_descriptors
         if descriptors is None:
             descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        usable = descriptors - RESERVED_DESCRIPTORS
-        connections = min(
+        if descriptors == resource.RLIM_INFINITY:
+            descriptors = MAX_DESCRIPTORS
+        # A process with few descriptors keeps half of them.
+        usable = max(descriptors - RESERVED_DESCRIPTORS, descriptors // 2)
+        connections = config.max_connections or min(
             int(CALLERS_PART * usable), int(CONNECTIONS_PER_MB * config.memory_mb)
         )
         held_bytes = int(HELD_PART * config.memory_mb * BYTES_PER_MB)
         if config.max_held_mb is not None:
             held_bytes = int(config.max_held_mb * BYTES_PER_MB)
         return cls(
-            config.max_connections or max(1, connections),
-            max(1, int(LINKS_PART * usable)),
+            min(connections, usable),
+            int(LINKS_PART * usable),
             held_bytes,
         )
 
