--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -8,6 +8,7 @@
 
 import httpx
 import pytest
+from h2.connection import H2Connection
 
 from standins.crowd import Crowd, CrowdSpec
 from standins.fleets import HOSTS, RELEVE_KEY, fleet_settings, start_upstreams
@@ -159,6 +160,25 @@
     ("mesh-idle", "mesh", CrowdSpec(450, b"", reconnections=4_000)),
 ]
 BEARER = f"Authorization: Bearer {RELEVE_KEY}"
+
+
+def http2_requests(count, *, has_key):
+    """Return the beginnings of requests of one HTTP/2 connection, without a body."""
+    connection = H2Connection()
+    connection.initiate_connection()
+    headers = [
+        (":method", "POST"),
+        (":path", "/v1/completions"),
+        (":scheme", "http"),
+        (":authority", "a"),
+    ]
+    if has_key:
+        headers.append(("authorization", f"Bearer {RELEVE_KEY}"))
+    for number in range(count):
+        connection.send_headers(2 * number + 1, headers)
+    return connection.data_to_send()
+
+
 #: The same at an entry host, which hypercorn serves.
 ENTRY_CROWDS = [
     ("ahead", endless(b"", ahead("/healthz/ready"))),
@@ -179,6 +199,8 @@
     ("head-begun", CrowdSpec(450, begun(), reconnections=4_000)),
     ("body-begun", CrowdSpec(450, announced(9), reconnections=4_000)),
     ("come-and-go", CrowdSpec(100, begun(), reconnections=3_000, closes=True)),
+    ("http2-streams", CrowdSpec(200, http2_requests(100, has_key=True))),
+    ("http2-refused", CrowdSpec(200, http2_requests(100, has_key=False))),
 ]
 
 
