Stop an entry host although callers do not go on

A connection that has waited for its caller for 10 s is closed during a stop now. Where the library still waits for bytes of a closed connection, which it does for requests that were sent ahead, the connection is ended 5 s later, also without a stop.

New cases: entry hosts that stop beside begun bodies, begun heads and requests sent ahead.

--- a/packages/cranberryfield-core/src/cranberryfield/core/http/admission.py
+++ b/packages/cranberryfield-core/src/cranberryfield/core/http/admission.py
@@ -12,6 +12,7 @@
     ConnectionTable,
     ShedReason,
 )
+from cranberryfield.core.clock import Clock
 from cranberryfield.core.errors import ErrorKind, UnavailableError, WasRun
 from cranberryfield.core.http.problems import problem_response
 from cranberryfield.core.http1.sockets import limit_kernel_buffers
@@ -50,19 +51,32 @@
         The connection.
     listener : AdmittingListener
         Where it was accepted.
+
+    Attributes
+    ----------
+    on_end : callable, optional
+        Called when the connection is closed.
     """
 
     def __init__(self, raw: _AdmittedSocket, listener: "AdmittingListener"):
         self._raw = raw
         self._listener = listener
         self._working = 0
+        self.on_end: Callable[[], None] | None = None
+        self._waiting_since = listener.clock()
         self.admitted = AdmittedConnection(
             lambda: self.shed(ShedReason.CONNECTION_CLOSED)
         )
 
+    @property
+    def waits_s(self) -> float:
+        """Time in seconds for which all its requests have waited for the caller."""
+        return 0.0 if self._working else self._listener.clock() - self._waiting_since
+
     def change_working(self, by: int) -> None:
         """Change the number of requests that do not wait for the caller."""
         self._working += by
+        self._waiting_since = self._listener.clock()
         if self._working:
             self._listener.table.mark_working(self.admitted)
         else:
@@ -78,6 +92,8 @@
     def end(self) -> None:
         """Forget the connection."""
         self._listener.forget(self)
+        if self.on_end is not None:
+            self.on_end()
 
 
 class AdmittingListener(ListeningSocket):
@@ -93,6 +109,8 @@
         Open connections.
     on_shed : callable
         Called when a limit costs a caller something.
+    clock : Clock
+        Monotonic time.
     """
 
     def __init__(
@@ -101,11 +119,13 @@
         port: int,
         table: ConnectionTable,
         on_shed: Callable[[ShedReason], None],
+        clock: Clock,
     ):
         super().__init__(host, port)
         limit_kernel_buffers(self)
         self.table = table
         self.on_shed = on_shed
+        self.clock = clock
         self._uses: dict[AdmittedConnection, tuple] = {}
         self._by_peer: dict[tuple, _ConnectionUse] = {}
 
@@ -138,6 +158,12 @@
         if self._by_peer.get(peer) is use:
             del self._by_peer[peer]
 
+    def shed_stalled(self, after_s: float) -> None:
+        """Close the connections that have waited for their caller for that long."""
+        for use in list(self._by_peer.values()):
+            if use.waits_s >= after_s:
+                use.shed(ShedReason.CONNECTION_CLOSED)
+
     def find(self, peer: tuple) -> _ConnectionUse | None:
         """Return the connection of a peer; None if it is closed."""
         return self._by_peer.get(tuple(peer))
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/process.py
@@ -127,6 +127,7 @@
             *split_address(config.callers),
             ConnectionTable(listeners.caller_connections),
             listeners.reporter("callers"),
+            monotonic_clock,
         )
         admitting = AdmissionMiddleware(web, listener, listeners.budget)
         stop = anyio.Event()
--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/web_server.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/web_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import structlog
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
@@ -13,6 +14,15 @@
 
 __all__ = ["serve_web"]
 
+#: Time for which a stop waits for a caller that neither sends the rest of its request
+#: nor takes its response, in seconds, and between two checks.
+STALLED_S = 10.0
+STOP_POLL_S = 0.5
+#: Time in which a connection ends once its socket is closed, in seconds.
+CLOSED_S = 5.0
+
+logger = structlog.get_logger(__name__)
+
 
 class _WebConnection(TCPServer):
     """Connection that ends with its peer.
@@ -33,6 +43,8 @@
 ) -> None:
     """Serve until `wait_for_stop` returns, and then until all responses have ended.
 
+    Then a connection is closed if its caller does not go on for `STALLED_S`.
+
     Hypercorn's own function has no place for the listener and for the connections.
 
     Parameters
@@ -57,7 +69,24 @@
         task = asyncio.current_task()
         connections.add(task)
         task.add_done_callback(connections.discard)
-        await _WebConnection(wrapped, loop, config, context, {}, reader, writer)
+        is_closed = False
+
+        def close() -> None:
+            nonlocal is_closed
+            is_closed = True
+            # The library waits for bytes of some connections that are closed.
+            loop.call_later(CLOSED_S, task.cancel)
+
+        peer = writer.get_extra_info("peername")
+        use = listener.find(peer[:2]) if peer else None
+        if use is not None:
+            use.on_end = close
+        try:
+            await _WebConnection(wrapped, loop, config, context, {}, reader, writer)
+        except asyncio.CancelledError:
+            if not is_closed:
+                raise
+            logger.debug("connection ended after its socket")
 
     server = await asyncio.start_server(
         serve_connection, sock=listener, backlog=ACCEPTED_AT_ONCE
@@ -69,5 +98,8 @@
         await context.terminated.set()
         server.close()
         await server.wait_closed()
-        if connections:
-            await asyncio.wait(connections, timeout=config.graceful_timeout)
+        ends_at = loop.time() + config.graceful_timeout
+        while connections and loop.time() < ends_at:
+            # Callers that do not go on would keep the process for as long as they like.
+            listener.shed_stalled(STALLED_S)
+            await asyncio.wait(connections, timeout=STOP_POLL_S)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -160,6 +160,8 @@
     ("mesh-idle", "mesh", CrowdSpec(450, b"", reconnections=4_000)),
 ]
 BEARER = f"Authorization: Bearer {RELEVE_KEY}"
+#: Takes the place of the name of the first header, to add the key before it.
+KEYED = f"{BEARER}\r\nHost".encode()
 
 
 def http2_requests(count, *, has_key):
@@ -386,3 +388,34 @@
         ENTRY_MEMORY_BYTES,
         lambda: entry_serves(host.callers),
     )
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        CrowdSpec(50, announced(9, "/v1/completions").replace(b"Host", KEYED)),
+        CrowdSpec(50, begun()),
+        endless(b"", ahead("/healthz/ready"), 50),
+    ],
+    ids=["body-begun", "head-begun", "ahead"],
+)
+def test_entry_host_stops_while_such_clients_are_there(group, spec):
+    host = group.hosts["entry-1"]
+    host.process.kill()
+    host.process.start()
+    wait_until(lambda: entry_serves(host.callers), "the entry host serves")
+    address, _, port = host.callers.rpartition(":")
+    crowd = Crowd(
+        spec,
+        (address, int(port)),
+        host.process.pid,
+        ENTRY_MEMORY_BYTES,
+        MAX_DESCRIPTORS,
+    )
+    with crowd:
+        crowd.wait_until_settled()
+        assert not crowd.breach
+        host.process.terminate()
+        assert host.process.wait() == 0
+    host.process.start()
+    wait_until(lambda: entry_serves(host.callers), "the entry host serves")
