--- a/tests/test_feature_levels.py
+++ b/tests/test_feature_levels.py
@@ -197,7 +197,9 @@
             assert host.error.kind is ErrorKind.FOREIGN_DATA
             assert "feature level 2" in host.error.detail
             # The others go on, and the host returns with a later build.
-            leader = next(one for one in (hosts["a"], hosts["c"]) if one.leads)
+            others = (hosts["a"], hosts["c"])
+            await wait_for(lambda: any(one.leads for one in others))
+            leader = next(one for one in others if one.leads)
             with anyio.fail_after(TIMEOUT_S):
                 await leader.runtime.propose(encode_message(Noop()))
             await start("b", 2)
