--- a/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
+++ b/packages/cranberryfield-daemon/src/cranberryfield/daemon/cluster/host.py
@@ -165,7 +165,7 @@
 
     async def answer(exchange: Exchange) -> None:
         nonlocal counted, rendered, rendered_at
-        # To render takes as long as some ten requests, whoever asks for it.
+        # Limits the processor time that callers of this listener can use.
         if clock() - rendered_at >= METRICS_MAX_AGE_S:
             from cranberryfield.core.metrics.prometheus import render_metrics
 
