--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -381,7 +381,7 @@
 
     async def start(self) -> None:
         """Listen, and announce this runner from now on."""
-        self._server = await asyncio.start_server(self._serve, self.ip, 0)
+        self._server = await asyncio.start_server(self._serve, self.ip, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
         self._beats = asyncio.create_task(self._beat())
 
@@ -433,30 +433,32 @@
         if self._server is not None:
             self._server.close()
 
+    async def answer(self, request: str, headers: dict, writer) -> None:
+        """Write the answer to one request."""
+        head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request}\r\n"
+        head += f"Server-Signature: {self.id}.1\r\nKeep-Alive: timeout=5\r\n"
+        writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
+        await writer.drain()
+
     async def _serve(self, reader, writer) -> None:
         try:
             while True:
                 _, headers = await read_head(reader)
                 await reader.readexactly(int(headers.get("content-length") or 0))
                 request = headers.get("attempt-id", "")
-                status, further, body = (
-                    "200 OK",
-                    f"Server-Signature: {self.id}.1",
-                    b"ok",
-                )
                 if headers.get("target-instance", self.id) != self.id:
-                    status, further, body = "421 Misdirected", "Not-Executed: 1", b""
-                else:
-                    now = self._deployment.record.write(
-                        f"runner {self.id} runs request {request}, "
-                        f"tenant {headers.get('tenant')}"
-                    )
-                    self.runs.append((now, request, headers))
-                    await asyncio.sleep(self._run_s)
-                head = f"HTTP/1.1 {status}\r\nAttempt-Id: {request}\r\n{further}\r\n"
-                head += f"Keep-Alive: timeout=5\r\nContent-Length: {len(body)}\r\n\r\n"
-                writer.write(head.encode() + body)
-                await writer.drain()
+                    head = f"HTTP/1.1 421 Misdirected\r\nAttempt-Id: {request}\r\n"
+                    head += "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    writer.write(head.encode())
+                    await writer.drain()
+                    continue
+                now = self._deployment.record.write(
+                    f"runner {self.id} runs request {request}, "
+                    f"tenant {headers.get('tenant')}"
+                )
+                self.runs.append((now, request, headers))
+                await asyncio.sleep(self._run_s)
+                await self.answer(request, headers, writer)
         except (OSError, asyncio.IncompleteReadError):
             return
         finally:
